Sort imports the same way wherever the code is generated

Cause: the sorter told first-party packages by the folder, so the generated code compared unequal from a temporary folder. Seen: generated code differed before, equal after.

--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -7,6 +7,7 @@
 
 import gevent
 from behave import given, then, when
+
 from buckthornpond_runtime.connections import HttpCall
 from buckthornpond_standins.callers import call_completion, call_service
 from buckthornpond_standins.fleets import (
--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 
 import gevent
+from gevent.event import Event
+
 from buckthornpond_core._generated.events import (
     CallChunk,
     CallEnded,
@@ -14,7 +16,6 @@
 from buckthornpond_core.exceptions import TargetError
 from buckthornpond_runtime.connections import HttpCall
 from buckthornpond_runtime.tasks import AnyGreenlet
-from gevent.event import Event
 
 _EVENT_STREAM = 'text/event-stream'
 _DONE = b'data: [DONE]'
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 
 import click
+from zmq import green as zmq
+
 from buckthornpond_core._generated.settings import AgentSettings
 from buckthornpond_core.admission import Admission, AgentLimits
 from buckthornpond_core.configuration import Configuration
@@ -20,7 +22,6 @@
 from buckthornpond_runtime.settings import load_settings
 from buckthornpond_runtime.tasks import Supervisor
 from buckthornpond_runtime.transports import PortTask
-from zmq import green as zmq
 
 from .tasks import AdmissionTask
 
--- a/packages/entry/src/buckthornpond_entry/answers.py
+++ b/packages/entry/src/buckthornpond_entry/answers.py
@@ -4,6 +4,9 @@
 
 import falcon
 import msgspec
+from gevent import Greenlet
+from gevent import socket as gevent_socket
+
 from buckthornpond_core._generated.api import Problem
 from buckthornpond_core._generated.events import Consumed, Hangup
 from buckthornpond_core._generated.messages import (
@@ -15,8 +18,6 @@
 from buckthornpond_core.effects import AnswerMessage
 from buckthornpond_core.refusals import find_refusal
 from buckthornpond_runtime.tasks import Mailbox
-from gevent import Greenlet
-from gevent import socket as gevent_socket
 
 from .tasks import RouterTask, refuse_locally
 
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import click
+
 from buckthornpond_core._generated.settings import EntrySettings
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.journal import EventCode
--- a/packages/entry/src/buckthornpond_entry/front.py
+++ b/packages/entry/src/buckthornpond_entry/front.py
@@ -6,6 +6,8 @@
 
 import falcon
 import msgspec
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
 from buckthornpond_core._generated.events import Submission
 from buckthornpond_core._generated.inventory import Organisation, TargetKind
 from buckthornpond_core._generated.messages import Outcome, Refused
@@ -17,7 +19,6 @@
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
-from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from .answers import CallerTask, is_event_stream, write_problem
 from .requests import (
--- a/packages/entry/src/buckthornpond_entry/requests.py
+++ b/packages/entry/src/buckthornpond_entry/requests.py
@@ -7,6 +7,7 @@
 import falcon
 import gevent
 import msgspec
+
 from buckthornpond_core._generated.api import CompletionHead
 from buckthornpond_core._generated.settings import EntrySettings
 from buckthornpond_core.exceptions import BuckthornpondError
--- a/packages/entry/src/buckthornpond_entry/tasks.py
+++ b/packages/entry/src/buckthornpond_entry/tasks.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from typing import TypeAlias
 
+from zmq import green as zmq
+
 from buckthornpond_core._generated.events import (
     Consumed,
     Hangup,
@@ -23,7 +25,6 @@
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
 from buckthornpond_runtime.transports import LinkTask, Received
-from zmq import green as zmq
 
 _TICK_SECONDS = 0.05
 
--- a/packages/runtime/src/buckthornpond_runtime/codecs.py
+++ b/packages/runtime/src/buckthornpond_runtime/codecs.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pyjson5
+
 from buckthornpond_core._generated import messages
 from buckthornpond_core.effects import WireMessage
 from buckthornpond_core.exceptions import (
--- a/packages/runtime/src/buckthornpond_runtime/commands.py
+++ b/packages/runtime/src/buckthornpond_runtime/commands.py
@@ -7,6 +7,7 @@
 from typing import ParamSpec
 
 import click
+
 from buckthornpond_core.exceptions import BuckthornpondError
 
 from .documents import parse_inventory, parse_rules
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -3,10 +3,11 @@
 import socket as standard_socket
 from datetime import timedelta
 
-from buckthornpond_core.exceptions import TargetError
 from gevent import socket
 from geventhttpclient.response import HTTPSocketResponse
 
+from buckthornpond_core.exceptions import TargetError
+
 _LINE_END = '\r\n'
 
 
--- a/packages/runtime/src/buckthornpond_runtime/logs.py
+++ b/packages/runtime/src/buckthornpond_runtime/logs.py
@@ -3,6 +3,7 @@
 import sys
 
 import eliot
+
 from buckthornpond_core.journal import EventCode
 
 
--- a/packages/runtime/src/buckthornpond_runtime/metrics.py
+++ b/packages/runtime/src/buckthornpond_runtime/metrics.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from buckthornpond_core.journal import EventCode
 from hdrh.histogram import HdrHistogram
 
+from buckthornpond_core.journal import EventCode
+
 from .logs import log_event
 
 _LOWEST_MS = 1
--- a/packages/runtime/src/buckthornpond_runtime/platforms.py
+++ b/packages/runtime/src/buckthornpond_runtime/platforms.py
@@ -5,6 +5,7 @@
 
 import gevent
 import msgspec
+
 from buckthornpond_core._generated.messages import Document, DocumentName
 from buckthornpond_core._generated.platform import InstanceList
 from buckthornpond_core._generated.settings import PlatformSettings
--- a/packages/runtime/src/buckthornpond_runtime/processes.py
+++ b/packages/runtime/src/buckthornpond_runtime/processes.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 import gevent
+
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.types import Clock
 
--- a/packages/runtime/src/buckthornpond_runtime/tasks.py
+++ b/packages/runtime/src/buckthornpond_runtime/tasks.py
@@ -5,9 +5,10 @@
 from typing import Generic, Protocol, TypeAlias, TypeVar
 
 import gevent
-from buckthornpond_core.journal import EventCode
 from gevent.queue import Empty, Full, Queue
 
+from buckthornpond_core.journal import EventCode
+
 from .logs import log_event
 
 MessageT = TypeVar('MessageT')
--- a/packages/runtime/src/buckthornpond_runtime/transports.py
+++ b/packages/runtime/src/buckthornpond_runtime/transports.py
@@ -3,6 +3,8 @@
 from typing import Any, TypeAlias
 
 import gevent
+from zmq import green as zmq
+
 from buckthornpond_core._generated.messages import (
     Attempt,
     Outcome,
@@ -11,7 +13,6 @@
 from buckthornpond_core.effects import ToPeer, WireMessage
 from buckthornpond_core.exceptions import MalformedMessageError, TransportError
 from buckthornpond_core.journal import EventCode
-from zmq import green as zmq
 
 from .codecs import decode_message, encode_message
 from .logs import log_event
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -14,9 +14,10 @@
 from pathlib import Path
 from typing import Any
 
+from gevent import socket
+
 from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_runtime.connections import HttpCall
-from gevent import socket
 
 _LOOPBACK = '127.0.0.1'
 _POLL_SECONDS = 0.05
--- a/packages/standins/src/buckthornpond_standins/platform.py
+++ b/packages/standins/src/buckthornpond_standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in of the configuration service and the instance list."""
 
 import msgspec
+
 from buckthornpond_core._generated.platform import (
     InstanceList,
     InstanceState,
