--- /dev/null
+++ b/features/product.feature
@@ -0,0 +1,44 @@
+Feature: Command line, checks and documents
+
+  Scenario: the event catalogue and the code agree
+    Then docs/EVENTS.md lists the event numbers of the code and no others
+
+  Scenario: the refusal table and the code agree
+    Then docs/API.md lists the refusal codes of the code and no others
+
+  Scenario: every refusal reason in the decision code has a kind
+    Then each reason that the core names is in the refusal table
+
+  Scenario: settings may hold comments
+    Given an entry settings file with a comment
+    When its settings are checked
+    Then the exit code is 0
+
+  Scenario: every fault of the settings is shown at once
+    Given an entry settings file with an unknown key, a text for a number and a missing key
+    When its settings are checked
+    Then the exit code is 2
+    And the output names all three faults
+
+  Scenario: broken references of an inventory are shown at once
+    Given an inventory with an unknown availability zone and an unknown instance
+    When the inventory is checked
+    Then the exit code is 2
+    And the output names both references
+
+  Scenario: a file that is not JSON
+    Given a settings file of random bytes
+    When its settings are checked
+    Then the exit code is 2
+
+  Scenario: an interrupted demonstration leaves no process behind
+    Given a running demonstration
+    When it is interrupted
+    Then none of its processes is left
+
+  Scenario: no log holds a credential
+    Given a fleet with 1 engines, 1 plain service and 1 entries
+    When 2 callers stream completions of 1000 tokens through every entry
+    And a caller sends a wrong credential
+    Then every caller has a whole answer
+    And no log of the fleet holds a credential
--- a/packages/standins/src/buckthornpond_standins/demo.py
+++ b/packages/standins/src/buckthornpond_standins/demo.py
@@ -14,6 +14,7 @@
 _SHORT_COUNT = 16
 _LONG_COUNT = 2
 _BOOKING_COUNT = 8
+_HOLD_SECONDS = 60
 _BAD_OUTCOMES = frozenset(('lost', 'truncated'))
 
 
@@ -107,13 +108,32 @@
     return 1 if bad or doubled or untrue else 0
 
 
-def main() -> None:
-    """Run the demonstration so that an interrupt ends the fleet too."""
-
-    def interrupt(number: int, frame: object) -> None:
-        raise KeyboardInterrupt
-
-    signal.signal(signal.SIGTERM, interrupt)
+def hold_fleet() -> None:
+    """Keep a fleet running until interrupted."""
+    with Fleet() as fleet:
+        click.echo(f'ENTRY={fleet.entry_addresses[0]}')
+        while True:
+            gevent.sleep(_HOLD_SECONDS)
+
+
+def _interrupt(running: Any) -> None:
+    # Arrives where the greenlet waits, never between the start of a process
+    # and its entry in the fleet.
+    gevent.kill(running, KeyboardInterrupt)
+
+
+@click.command()
+@click.option(
+    '--hold',
+    is_flag=True,
+    help='Keep the fleet running until interrupted, for trying requests.',
+)
+def main(*, hold: bool) -> None:
+    """Show a small fleet that loses an agent while callers use it."""
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, _interrupt, gevent.getcurrent())
+    if hold:
+        hold_fleet()
     begun = time.monotonic()
     code = run_demo()
     click.echo(f'{time.monotonic() - begun:.1f} s')
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from gevent import socket
+from gevent import sleep, socket
 
 from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_runtime.connections import HttpCall
@@ -380,7 +380,7 @@
                 return
         except (BuckthornpondError, OSError):
             pass
-        time.sleep(_POLL_SECONDS)
+        sleep(_POLL_SECONDS)
     raise TimeoutError(f'nothing after {timeout_seconds} s')
 
 
