--- a/features/product.feature
+++ b/features/product.feature
@@ -14,6 +14,17 @@
     When its settings are checked
     Then the exit code is 0
 
+  Scenario Outline: the examples pass the checks
+    When <binary> checks the example <name> as <kind>
+    Then the exit code is 0
+
+    Examples:
+      | binary | name           | kind      |
+      | entry  | entry.json     | settings  |
+      | agent  | agent.json     | settings  |
+      | entry  | inventory.json | inventory |
+      | agent  | rules.json     | rules     |
+
   Scenario: every fault of the settings is shown at once
     Given an entry settings file with an unknown key, a text for a number and a missing key
     When its settings are checked
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -42,12 +42,12 @@
     context.path.write_bytes(content)
 
 
-def _check(context: Any, kind: str) -> None:
+def _check(context: Any, kind: str, binary: str = 'entry') -> None:
     context.done = subprocess.run(
         [
             sys.executable,
             '-m',
-            'buckthornpond_entry',
+            f'buckthornpond_{binary}',
             'check',
             kind,
             str(context.path),
@@ -146,6 +146,13 @@
     _write(context, bytes(range(256)))
 
 
+@when('{binary} checks the example {name} as {kind}')
+def check_example(context: Any, binary: str, name: str, kind: str) -> None:
+    """Run the offline check on a file of the examples folder."""
+    context.path = _ROOT / 'examples' / name
+    _check(context, kind, binary)
+
+
 @when('its settings are checked')
 def check_settings(context: Any) -> None:
     """Run the offline check."""
