Bound slow, broken and truncated requests of callers

Cause: the entry's listener bounded each read in place of the whole head, took a head cut by the caller as whole (a truncated booking went to the router as an empty one), decoded the path before it passed it on, crashed on deep JSON, waited without limit for unread bodies and slow readers, and called an answer over its bound "not run".

Change: the listener is a module of its own. A head and an idle connection have one time limit each, a head must be whole, an unread body closes the connection after the answer, and a write ends a margin after the request's deadline. The target gets the path as the caller sent it. Memory is reserved for a body, the window of a stream and a whole answer until the answer is written. A chunk costs a fixed charge besides its bytes, so that a stream of tiny events cannot overfill a caller's mailbox. A pipelined request no longer hides that the caller has gone. On a stop the health check fails first, requests are served for a notice period with Connection: close, and the process waits until every answer is written.

--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -12,6 +12,7 @@
     CallStarted,
 )
 from buckthornpond_core._generated.messages import Attempt
+from buckthornpond_core.credits import charge_bytes
 from buckthornpond_core.effects import CallMessage
 from buckthornpond_core.exceptions import TargetError
 from buckthornpond_runtime.connections import HttpCall
@@ -142,7 +143,7 @@
             self._forward(block)
 
     def _forward(self, payload: bytes) -> None:
-        self._credit_bytes -= len(payload)
+        self._credit_bytes -= charge_bytes(payload)
         if self._credit_bytes <= 0:
             self._has_credit.clear()
         self._report(
--- a/packages/core/src/buckthornpond_core/_generated/settings.py
+++ b/packages/core/src/buckthornpond_core/_generated/settings.py
@@ -43,10 +43,12 @@
     body_budget_bytes: Annotated[int, Meta(ge=1024)] = 268435456
     max_held_requests: Annotated[int, Meta(ge=1, le=1000000)] = 10000
     stream_window_bytes: Annotated[int, Meta(ge=1024, le=16777216)] = 65536
+    send_buffer_bytes: Annotated[int, Meta(ge=4096, le=4194304)] = 65536
     max_response_bytes: Annotated[int, Meta(ge=1024)] = 16777216
     max_attempts: Annotated[int, Meta(ge=1, le=100)] = 8
     retry_budget_percent: Annotated[int, Meta(ge=0, le=100)] = 20
     header_timeout_ms: Annotated[int, Meta(ge=100, le=600000)] = 10000
+    notice_period_ms: Annotated[int, Meta(ge=0, le=600000)] = 2000
     drain_timeout_ms: Annotated[int, Meta(ge=0, le=3600000)] = 60000
 
 
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -21,7 +21,8 @@
 from buckthornpond_runtime.settings import load_settings
 from buckthornpond_runtime.tasks import Supervisor
 
-from .front import Front, FrontServer, build_application
+from .front import Front, build_application
+from .listeners import FrontServer
 from .tasks import EndAll, RouterTask
 
 _RETRY_RESERVE = 100
@@ -87,12 +88,14 @@
     server = FrontServer(
         settings.listen_address,
         build_application(front),
-        settings.header_timeout_ms / 1000,
+        head_timeout_seconds=settings.header_timeout_ms / 1000,
+        send_buffer_bytes=settings.send_buffer_bytes,
+        metrics=metrics,
     )
     administration = AdministrationTask(
         settings.administration_address,
         metrics,
-        lambda: router.open_agent_count > 0 and not front.is_stopping,
+        lambda: router.open_agent_count > 0 and not server.is_stopping,
     )
     platform = PlatformTask(
         settings.platform, router_task.mailbox.send, metrics
@@ -108,11 +111,14 @@
     supervisor.start('front', server.serve_forever)
     log_event(EventCode.process_started, incarnation=incarnation)
     stop.wait()
+    server.is_stopping = True
+    # The balancer sees the failed health check before requests are refused.
+    stop.wait_again(settings.notice_period_ms / 1000)
     front.is_stopping = True
     drain(
         stop,
         clock=clock,
         limit=timedelta(milliseconds=settings.drain_timeout_ms),
-        held_count=lambda: router.held_count,
+        held_count=lambda: server.active_count,
         end_all=lambda: router_task.mailbox.send(EndAll()),
     )
--- a/packages/entry/src/buckthornpond_entry/front.py
+++ b/packages/entry/src/buckthornpond_entry/front.py
@@ -1,12 +1,10 @@
 """HTTP front end for callers."""
 
-import socket as standard_socket
 from http import HTTPStatus
 from typing import Any, TypeAlias
 
 import falcon
 import msgspec
-from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from buckthornpond_core._generated.events import Submission
 from buckthornpond_core._generated.inventory import Organisation, TargetKind
@@ -21,8 +19,9 @@
 from buckthornpond_runtime.tasks import Mailbox
 
 from .answers import CallerTask, is_event_stream, write_problem
+from .listeners import EXCHANGE_KEY, Exchange
 from .requests import (
-    BodyBudget,
+    MemoryBudget,
     RefusedRequestError,
     count_prompt_tokens,
     parse_completion,
@@ -30,13 +29,13 @@
     read_credential,
     read_key,
     read_length,
+    read_raw_path,
     read_time_limit,
 )
 from .tasks import CallerSubmission, RouterTask, refuse_locally
 
 Application: TypeAlias = 'falcon.App[falcon.Request, falcon.Response]'
 
-_SOCKET_KEY = 'buckthornpond.socket'
 _IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
@@ -74,7 +73,7 @@
         self.router = router
         self.clock = clock
         self.metrics = metrics
-        self.budget = BodyBudget(settings.body_budget_bytes)
+        self.budget = MemoryBudget(settings.body_budget_bytes)
         self.is_stopping = False
 
     def authorise(self, request: falcon.Request) -> Organisation:
@@ -115,6 +114,28 @@
             )
         return read_time_limit(request, found.time_limit_ms)
 
+    def read_body(self, request: falcon.Request) -> bytes:
+        """Return the whole body, for which memory is reserved first.
+
+        The reservation covers the body and the window of the answer, and
+        lasts until the answer is written.
+
+        :param request: the caller's request.
+        :raises RefusedRequestError: when it is refused.
+        """
+        length_bytes = read_length(request, self.settings)
+        exchange = find_exchange(request)
+        release = self.budget.reserve(
+            length_bytes + self.settings.stream_window_bytes,
+            request.remote_addr,
+        )
+        exchange.add_cleanup(release)
+        return read_body(
+            request,
+            length_bytes,
+            self.settings.header_timeout_ms,
+        )
+
     def serve(
         self,
         submission: Submission,
@@ -128,47 +149,63 @@
         :param response: the response to fill.
         """
         mailbox: Mailbox[AnswerMessage] = Mailbox()
+        exchange = find_exchange(request)
         caller = CallerTask(
             self.router,
-            submission.request_number,
+            submission,
             mailbox,
-            request.env[_SOCKET_KEY],
+            exchange.connection,
+            self.clock,
         )
-        is_streaming = False
-        try:
-            if not self.router.mailbox.offer(
-                CallerSubmission(submission, mailbox),
-            ):
-                write_problem(response, refuse_locally('entry_full'))
-                return
-            is_streaming = self._write_answer(caller, response)
-        finally:
-            if not is_streaming:
-                caller.finish()
+        exchange.add_cleanup(caller.finish)
+        is_taken = self.router.mailbox.offer(
+            CallerSubmission(submission, mailbox),
+        )
+        if is_taken:
+            self._write_answer(caller, exchange, response)
+        else:
+            write_problem(response, refuse_locally('entry_full'))
 
     def _write_answer(
         self,
         caller: CallerTask,
+        exchange: Exchange,
         response: falcon.Response,
-    ) -> bool:
+    ) -> None:
         begun = self.clock.monotonic()
         first = caller.receive_head()
         if isinstance(first, Refused):
             write_problem(response, first)
-            return False
+            return
         elapsed = self.clock.monotonic() - begun
         self.metrics.observe('first_answer', 'all', elapsed)
         response.status = first.status_code
         response.content_type = first.content_type
         if is_event_stream(first):
             response.stream = caller.iterate()
-            return True
-        found = caller.collect(self.settings.max_response_bytes)
+            return
+        found = self._collect(caller, exchange)
         if isinstance(found, Refused):
             write_problem(response, found)
         else:
             response.data = found
-        return False
+
+    def _collect(
+        self,
+        caller: CallerTask,
+        exchange: Exchange,
+    ) -> bytes | Refused:
+        def hold(length_bytes: int) -> None:
+            peer = str(exchange.connection)
+            exchange.add_cleanup(self.budget.reserve(length_bytes, peer))
+
+        try:
+            return caller.collect(self.settings.max_response_bytes, hold)
+        except RefusedRequestError as error:
+            caller.finish()
+            refused = refuse_locally(error.reason)
+            refused.outcome = Outcome.outcome_unknown
+            return refused
 
 
 class CompletionResource:
@@ -187,30 +224,24 @@
         """Serve a completion, streamed or whole."""
         front = self._front
         organisation = front.authorise(request)
-        length_bytes = read_length(request, front.settings)
-        with front.budget.hold(length_bytes, request.remote_addr):
-            body = read_body(
-                request,
-                length_bytes,
-                front.settings.header_timeout_ms,
-            )
-            head = parse_completion(body, request.remote_addr)
-            submission = Submission(
-                request_number=front.router.next_number(),
-                organisation=organisation.name,
-                service=head.model,
-                method='POST',
-                path=request.path,
-                content_type='application/json',
-                idempotency_key=read_key(request),
-                is_idempotent=True,
-                is_stream=head.stream,
-                prompt_tokens=count_prompt_tokens(head),
-                output_tokens=head.max_tokens,
-                time_limit_ms=front.time_limit_ms(request, head.model),
-                body=body,
-            )
-            front.serve(submission, request, response)
+        body = front.read_body(request)
+        head = parse_completion(body, request.remote_addr)
+        submission = Submission(
+            request_number=front.router.next_number(),
+            organisation=organisation.name,
+            service=head.model,
+            method='POST',
+            path=request.path,
+            content_type='application/json',
+            idempotency_key=read_key(request),
+            is_idempotent=True,
+            is_stream=head.stream,
+            prompt_tokens=count_prompt_tokens(head),
+            output_tokens=head.max_tokens,
+            time_limit_ms=front.time_limit_ms(request, head.model),
+            body=body,
+        )
+        front.serve(submission, request, response)
 
 
 class ModelResource:
@@ -255,30 +286,33 @@
         front = self._front
         service = params['service']
         organisation = front.authorise(req)
-        length_bytes = read_length(req, front.settings)
-        query = f'?{req.query_string}' if req.query_string else ''
-        with front.budget.hold(length_bytes, req.remote_addr):
-            body = read_body(
-                req,
-                length_bytes,
-                front.settings.header_timeout_ms,
-            )
-            submission = Submission(
-                request_number=front.router.next_number(),
-                organisation=organisation.name,
-                service=service,
-                method=req.method,
-                path=f'/{params["path"]}{query}',
-                content_type=req.content_type or '',
-                idempotency_key=read_key(req),
-                is_idempotent=req.method in _IDEMPOTENT_METHODS,
-                is_stream=False,
-                prompt_tokens=0,
-                output_tokens=0,
-                time_limit_ms=front.time_limit_ms(req, service),
-                body=body,
-            )
-            front.serve(submission, req, resp)
+        path = read_raw_path(find_exchange(req).raw_path, req.remote_addr)
+        body = front.read_body(req)
+        submission = Submission(
+            request_number=front.router.next_number(),
+            organisation=organisation.name,
+            service=service,
+            method=req.method,
+            path=path,
+            content_type=req.content_type or '',
+            idempotency_key=read_key(req),
+            is_idempotent=req.method in _IDEMPOTENT_METHODS,
+            is_stream=False,
+            prompt_tokens=0,
+            output_tokens=0,
+            time_limit_ms=front.time_limit_ms(req, service),
+            body=body,
+        )
+        front.serve(submission, req, resp)
+
+
+def find_exchange(request: falcon.Request) -> Exchange:
+    """Return the exchange that a request belongs to.
+
+    :param request: the caller's request.
+    """
+    exchange: Exchange = request.env[EXCHANGE_KEY]
+    return exchange
 
 
 def _write_refusal(
@@ -328,56 +362,6 @@
     application.add_route('/v1/models', ModelResource(front))
     application.add_sink(
         ServiceSink(front),
-        r'^/v1/services/(?P<service>[^/]+)/(?P<path>.*)$',
+        '^/v1/services/(?P<service>[^/]+)/',
     )
     return application
-
-
-def _read_head_timeout(server: WSGIServer) -> float | None:
-    if isinstance(server, FrontServer):
-        return server.head_timeout_seconds
-    return None
-
-
-class _Handler(WSGIHandler):
-    """Hands the socket to the application and bounds slow heads."""
-
-    def handle(self) -> None:
-        self.socket.setsockopt(
-            standard_socket.IPPROTO_TCP,
-            standard_socket.TCP_NODELAY,
-            1,
-        )
-        super().handle()
-
-    def read_requestline(self) -> str:
-        self.socket.settimeout(_read_head_timeout(self.server))
-        return str(super().read_requestline())
-
-    # Name of the library.
-    def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
-        self.socket.settimeout(None)
-        environ: dict[str, Any] = super().get_environ()
-        environ[_SOCKET_KEY] = self.socket
-        return environ
-
-
-class FrontServer(WSGIServer):
-    """Listener for callers.
-
-    :param address: IP number and port to listen on.
-    :param application: the WSGI application.
-    :param head_timeout_seconds: longest wait for a request's head.
-    """
-
-    handler_class = _Handler
-
-    def __init__(
-        self,
-        address: str,
-        application: Application,
-        head_timeout_seconds: float,
-    ) -> None:
-        host, port = address.rsplit(':', 1)
-        super().__init__((host, int(port)), application, log=None)
-        self.head_timeout_seconds = head_timeout_seconds
--- /dev/null
+++ b/packages/entry/src/buckthornpond_entry/listeners.py
@@ -0,0 +1,271 @@
+"""Listener for callers, which bounds slow and broken connections."""
+
+import errno
+import socket as standard_socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import gevent
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+
+from buckthornpond_runtime.metrics import Metrics
+
+EXCHANGE_KEY = 'buckthornpond.exchange'
+
+_MAX_HEAD_BYTES = 65_536
+_LINGER_SECONDS = 1
+_LINGER_BYTES = 33_554_432
+_LINGER_BLOCK_BYTES = 65_536
+_REQUEST_TIMEOUT = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+_BAD_REQUEST = (
+    b'HTTP/1.1 400 Bad Request\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+class Exchange:
+    """One request and its answer on a caller's connection.
+
+    :param connection: the caller's socket.
+    :param raw_path: path and query as the caller sent them.
+    """
+
+    __slots__ = ('_cleanups', 'connection', 'raw_path')
+
+    def __init__(self, connection: Any, raw_path: str) -> None:
+        self.connection = connection
+        self.raw_path = raw_path
+        self._cleanups: list[Callable[[], None]] = []
+
+    def add_cleanup(self, cleanup: Callable[[], None]) -> None:
+        """Run a function once the answer is written or given up.
+
+        :param cleanup: the function.
+        """
+        self._cleanups.append(cleanup)
+
+    def finish(self) -> None:
+        """Run the clean-up functions, the last one first."""
+        while self._cleanups:
+            self._cleanups.pop()()
+
+
+class _HeadReader:
+    """Reads the lines of a head, which must be whole and bounded."""
+
+    __slots__ = ('_length_bytes', '_rfile', 'is_whole')
+
+    def __init__(self, rfile: Any) -> None:
+        self._rfile = rfile
+        self._length_bytes = 0
+        self.is_whole = False
+
+    def readline(self, limit_bytes: int) -> bytes:
+        """Return the next line.
+
+        :param limit_bytes: the most bytes to return.
+        :raises ValueError: when the head is too long.
+        """
+        line: bytes = self._rfile.readline(limit_bytes)
+        self._length_bytes += len(line)
+        if self._length_bytes > _MAX_HEAD_BYTES:
+            raise ValueError('request head too long')
+        self.is_whole = line in {b'\r\n', b'\n'}
+        return line
+
+
+class _BoundedInput(Input):
+    """Body of a request; what the application left unread is not awaited."""
+
+    __slots__ = ()
+
+    @property
+    def is_unread(self) -> bool:
+        """Tell whether part of the body has not been read."""
+        is_short = self.position < (self.content_length or 0)
+        return is_short or bool(self.chunked_input)
+
+    # Name of the library.
+    def _discard(self) -> None:
+        """Leave the rest; the connection closes after the answer."""
+
+
+class _Handler(WSGIHandler):
+    """Serves one connection within bounds of time and memory."""
+
+    server: 'FrontServer'
+
+    def handle(self) -> None:
+        self.socket.setsockopt(
+            standard_socket.IPPROTO_TCP,
+            standard_socket.TCP_NODELAY,
+            1,
+        )
+        super().handle()
+
+    def handle_one_request(self) -> Any:
+        # The base class returns what closes or keeps the connection.
+        self._head_timeout = gevent.Timeout(self.server.head_timeout_seconds)
+        self.requestline = None
+        self.socket.settimeout(None)
+        try:
+            with self._head_timeout:
+                return super().handle_one_request()
+        except gevent.Timeout as expired:
+            if expired is not self._head_timeout:
+                raise
+            self._refuse_slow_head()
+        except ValueError:
+            self._count('head_invalid')
+            self._refuse_head(_BAD_REQUEST)
+        finally:
+            self.server.active_handlers.discard(self)
+        return None
+
+    # Name of the library.
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        reader = _HeadReader(self.rfile)
+        headers = super().MessageClass(cast(Any, reader))
+        if not reader.is_whole:
+            raise ValueError('request head truncated')
+        return headers
+
+    # Name of the library.
+    def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
+        self._head_timeout.close()
+        self.server.active_handlers.add(self)
+        environ: dict[str, Any] = super().get_environ()
+        parsed: Any = self.wsgi_input
+        self._input = _BoundedInput(
+            self.rfile,
+            self.content_length,
+            socket=parsed.socket,
+            chunked_input=parsed.chunked_input,
+        )
+        self.wsgi_input = self._input
+        environ['wsgi.input'] = self._input
+        self._exchange = Exchange(self.socket, str(self.path))
+        environ[EXCHANGE_KEY] = self._exchange
+        return environ
+
+    def start_response(
+        self,
+        status: str,
+        headers: list[tuple[str, str]],
+        exc_info: Any = None,
+    ) -> Any:
+        if self.server.is_stopping or self._input.is_unread:
+            headers = [*headers, ('Connection', 'close')]
+        return super().start_response(status, headers, exc_info)
+
+    def handle_one_response(self) -> None:
+        try:
+            super().handle_one_response()
+        finally:
+            self._exchange.finish()
+        if self._input.is_unread:
+            self._linger()
+
+    def _refuse_slow_head(self) -> None:
+        if self.requestline is None:
+            # Nothing came on an idle connection.
+            self._count('idle')
+            return
+        self._count('head_timeout')
+        self._refuse_head(_REQUEST_TIMEOUT)
+
+    def _handle_client_error(self, ex: Exception) -> None:
+        self._count('head_invalid')
+        self._refuse_head(_BAD_REQUEST)
+
+    def _refuse_head(self, answer: bytes) -> None:
+        self._head_timeout.close()
+        self.socket.settimeout(_LINGER_SECONDS)
+        try:
+            self.socket.sendall(answer)
+        except OSError:
+            return
+        self._linger()
+
+    def _linger(self) -> None:
+        # Closing with unread bytes would reset the connection before the
+        # caller has read the refusal.
+        try:
+            self.socket.shutdown(standard_socket.SHUT_WR)
+            with gevent.Timeout(_LINGER_SECONDS):
+                self._read_rest()
+        except (OSError, gevent.Timeout):
+            self._count('body_unread')
+
+    def _read_rest(self) -> None:
+        remaining_bytes = _LINGER_BYTES
+        while remaining_bytes > 0:
+            block = self.socket.recv(_LINGER_BLOCK_BYTES)
+            if not block:
+                return
+            remaining_bytes -= len(block)
+
+    def _sendall(self, data: bytes) -> None:
+        send = super()._sendall  # type: ignore[misc]
+        try:
+            send(data)
+        except TimeoutError as expired:
+            self._count('write_timeout')
+            raise BrokenPipeError(errno.EPIPE, 'write timeout') from expired
+
+    def _count(self, reason: str) -> None:
+        self.server.metrics.count('closed_connections', reason)
+
+
+class FrontServer(WSGIServer):
+    """Listener for callers.
+
+    :param address: IP number and port to listen on.
+    :param application: the WSGI application.
+    :param head_timeout_seconds: longest wait for a request's head, which is
+        also the longest idle time of a connection.
+    :param send_buffer_bytes: kernel buffer of each connection.
+    :param metrics: counters of the process.
+    """
+
+    handler_class = _Handler
+
+    def __init__(
+        self,
+        address: str,
+        application: Any,
+        *,
+        head_timeout_seconds: float,
+        send_buffer_bytes: int,
+        metrics: Metrics,
+    ) -> None:
+        host, port = address.rsplit(':', 1)
+        super().__init__(
+            (host, int(port)),
+            application,
+            log=None,
+            error_log=None,
+        )
+        self.head_timeout_seconds = head_timeout_seconds
+        self.metrics = metrics
+        self.is_stopping = False
+        self.active_handlers: set[WSGIHandler] = set()
+        self._send_buffer_bytes = send_buffer_bytes
+
+    @property
+    def active_count(self) -> int:
+        """Return the number of requests whose answer is not yet written."""
+        return len(self.active_handlers)
+
+    # Name of the library.
+    def handle(self, client_socket: Any, address: Any) -> None:
+        """Serve one connection."""
+        client_socket.setsockopt(
+            standard_socket.SOL_SOCKET,
+            standard_socket.SO_SNDBUF,
+            self._send_buffer_bytes,
+        )
+        super().handle(client_socket, address)
--- a/packages/entry/src/buckthornpond_entry/requests.py
+++ b/packages/entry/src/buckthornpond_entry/requests.py
@@ -1,8 +1,10 @@
 """Reading of callers' requests."""
 
+import functools
 import hashlib
-from collections.abc import Iterator
-from contextlib import contextmanager
+import math
+import re
+from collections.abc import Callable
 
 import falcon
 import gevent
@@ -16,6 +18,7 @@
 _BEARER = 'Bearer '
 _MAX_KEY_LENGTH = 200
 _MAX_TIME_LIMIT_MS = 86_400_000
+_SERVICE_PATH = re.compile('^/v1/services/[^/]+(/[!-~]*)$')
 _TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
 
 
@@ -30,8 +33,8 @@
         self.reason = reason
 
 
-class BodyBudget:
-    """Bytes of request bodies held by the process.
+class MemoryBudget:
+    """Bytes of request bodies and answers held by the process.
 
     :param limit_bytes: the most bytes held at once.
     """
@@ -42,25 +45,24 @@
         self._limit_bytes = limit_bytes
         self.held_bytes = 0
 
-    @contextmanager
-    def hold(self, length_bytes: int, peer: str) -> Iterator[None]:
-        """Hold bytes while a request lives.
+    def reserve(self, length_bytes: int, peer: str) -> Callable[[], None]:
+        """Reserve bytes and return the function that releases them.
 
-        :param length_bytes: length of the body, before it is read.
+        :param length_bytes: what is about to be held.
         :param peer: the caller, for the error.
         :raises RefusedRequestError: when the budget is spent.
         """
         if self.held_bytes + length_bytes > self._limit_bytes:
             raise RefusedRequestError(
                 'body_budget_full',
-                'the entry holds too many bytes of requests',
+                'the entry holds too many bytes of requests and answers',
                 peer=peer,
             )
+        self._add(length_bytes)
+        return functools.partial(self._add, -length_bytes)
+
+    def _add(self, length_bytes: int) -> None:
         self.held_bytes += length_bytes
-        try:
-            yield
-        finally:
-            self.held_bytes -= length_bytes
 
 
 def read_length(request: falcon.Request, settings: EntrySettings) -> int:
@@ -193,7 +195,7 @@
     """
     try:
         return msgspec.json.decode(body, type=CompletionHead)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise RefusedRequestError(
             'invalid_body',
             str(error),
@@ -201,24 +203,45 @@
         ) from error
 
 
+def read_raw_path(raw_path: str, peer: str) -> str:
+    """Return path and query for the target, exactly as the caller sent them.
+
+    :param raw_path: path and query of the request line.
+    :param peer: the caller, for the error.
+    :raises RefusedRequestError: when it holds other than visible ASCII.
+    """
+    found = _SERVICE_PATH.match(raw_path)
+    if found is None:
+        raise RefusedRequestError(
+            'invalid_request',
+            'the path takes visible ASCII characters only',
+            peer=peer,
+        )
+    return found.group(1)
+
+
 def count_prompt_tokens(head: CompletionHead) -> int:
     """Return the prompt's length in tokens, estimated for text.
 
     :param head: the parsed request.
     """
-    if isinstance(head.prompt, list):
-        if all(isinstance(token, int) for token in head.prompt):
-            return len(head.prompt)
-        return sum(_estimate_tokens(part) for part in head.prompt)
-    messages = sum(_estimate_tokens(message) for message in head.messages)
-    return _estimate_tokens(head.prompt) + messages
+    prompt = head.prompt
+    if isinstance(prompt, list) and set(map(type, prompt)) == {int}:
+        return len(prompt)
+    return _estimate_tokens([prompt, head.messages])
 
 
 def _estimate_tokens(part: object) -> int:
-    if isinstance(part, str):
-        return -(-len(part) // _BYTES_PER_TOKEN)
-    if isinstance(part, dict):
-        return sum(_estimate_tokens(child) for child in part.values())
-    if isinstance(part, list):
-        return sum(_estimate_tokens(child) for child in part)
-    return 1
+    total_tokens = 0
+    pending = [part]
+    while pending:
+        found = pending.pop()
+        if isinstance(found, str):
+            total_tokens += math.ceil(len(found) / _BYTES_PER_TOKEN)
+        elif isinstance(found, dict):
+            pending.extend(found.values())
+        elif isinstance(found, list):
+            pending.extend(found)
+        else:
+            total_tokens += 1
+    return total_tokens
--- a/packages/runtime/src/buckthornpond_runtime/processes.py
+++ b/packages/runtime/src/buckthornpond_runtime/processes.py
@@ -40,6 +40,16 @@
         while not self.count:
             gevent.sleep(_POLL_SECONDS)
 
+    def wait_again(self, limit_seconds: float) -> None:
+        """Return after the second signal or the time limit.
+
+        :param limit_seconds: longest wait.
+        """
+        remaining_seconds = limit_seconds
+        while self.count < 2 and remaining_seconds > 0:
+            gevent.sleep(min(_POLL_SECONDS, remaining_seconds))
+            remaining_seconds -= _POLL_SECONDS
+
     def _increment(self) -> None:
         self.count += 1
 
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -141,6 +141,9 @@
     :param plain_count: instances with a plain service.
     :param entry_count: entry processes.
     :param engine_arguments: further arguments of each engine.
+    :param retry_window_ms: retry window of the plain service.
+    :param entry_settings: settings of each entry that differ.
+    :param agent_settings: settings of each agent that differ.
     """
 
     def __init__(
@@ -151,13 +154,17 @@
         entry_count: int = 2,
         engine_arguments: Iterable[str] = (),
         retry_window_ms: int = 1000,
+        entry_settings: dict[str, Any] | None = None,
+        agent_settings: dict[str, Any] | None = None,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self._engine_arguments = list(engine_arguments)
         self._retry_window_ms = retry_window_ms
+        self._entry_settings = entry_settings or {}
+        self._agent_settings = agent_settings or {}
         self.platform_address = free_address()
-        self.platform = self._make_process(
+        self.platform = self.make_process(
             'platform',
             ['buckthornpond_standins', 'platform', self.platform_address],
         )
@@ -241,6 +248,14 @@
         """
         return self.folder / f'{name}.json'
 
+    def make_process(self, name: str, arguments: list[str]) -> Process:
+        """Return a process that is not yet started.
+
+        :param name: its name in the fleet.
+        :param arguments: module and arguments for the interpreter.
+        """
+        return Process(name, arguments, self.folder / f'{name}.log')
+
     def _sees_all(self, address: str) -> bool:
         for process in self.processes:
             if not process.is_running:
@@ -253,7 +268,7 @@
         wait_listening(self.platform_address)
         self.publish()
         for instance in self.engines:
-            instance.target = self._make_process(
+            instance.target = self.make_process(
                 f'{instance.name}-target',
                 [
                     'buckthornpond_standins',
@@ -263,7 +278,7 @@
                 ],
             )
         for instance in self.plains:
-            instance.target = self._make_process(
+            instance.target = self.make_process(
                 f'{instance.name}-target',
                 ['buckthornpond_standins', 'plain', instance.target_address],
             )
@@ -278,17 +293,15 @@
             wait_listening(instance.target_address)
         self.wait_ready()
 
-    def _make_process(self, name: str, arguments: list[str]) -> Process:
-        return Process(name, arguments, self.folder / f'{name}.log')
-
     def _make_agent(self, instance: Instance) -> Process:
         path = self._write_settings(
             instance.name,
             instance.zone,
             instance.agent_address,
             instance.administration_address,
+            self._agent_settings,
         )
-        return self._make_process(
+        return self.make_process(
             instance.name,
             ['buckthornpond_agent', 'run', str(path)],
         )
@@ -304,8 +317,9 @@
             f'zone-{number % 3}',
             address,
             administration,
+            self._entry_settings,
         )
-        return self._make_process(
+        return self.make_process(
             name,
             ['buckthornpond_entry', 'run', str(path)],
         )
@@ -316,6 +330,7 @@
         zone: str,
         listen: str,
         administration: str,
+        further: dict[str, Any],
     ) -> Path:
         settings = {
             'instance': name,
@@ -328,6 +343,7 @@
                 'instance_list_address': self.platform_address,
                 'poll_interval_ms': 500,
             },
+            **further,
         }
         path = self.settings_of(name)
         text = f'// Settings of {name}.\n{json.dumps(settings, indent=2)}\n'
