--- a/packages/runtime/src/buckthornpond_runtime/metrics.py
+++ b/packages/runtime/src/buckthornpond_runtime/metrics.py
@@ -35,6 +35,15 @@
         """
         self._counters[name, reason] += 1
 
+    def add(self, name: str, reason: str, amount: int) -> None:
+        """Add an amount to a counter.
+
+        :param name: name of the counter, in the plural.
+        :param reason: value of its label.
+        :param amount: what to add.
+        """
+        self._counters[name, reason] += amount
+
     def log(self, code: EventCode, **fields: object) -> None:
         """Log the event of the catalogue with this number."""
         log_event(code, **fields)
--- a/packages/runtime/src/buckthornpond_runtime/transports.py
+++ b/packages/runtime/src/buckthornpond_runtime/transports.py
@@ -36,6 +36,16 @@
         self.message = message
 
 
+def _count_bytes(
+    metrics: Metrics,
+    direction: str,
+    frames: list[bytes],
+) -> None:
+    # Called for frames of a known kind only, which bounds the labels.
+    label = f'{direction}_{frames[0].decode()}'
+    metrics.add('wire_bytes', label, sum(map(len, frames)))
+
+
 class PortTask:
     """Owns the listening socket of an agent.
 
@@ -97,6 +107,7 @@
                     error=error.message,
                 )
                 continue
+            _count_bytes(self._metrics, 'received', frames)
             self._inbox.send(Received(peer, message))
 
     def _write(self) -> None:
@@ -104,11 +115,16 @@
             effect = self.mailbox.receive()
             if effect is None:
                 continue
-            frames = [effect.peer.encode(), *encode_message(effect.message)]
+            frames = encode_message(effect.message)
             try:
-                self._socket.send_multipart(frames, zmq.NOBLOCK)
+                self._socket.send_multipart(
+                    [effect.peer.encode(), *frames],
+                    zmq.NOBLOCK,
+                )
             except zmq.ZMQError:
                 self._metrics.count('undelivered_messages', 'entry')
+                continue
+            _count_bytes(self._metrics, 'sent', frames)
 
 
 class LinkTask:
@@ -183,6 +199,7 @@
                     error=error.message,
                 )
                 continue
+            _count_bytes(self._metrics, 'received', frames)
             self._inbox.send(Received(self._instance, message))
 
     def _write(self) -> None:
@@ -190,15 +207,15 @@
             message = self.mailbox.receive()
             if message is None:
                 continue
+            frames = encode_message(message)
             try:
-                self._socket.send_multipart(
-                    encode_message(message),
-                    zmq.NOBLOCK,
-                )
+                self._socket.send_multipart(frames, zmq.NOBLOCK)
             except zmq.ZMQError:
                 self._metrics.count('undelivered_messages', 'agent')
                 if isinstance(message, Attempt):
                     self._inbox.send(self._refuse(message))
+                continue
+            _count_bytes(self._metrics, 'sent', frames)
 
     def _refuse(self, attempt: Attempt) -> Received:
         refused = Refused(
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -1,11 +1,14 @@
 """Command line of the stand-ins."""
 
 import secrets
+import sys
 
 import click
 import gevent
+import msgspec
 
 from .engine import EngineCosts, EngineStandIn
+from .loads import LoadShape, run_load
 from .plain import PlainStandIn
 from .platform import PlatformStandIn
 from .servers import StandInServer
@@ -40,3 +43,10 @@
 def plain(address: str, delay_ms: int) -> None:
     """Run a plain service at ADDRESS."""
     StandInServer(address, PlainStandIn(delay_ms / 1000)).serve_forever()
+
+
+@main.command()
+def load() -> None:
+    """Send the load that the standard input describes."""
+    shape = msgspec.json.decode(sys.stdin.buffer.read(), type=LoadShape)
+    sys.stdout.buffer.write(msgspec.json.encode(run_load(shape)))
