Bound broken answers of targets and end each call exactly once

Cause: the head and an event of a target's answer had no bound, and a socket that is always readable kept every other task of the agent from running. An answer that ends with its connection was passed on as whole. A status outside the schema was dropped by the entry, whose caller then waited for its deadline. A call that was cancelled before its first turn never reported its end, so that its reservation stayed for good. Messages of a kind that an agent does not take were dropped without a counter, and durations on the wire had no bound.

Change: a response is bounded and yields its turn; a body needs a length, the chunked coding or, for a stream, its last event. The end of a call is reported by a link on its greenlet. The router refuses an answer without a head and drops the body once the answer has started, since no retry can follow. The agent counts unexpected messages.

--- /dev/null
+++ b/features/steps/target_faults_steps.py
@@ -0,0 +1,222 @@
+"""Steps with broken targets and broken messages between processes."""
+
+import os
+from datetime import timedelta
+from typing import Any
+
+from behave import given, then, when
+from gevent import joinall, sleep, socket, spawn
+from zmq import green as zmq
+
+from buckthornpond_agent.calls import CallTask
+from buckthornpond_core._generated.messages import (
+    Attempt,
+    Chunk,
+    ConfigurationVersion,
+)
+from buckthornpond_runtime.codecs import encode_message
+from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_standins.callers import call_service
+from buckthornpond_standins.fleets import (
+    CREDENTIAL,
+    Fleet,
+    call_text,
+    wait_listening,
+    wait_until,
+)
+
+_TIME_LIMIT_MS = 1500
+
+
+@given(
+    'a fleet whose plain service breaks the protocol, with answers of at most {bound:d} bytes',
+)
+def start_faulty_fleet(context: Any, bound: int) -> None:
+    """Put a faulty target in the place of the plain service."""
+    context.fleet = Fleet(
+        engine_count=0,
+        entry_count=1,
+        entry_settings={'max_response_bytes': bound},
+    )
+    context.fleet.inventory['services'] = context.fleet.inventory['services'][
+        1:
+    ]
+    context.fleet.__enter__()
+    plain = context.fleet.plains[0]
+    plain.target.kill()
+    plain.target = context.fleet.make_process(
+        'faulty',
+        ['buckthornpond_standins', 'faulty', plain.target_address],
+    )
+    plain.target.start()
+    wait_listening(plain.target_address)
+
+
+def _call_faulty(address: str, name: str) -> tuple[int, bytes]:
+    path = f'/v1/services/lots/{name.replace(" ", "%20")}'
+    headers = {
+        'authorization': f'Bearer {CREDENTIAL}',
+        'x-request-timeout-ms': str(_TIME_LIMIT_MS),
+    }
+    call = HttpCall(address, timedelta(seconds=20))
+    try:
+        call.send('POST', path, b'', headers)
+        return call.response.status_code, call.read_block(1 << 20)
+    finally:
+        call.close()
+
+
+@then('each broken answer becomes a clear refusal')
+def check_broken_answers(context: Any) -> None:
+    """Ask for every answer of the table."""
+    address = context.fleet.entry_addresses[0]
+    jobs = {
+        row['answer']: spawn(_call_faulty, address, row['answer'])
+        for row in context.table
+    }
+    joinall(list(jobs.values()))
+    wrong = []
+    for row in context.table:
+        status, content = jobs[row['answer']].value
+        parts = (f'"code":"{row["code"]}"', f'"outcome":"{row["outcome"]}"')
+        is_right = str(status) == row['status']
+        if row['code']:
+            is_right &= all(part.encode() in content for part in parts)
+        if not is_right:
+            wrong.append(f'{row["answer"]}: {status} {content[:300]!r}')
+    assert not wrong, '\n'.join(wrong)
+
+
+@then('the agent holds no attempt and the entry no byte')
+def check_all_empty(context: Any) -> None:
+    """Read the gauges of both processes."""
+    fleet = context.fleet
+    _wait_for_line(fleet.instances[0].administration_address, 'held_attempts 0')
+    _wait_for_line(fleet.entry_administration_addresses[0], 'held_body_bytes 0')
+
+
+def _wait_for_line(address: str, wanted: str) -> None:
+    wait_until(
+        lambda: (
+            f'buckthornpond_{wanted}\n' in call_text(address, 'GET', '/metrics')
+        ),
+    )
+
+
+def _build_attempt(remaining_ms: int) -> Attempt:
+    return Attempt(
+        attempt_id='a',
+        entry_incarnation='e',
+        agent_incarnation='x',
+        organisation='gate',
+        service='lots',
+        method='P\u20ac',
+        path='/\u20ac\r\n',
+        content_type='',
+        idempotency_key='',
+        is_idempotent=False,
+        is_stream=False,
+        prompt_tokens=0,
+        output_tokens=0,
+        remaining_ms=remaining_ms,
+        credit_bytes=0,
+        configuration=ConfigurationVersion(
+            inventory_version=0,
+            rules_version=0,
+        ),
+        body=b'',
+    )
+
+
+@when(
+    "raw bytes, garbage frames, wrong kinds, extreme numbers and huge messages reach an agent's port",
+)
+def send_garbage(context: Any) -> None:
+    """Send what no entry would."""
+    context.port = context.fleet.plains[0].agent_address
+    host, port = context.port.rsplit(':', 1)
+    for raw in (b'GET / HTTP/1.1\r\n\r\n', b'\x00' * 4096, os.urandom(64)):
+        connection = socket.create_connection((host, int(port)), 5)
+        connection.sendall(raw)
+        connection.close()
+    _send_messages(context.port)
+
+
+def _send_messages(address: str) -> None:
+    zmq_context = zmq.Context()
+    dealer = zmq_context.socket(zmq.DEALER)
+    dealer.setsockopt(zmq.LINGER, 1000)
+    dealer.connect(f'tcp://{address}')
+    for frames in _build_garbage():
+        dealer.send_multipart(frames)
+    huge = zmq_context.socket(zmq.DEALER)
+    huge.setsockopt(zmq.LINGER, 0)
+    huge.connect(f'tcp://{address}')
+    huge.send(b'x' * 80_000_000)
+    sleep(0.5)
+    for each in (dealer, huge):
+        each.close()
+    zmq_context.term()
+
+
+def _build_garbage() -> list[list[bytes]]:
+    wrong_kind = Chunk(attempt_id='a', sequence_number=0, payload=b'x')
+    return [
+        [b''],
+        [b'a', b'b', b'c'],
+        [b'Attempt', b'\xc1'],
+        [b'Attempt', encode_message(wrong_kind)[1]],
+        [b'Nothing', b''],
+        encode_message(wrong_kind),
+        encode_message(_build_attempt(2**63)),
+        encode_message(_build_attempt(1000)),
+    ]
+
+
+@then('the agent lives and counted malformed and unexpected messages')
+def check_counted(context: Any) -> None:
+    """Read the agent's counters."""
+    plain = context.fleet.plains[0]
+    for reason in (
+        'malformed_messages_total{reason="entry"} 6',
+        'unexpected_messages_total{reason="Chunk"} 1',
+        'refusals_total{reason="stale_incarnation"} 1',
+    ):
+        _wait_for_line(plain.administration_address, reason)
+    assert plain.agent.is_running
+
+
+@then('a booking through that agent is answered')
+def check_booking(context: Any) -> None:
+    """Book one lot."""
+    found = call_service(
+        context.fleet.entry_addresses[0],
+        CREDENTIAL,
+        kind='lot',
+        path='/v1/services/lots/accept',
+        body=b'lot',
+    )
+    assert found.outcome == 'complete', (found.code, found.outcome)
+
+
+@when('a call to a target is started and cancelled in one turn')
+def cancel_at_once(context: Any) -> None:
+    """Cancel a call whose greenlet has not run yet."""
+    context.reports = []
+    call = CallTask(
+        _build_attempt(1000),
+        '127.0.0.1:9',
+        1024,
+        context.reports.append,
+    )
+    call.start()
+    call.cancel()
+
+
+@then('its task reports the end of the call with nothing sent')
+def check_end_reported(context: Any) -> None:
+    """Let the greenlets run and read the report."""
+    for _turn in range(10):
+        sleep(0)
+    ends = [(each.error, each.is_sent) for each in context.reports]
+    assert ends == [('cancelled', False)], ends
--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -37,6 +37,7 @@
         '_attempt',
         '_call',
         '_credit_bytes',
+        '_error',
         '_greenlet',
         '_has_credit',
         '_max_frame_bytes',
@@ -59,10 +60,13 @@
         self._has_credit = Event()
         self._has_credit.set()
         self._greenlet: AnyGreenlet | None = None
+        self._error = 'cancelled'
 
     def start(self) -> None:
         """Start the call."""
         self._greenlet = gevent.spawn(self._run)
+        # Linked, because a greenlet killed before its first turn never runs.
+        self._greenlet.link(self._finish)
 
     def grant(self, credit_bytes: int) -> None:
         """Let the call read more of the answer.
@@ -79,25 +83,23 @@
             self._greenlet.kill(block=False)
 
     def _run(self) -> None:
-        error = 'cancelled'
         try:
             self._exchange()
-            error = ''
         except TargetError as failure:
             is_connect = failure.step == _CONNECT_STEP
-            error = 'target_connect_failed' if is_connect else 'target_failed'
-        finally:
-            self._finish(error)
+            reason = 'target_connect_failed' if is_connect else 'target_failed'
+            self._error = reason
+        else:
+            self._error = ''
 
-    def _finish(self, error: str) -> None:
+    def _finish(self, greenlet: AnyGreenlet) -> None:
         self._call.close()
         ended = CallEnded(
             attempt_id=self._attempt.attempt_id,
-            error=error,
+            error=self._error,
             is_sent=self._call.is_sent,
         )
-        # Spawned, because a killed greenlet must not wait for room.
-        gevent.spawn(self._report, ended)
+        self._report(ended)
 
     def _exchange(self) -> None:
         attempt = self._attempt
@@ -105,6 +107,9 @@
         if attempt.content_type:
             headers['content-type'] = attempt.content_type
         self._call.send(attempt.method, attempt.path, attempt.body, headers)
+        is_stream = self._call.content_type.startswith(_EVENT_STREAM)
+        if not is_stream and not self._call.has_length:
+            raise self._fail('answer without a length')
         self._report(
             CallStarted(
                 attempt_id=attempt.attempt_id,
@@ -112,7 +117,7 @@
                 content_type=self._call.content_type,
             ),
         )
-        if self._call.content_type.startswith(_EVENT_STREAM):
+        if is_stream:
             self._relay_events()
         else:
             self._relay_blocks()
@@ -127,12 +132,7 @@
             is_done = event.startswith((_DONE, _ERROR))
             self._forward(event)
         if not is_done:
-            raise TargetError(
-                'stream ended without its last event',
-                step='read',
-                peer=self._attempt.service,
-                is_sent=True,
-            )
+            raise self._fail('stream ended without its last event')
 
     def _relay_blocks(self) -> None:
         while True:
@@ -142,6 +142,14 @@
                 return
             self._forward(block)
 
+    def _fail(self, message: str) -> TargetError:
+        return TargetError(
+            message,
+            step='read',
+            peer=self._attempt.service,
+            is_sent=True,
+        )
+
     def _forward(self, payload: bytes) -> None:
         self._credit_bytes -= charge_bytes(payload)
         if self._credit_bytes <= 0:
--- a/packages/core/src/buckthornpond_core/_generated/messages.py
+++ b/packages/core/src/buckthornpond_core/_generated/messages.py
@@ -101,7 +101,7 @@
     is_stream: bool
     prompt_tokens: Annotated[int, Meta(ge=0)]
     output_tokens: Annotated[int, Meta(ge=0)]
-    remaining_ms: Annotated[int, Meta(ge=0)]
+    remaining_ms: Annotated[int, Meta(ge=0, le=86400000)]
     credit_bytes: Annotated[int, Meta(ge=0)]
     configuration: ConfigurationVersion
     body: bytes
@@ -123,7 +123,7 @@
     attempt_id: str
     reason: str
     outcome: Outcome
-    retry_after_ms: Annotated[int, Meta(ge=0)]
+    retry_after_ms: Annotated[int, Meta(ge=0, le=86400000)]
 
 
 class Started(Struct):
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -181,6 +181,7 @@
             return self._cancel(message.attempt_id, now)
         if isinstance(message, Query):
             return [ToPeer(peer, self._answer_query(message))]
+        self._recorder.count('unexpected_messages', type(message).__name__)
         return []
 
     def update_call(
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -506,7 +506,11 @@
             return []
         if isinstance(message, Started):
             request.is_started = True
+            # No retry can follow, so that the body is not needed again.
+            request.submission.body = b''
             return [self._answer(request, message)]
+        if not request.is_started:
+            return self._fail(request, 'chunk_lost')
         if isinstance(message, Chunk):
             if message.sequence_number != request.next_sequence:
                 return self._fail(request, 'chunk_lost')
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -3,12 +3,47 @@
 import socket as standard_socket
 from datetime import timedelta
 
-from gevent import socket
-from geventhttpclient.response import HTTPSocketResponse
+from gevent import sleep, socket
+from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from buckthornpond_core.exceptions import TargetError
 
 _LINE_END = '\r\n'
+_MAX_HEAD_BYTES = 65_536
+_MAX_EVENT_BYTES = 1_048_576
+_LOWEST_STATUS = 200
+_HIGHEST_STATUS = 599
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class _BoundedResponse(HTTPSocketResponse):
+    """Response whose head, and what is buffered of its body, is bounded."""
+
+    def __init__(self, connection: socket.socket, method: str) -> None:
+        self._head_bytes = 0
+        self._unyielded_bytes = 0
+        super().__init__(connection, method=method)
+
+    def feed(self, data: str | bytes) -> None:  # noqa: WPS110
+        """Parse received bytes.
+
+        :param data: what the socket returned.
+        """
+        if not self.headers_complete:
+            self._head_bytes += len(data)
+            if self._head_bytes > _MAX_HEAD_BYTES:
+                raise HTTPParseError('response head too long')
+        super().feed(data)
+        if len(self._body_buffer) > _MAX_EVENT_BYTES:
+            raise HTTPParseError('event too long')
+        self._yield_turn(len(data))
+
+    def _yield_turn(self, length_bytes: int) -> None:
+        # A socket that is always readable would never let others run.
+        self._unyielded_bytes += length_bytes
+        if self._unyielded_bytes >= _MAX_HEAD_BYTES:
+            self._unyielded_bytes = 0
+            sleep(0)
 
 
 class HttpCall:
@@ -76,9 +111,26 @@
         self.is_sent = True
         try:
             self._socket.sendall(head + body)
-            self._response = HTTPSocketResponse(self._socket, method=method)
+            self._response = _BoundedResponse(self._socket, method=method)
         except Exception as error:
             raise self._fail(str(error) or repr(error), 'send') from error
+        status_code = self._response.status_code
+        if not _LOWEST_STATUS <= status_code <= _HIGHEST_STATUS:
+            raise self._fail('status out of range', 'send')
+
+    @property
+    def has_length(self) -> bool:
+        """Tell whether the end of the body can be told from a cut.
+
+        A body that ends with the connection may have been truncated.
+        """
+        response = self.response
+        return (
+            response.method == 'HEAD'
+            or response.status_code in _BODILESS_STATUSES
+            or response.content_length is not None
+            or 'transfer-encoding' in response
+        )
 
     def read_event(self) -> bytes:
         """Return the next server-sent event, or nothing at the end."""
@@ -119,7 +171,10 @@
         if any('\r' in line or '\n' in line for line in lines):
             raise self._fail('line break in a header field', 'render head')
         text = _LINE_END.join(lines) + _LINE_END * 2
-        return text.encode('latin-1')
+        try:
+            return text.encode('latin-1')
+        except UnicodeEncodeError as error:
+            raise self._fail(str(error), 'render head') from error
 
     def _fail(self, message: str, step: str) -> TargetError:
         return TargetError(
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .engine import EngineCosts, EngineStandIn
+from .faulty import FaultyServer
 from .loads import LoadShape, run_load
 from .plain import PlainStandIn
 from .platform import PlatformStandIn
@@ -50,3 +51,10 @@
     """Send the load that the standard input describes."""
     shape = msgspec.json.decode(sys.stdin.buffer.read(), type=LoadShape)
     sys.stdout.buffer.write(msgspec.json.encode(run_load(shape)))
+
+
+@main.command()
+@click.argument('address')
+def faulty(address: str) -> None:
+    """Run a target at ADDRESS that breaks the protocol."""
+    FaultyServer(address).serve_forever()
