Add a bench that runs the decision classes on a fake clock

Cause: policies cannot be compared on real processes fast enough to cover several seeds. Change: both users' loads, a cost model of an engine, and a loop that drives Router and Admission on a fake clock; ./dev bench policies prints slowdown by prompt length for each policy, with and without long prompts in the same arrivals. The stand-in engine prefills slower while it is cold.

--- a/packages/core/src/buckthornpond_core/effects.py
+++ b/packages/core/src/buckthornpond_core/effects.py
@@ -66,12 +66,17 @@
 
 
 class StartCall:
-    """Call the target on behalf of an attempt."""
+    """Call the target on behalf of an attempt.
 
-    __slots__ = ('attempt',)
+    :param attempt: what to call for.
+    :param priority: rank at an engine, the lowest being served first.
+    """
+
+    __slots__ = ('attempt', 'priority')
 
-    def __init__(self, attempt: Attempt) -> None:
+    def __init__(self, attempt: Attempt, priority: int = 0) -> None:
         self.attempt = attempt
+        self.priority = priority
 
 
 class GrantCall:
--- /dev/null
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -0,0 +1,373 @@
+"""The decision classes alone on a fake clock, against engine models."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from functools import partial
+from typing import TypeAlias
+
+from buckthornpond_core._generated.inventory import Rules
+from buckthornpond_core._generated.messages import Chunk, Final, Refused
+from buckthornpond_core.admission import Admission, AgentLimits
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.effects import (
+    AgentEffect,
+    CallMessage,
+    CancelCall,
+    RouterEffect,
+    StartCall,
+    ToCaller,
+    ToPeer,
+)
+from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.retries import RetryBudget
+from buckthornpond_core.routing import Router, RouterLimits
+
+from .engine import EngineCosts
+from .mix_inventories import build_inventory
+from .mixes import Arrival, Mix
+from .models import EngineModel
+from .policies import PolicySet
+from .records import LINK_SECONDS, CountingRecorder, RequestRecord
+
+_TICK_SECONDS = 0.05
+_HEARTBEAT_SECONDS = 0.5
+_PEER_TIMEOUT = timedelta(seconds=2)
+_WARM_UP_SECONDS = 1.0
+_SETTLE_SECONDS = 130.0
+
+
+_Event: TypeAlias = tuple[float, int, Callable[[], None]]
+
+
+class _Agent:
+    __slots__ = ('admission', 'configuration', 'engine', 'is_up', 'wake_at')
+
+    def __init__(
+        self,
+        admission: Admission,
+        configuration: Configuration,
+        engine: EngineModel,
+    ) -> None:
+        self.admission = admission
+        self.configuration = configuration
+        self.engine = engine
+        self.is_up = True
+        self.wake_at = -1.0
+
+
+class DecisionBench:
+    """Entries and agents of one mix, with every message on a fake clock.
+
+    :param mix: fleet and callers.
+    :param costs: costs of the engines.
+    :param policies: what is compared.
+    :param seed: seed of every random choice.
+    :param is_warm: whether the engines start warm.
+    """
+
+    __slots__ = (
+        '_costs',
+        '_end',
+        '_entries',
+        '_entry_configuration',
+        '_events',
+        '_incarnations',
+        '_inventory',
+        '_numbers',
+        '_policies',
+        '_seed',
+        'agents',
+        'now',
+        'recorder',
+        'records',
+    )
+
+    def __init__(
+        self,
+        mix: Mix,
+        costs: EngineCosts,
+        policies: PolicySet,
+        *,
+        seed: int,
+        is_warm: bool = True,
+    ) -> None:
+        self.now = 0.0
+        self.recorder = CountingRecorder()
+        self.records: dict[int, RequestRecord] = {}
+        self._end = 0.0
+        self._costs = costs
+        self._policies = policies
+        self._seed = seed
+        self._numbers = itertools.count()
+        self._events: list[_Event] = []
+        self._inventory = build_inventory(mix, costs)
+        self._incarnations = itertools.count(1)
+        self._entry_configuration = self._make_configuration()
+        self._entries = {
+            f'entry-{number}': self._make_router(number)
+            for number in range(mix.entry_count)
+        }
+        self.agents = {
+            instance.name: self._make_agent(instance.name, is_warm=is_warm)
+            for instance in self._inventory.instances
+        }
+
+    def run(self, arrivals: Iterable[Arrival]) -> list[RequestRecord]:
+        """Run a load to its end and return what became of each request.
+
+        :param arrivals: the load, which starts after a short warm-up.
+        """
+        last = 0.0
+        routers = list(self._entries.values())
+        for number, arrival in enumerate(arrivals):
+            last = arrival.at_seconds
+            self.records[arrival.submission.request_number] = RequestRecord(
+                arrival,
+            )
+            router = routers[number % len(routers)]
+            self.schedule(last, partial(self._submit, router, arrival))
+        self._end = last + _SETTLE_SECONDS
+        self._start_ticks()
+        while self._events:
+            at_seconds, _, action = heapq.heappop(self._events)
+            self.now = at_seconds
+            action()
+            if at_seconds > last and not self._is_busy():
+                break
+        return list(self.records.values())
+
+    def schedule(self, at_seconds: float, action: Callable[[], None]) -> None:
+        """Run something at a time of the load.
+
+        :param at_seconds: time since the load's start.
+        :param action: what to run.
+        """
+        heapq.heappush(
+            self._events,
+            (at_seconds, next(self._numbers), action),
+        )
+
+    def set_rules(self, rules: Rules, *, is_for_entries: bool = True) -> None:
+        """Put rules in force at the agents and perhaps the entries.
+
+        :param rules: the rules, of a higher version.
+        :param is_for_entries: whether entries hear of them too.
+        """
+        for agent in self.agents.values():
+            agent.configuration.accept_rules(rules, b'{}')
+        if is_for_entries:
+            self._entry_configuration.accept_rules(rules, b'{}')
+
+    def zone_agents(self, zone: str) -> list[str]:
+        """Return the instances of an availability zone.
+
+        :param zone: name of the zone.
+        """
+        return [
+            instance.name
+            for instance in self._inventory.instances
+            if instance.availability_zone == zone
+        ]
+
+    def kill(self, name: str) -> None:
+        """End an instance's agent and engine.
+
+        :param name: the instance.
+        """
+        self.agents[name].is_up = False
+
+    def revive(self, name: str) -> None:
+        """Start an instance again, cold and with a new incarnation.
+
+        :param name: the instance.
+        """
+        rules = self.agents[name].configuration.rules
+        agent = self._make_agent(name, is_warm=False)
+        if rules.version:
+            agent.configuration.accept_rules(rules, b'{}')
+        self.agents[name] = agent
+
+    def _is_busy(self) -> bool:
+        return self.now < self._end and any(
+            router.held_count for router in self._entries.values()
+        )
+
+    def _start_ticks(self) -> None:
+        for entry in self._entries:
+            self._tick_router(entry, 0)
+        for name in self.agents:
+            self._tick_agent(name)
+
+    def _tick_router(self, entry: str, count: int) -> None:
+        router = self._entries[entry]
+        now = self._clock()
+        self._apply_router(entry, router.tick(now))
+        if count % round(_HEARTBEAT_SECONDS / _TICK_SECONDS) == 0:
+            self._apply_router(entry, router.heartbeat())
+        self.schedule(
+            self.now + _TICK_SECONDS,
+            partial(self._tick_router, entry, count + 1),
+        )
+
+    def _tick_agent(self, name: str) -> None:
+        agent = self.agents[name]
+        if agent.is_up:
+            self._apply_agent(name, agent.admission.tick(self._clock()))
+        self.schedule(
+            self.now + _TICK_SECONDS,
+            partial(self._tick_agent, name),
+        )
+
+    def _clock(self) -> timedelta:
+        return timedelta(seconds=self.now + _WARM_UP_SECONDS)
+
+    def _submit(self, router: Router, arrival: Arrival) -> None:
+        entry = next(
+            name for name, each in self._entries.items() if each is router
+        )
+        effects = router.submit(arrival.submission, self._clock())
+        self._apply_router(entry, effects)
+
+    def _apply_router(self, entry: str, effects: list[RouterEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, ToCaller):
+                self._record(effect)
+            else:
+                self.schedule(
+                    self.now + LINK_SECONDS,
+                    partial(self._deliver_agent, entry, effect),
+                )
+
+    def _deliver_agent(self, entry: str, effect: ToPeer) -> None:
+        agent = self.agents[effect.peer]
+        if agent.is_up:
+            self._apply_agent(
+                effect.peer,
+                agent.admission.receive(entry, effect.message, self._clock()),
+            )
+
+    def _deliver_entry(self, name: str, effect: ToPeer) -> None:
+        router = self._entries[effect.peer]
+        effects = router.receive(name, effect.message, self._clock())
+        self._apply_router(effect.peer, effects)
+
+    def _apply_agent(self, name: str, effects: list[AgentEffect]) -> None:
+        agent = self.agents[name]
+        for effect in effects:
+            found: list[CallMessage] = []
+            if isinstance(effect, ToPeer):
+                self.schedule(
+                    self.now + LINK_SECONDS,
+                    partial(self._deliver_entry, name, effect),
+                )
+            elif isinstance(effect, StartCall):
+                found = agent.engine.start(
+                    effect.attempt,
+                    effect.priority,
+                    self.now,
+                )
+            elif isinstance(effect, CancelCall):
+                found = agent.engine.cancel(effect.attempt_id, self.now)
+            self._report_calls(agent, name, found)
+        self._set_wake(name)
+
+    def _report_calls(
+        self,
+        agent: _Agent,
+        name: str,
+        messages: list[CallMessage],
+    ) -> None:
+        for message in messages:
+            self.schedule(
+                self.now,
+                partial(self._deliver_call, agent, name, message),
+            )
+
+    def _deliver_call(
+        self,
+        agent: _Agent,
+        name: str,
+        message: CallMessage,
+    ) -> None:
+        if agent.is_up and self.agents[name] is agent:
+            effects = agent.admission.update_call(message, self._clock())
+            self._apply_agent(name, effects)
+
+    def _set_wake(self, name: str) -> None:
+        agent = self.agents[name]
+        due = agent.engine.next_event_seconds
+        if due != agent.wake_at and due < self._end:
+            agent.wake_at = due
+            self.schedule(
+                max(due, self.now),
+                partial(self._wake, agent, name, due),
+            )
+
+    def _wake(self, agent: _Agent, name: str, due: float) -> None:
+        if agent.wake_at != due or self.agents[name] is not agent:
+            return
+        agent.wake_at = -1.0
+        if agent.is_up:
+            found = agent.engine.advance(self.now)
+            self._report_calls(agent, name, found)
+            self._set_wake(name)
+
+    def _record(self, effect: ToCaller) -> None:
+        record = self.records[effect.request_number]
+        message = effect.message
+        if isinstance(message, Chunk) and not record.first_seconds:
+            record.first_seconds = self.now
+        if isinstance(message, Final | Refused):
+            record.ended_seconds = self.now
+            record.outcome = 'complete'
+            if isinstance(message, Refused):
+                record.outcome = f'{message.reason}/{message.outcome}'
+
+    def _make_router(self, number: int) -> Router:
+        router = Router(
+            incarnation=f'entry-{number}',
+            configuration=self._entry_configuration,
+            limits=RouterLimits(
+                max_held_requests=10_000,
+                max_attempts=8,
+                stream_window_bytes=65_536,
+                peer_timeout=_PEER_TIMEOUT,
+            ),
+            placement=self._policies.placement(),
+            budget=RetryBudget(20, 100),
+            random=random.Random(f'{self._seed}/{number}'),
+            recorder=self.recorder,
+        )
+        router.follow_configuration()
+        return router
+
+    def _make_agent(self, name: str, *, is_warm: bool) -> _Agent:
+        configuration = self._make_configuration()
+        costs = self._costs
+        limit = self._policies.limit(costs.cold_tokens, costs.memory_tokens)
+        if is_warm:
+            limit.record_success(costs.memory_tokens)
+        admission = Admission(
+            instance=name,
+            incarnation=f'{name}.{next(self._incarnations)}',
+            configuration=configuration,
+            limits=AgentLimits(
+                max_queued_count=128,
+                peer_timeout=_PEER_TIMEOUT,
+            ),
+            limit=limit,
+            order=self._policies.order(),
+            keys=KeyRegister(timedelta()),
+            recorder=self.recorder,
+        )
+        admission.follow_configuration()
+        engine = EngineModel(costs, is_warm=is_warm)
+        return _Agent(admission, configuration, engine)
+
+    def _make_configuration(self) -> Configuration:
+        configuration = Configuration()
+        configuration.accept_inventory(self._inventory, b'{}')
+        return configuration
--- /dev/null
+++ b/packages/standins/src/buckthornpond_standins/bench_commands.py
@@ -0,0 +1,53 @@
+"""Commands that measure policies and write tables under ``out``."""
+
+from pathlib import Path
+
+import click
+
+from .experiments import compare, render_outcomes, render_slowdowns
+from .mixes import MIXES
+from .policies import POLICIES
+
+_OUT = Path('out')
+
+
+def save(name: str, text: str) -> None:
+    """Print a result and keep it under ``out``.
+
+    :param name: name of the file.
+    :param text: settings and tables.
+    """
+    _OUT.mkdir(exist_ok=True)
+    (_OUT / name).write_text(f'{text}\n')
+    click.echo(text)
+
+
+def _show_progress(line: str) -> None:
+    click.echo(line, err=True)
+
+
+@click.group()
+def bench() -> None:
+    """Measure the decision classes on a fake clock."""
+
+
+@bench.command()
+@click.option('--load', default=0.7, help='Share of the prefill capacity.')
+@click.option('--seeds', default=3, help='Seeds, from 0.')
+@click.option('--seconds', default=60.0, help='Length of a load.')
+@click.option('--policies', default='', help='Names with commas, or all.')
+def policies(load: float, seeds: int, seconds: float, policies: str) -> None:
+    """Compare the slowdown under several policies, for each mix."""
+    names = policies.split(',') if policies else list(POLICIES)
+    for mix in MIXES:
+        results = compare(
+            mix,
+            [POLICIES[name] for name in names],
+            load=load,
+            seeds=range(seeds),
+            duration_seconds=seconds,
+            report=_show_progress,
+        )
+        head = f'{mix.name}: load {load}, {seeds} seeds of {seconds} s each'
+        tables = [head, render_slowdowns(results), render_outcomes(results)]
+        save(f'policies-{mix.name}.md', '\n\n'.join(tables))
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -7,6 +7,7 @@
 import gevent
 import msgspec
 
+from .bench_commands import bench
 from .engine import EngineCosts, EngineStandIn
 from .faulty import FaultyServer
 from .loads import LoadShape, run_load
@@ -58,3 +59,6 @@
 def faulty(address: str) -> None:
     """Run a target at ADDRESS that breaks the protocol."""
     FaultyServer(address).serve_forever()
+
+
+main.add_command(bench)
--- a/packages/standins/src/buckthornpond_standins/engine.py
+++ b/packages/standins/src/buckthornpond_standins/engine.py
@@ -24,10 +24,12 @@
     :param memory_tokens: KV cache.
     :param cold_tokens: most tokens borne before it is warm.
     :param warm_up_tokens: completed tokens after which it is warm.
+    :param cold_speed: share of the prefill speed before it is warm.
     :param time_scale: factor on all times.
     """
 
     __slots__ = (
+        'cold_speed',
         'cold_tokens',
         'memory_tokens',
         'prefill_tokens_per_second',
@@ -44,6 +46,7 @@
         memory_tokens: int = 600_000,
         cold_tokens: int = 60_000,
         warm_up_tokens: int = 200_000,
+        cold_speed: float = 0.5,
         time_scale: float = 1.0,
     ) -> None:
         self.prefill_tokens_per_second = prefill_tokens_per_second
@@ -51,6 +54,7 @@
         self.memory_tokens = memory_tokens
         self.cold_tokens = cold_tokens
         self.warm_up_tokens = warm_up_tokens
+        self.cold_speed = cold_speed
         self.time_scale = time_scale
 
 
@@ -175,6 +179,8 @@
     def _step(self) -> None:
         costs = self._costs
         budget = costs.prefill_tokens_per_second * costs.step_seconds
+        if not self.is_warm:
+            budget *= costs.cold_speed
         waiting = sorted(
             self._streams.values(),
             key=lambda stream: (stream.priority, stream.identifier),
--- /dev/null
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -0,0 +1,83 @@
+"""Sets of policies that experiments compare."""
+
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
+from buckthornpond_core.limits import FixedLimit, SlowStartLimit, TargetLimit
+from buckthornpond_core.placement import (
+    LeastLoadedPlacement,
+    Placement,
+    RandomPlacement,
+    RoundRobinPlacement,
+    TwoChoicesPlacement,
+)
+from buckthornpond_core.queueing import (
+    AdmissionOrder,
+    FifoOrder,
+    ShortestFirstOrder,
+)
+
+
+class PolicySet:
+    """The policies of one run.
+
+    :param name: label in tables.
+    :param placement: makes the placement of an entry.
+    :param order: makes the admission order of an agent.
+    :param limit: makes the limit of a target from cold and whole memory.
+    """
+
+    __slots__ = ('limit', 'name', 'order', 'placement')
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        placement: Callable[[], Placement],
+        order: Callable[[], AdmissionOrder],
+        limit: Callable[[int, int], TargetLimit],
+    ) -> None:
+        self.name = name
+        self.placement = placement
+        self.order = order
+        self.limit = limit
+
+
+def _slow_start(cold_tokens: int, memory_tokens: int) -> TargetLimit:
+    return SlowStartLimit(cold_tokens, memory_tokens)
+
+
+def _fixed(cold_tokens: int, memory_tokens: int) -> TargetLimit:
+    return FixedLimit(memory_tokens)
+
+
+_SETS = (
+    PolicySet(
+        'random-fifo',
+        placement=RandomPlacement,
+        order=FifoOrder,
+        limit=_fixed,
+    ),
+    PolicySet(
+        'round-robin-fifo',
+        placement=RoundRobinPlacement,
+        order=FifoOrder,
+        limit=_fixed,
+    ),
+    PolicySet(
+        'least-fifo',
+        placement=LeastLoadedPlacement,
+        order=FifoOrder,
+        limit=_fixed,
+    ),
+    PolicySet(
+        'two-shortest',
+        placement=TwoChoicesPlacement,
+        order=ShortestFirstOrder,
+        limit=_slow_start,
+    ),
+)
+
+POLICIES: Mapping[str, PolicySet] = MappingProxyType(
+    {policies.name: policies for policies in _SETS},
+)
