Give engines a priority by prompt length

Change: AdmissionOrder chooses the attempt to start from a TargetLoad and names its priority; LengthPriority ranks by prompt length.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -11,6 +11,7 @@
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.keys import KeyRegister
 from buckthornpond_core.limits import SlowStartLimit
+from buckthornpond_core.priorities import LengthPriority
 from buckthornpond_core.queueing import ShortestFirstOrder
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.clocks import SystemClock
@@ -61,7 +62,7 @@
             peer_timeout=timedelta(milliseconds=settings.peer_timeout_ms),
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
-        order=ShortestFirstOrder(),
+        order=ShortestFirstOrder(LengthPriority()),
         keys=KeyRegister(clock.monotonic()),
         recorder=metrics,
     )
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -8,6 +8,7 @@
     CallEnded,
     CallStarted,
 )
+from buckthornpond_core._generated.inventory import TargetKind
 from buckthornpond_core._generated.messages import Document
 from buckthornpond_core._generated.platform import InstanceList, InstanceState
 from buckthornpond_core.admission import Admission
@@ -25,6 +26,7 @@
 from buckthornpond_runtime.tasks import Mailbox
 from buckthornpond_runtime.transports import Received
 
+from .bodies import with_priority
 from .calls import CallTask
 
 _TICK_SECONDS = 0.05
@@ -144,6 +146,9 @@
     def _start_call(self, effect: StartCall) -> None:
         attempt = effect.attempt
         target = self._configuration.instances[self._instance].target
+        service = self._configuration.services.get(attempt.service)
+        if service is not None and service.kind is TargetKind.engine:
+            attempt.body = with_priority(attempt.body, effect.priority)
         call = CallTask(
             attempt,
             target.address,
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -37,7 +37,7 @@
 from .ledger import Ledger
 from .limits import TargetLimit
 from .placement import join_key, rank_homes
-from .queueing import AdmissionOrder, QueuedAttempt
+from .queueing import AdmissionOrder, QueuedAttempt, TargetLoad
 from .routing import newer_documents
 from .types import Recorder
 
@@ -67,13 +67,20 @@
 class _Running:
     """An attempt whose call to the target is open."""
 
-    __slots__ = ('chunk_count', 'is_cancelled', 'peer', 'queued')
+    __slots__ = (
+        'chunk_count',
+        'is_cancelled',
+        'is_prefilling',
+        'peer',
+        'queued',
+    )
 
     def __init__(self, peer: str, queued: QueuedAttempt) -> None:
         self.peer = peer
         self.queued = queued
         self.chunk_count = 0
         self.is_cancelled = False
+        self.is_prefilling = True
 
 
 class Admission:
@@ -211,6 +218,7 @@
                 payload=message.payload,
             )
             running.chunk_count += 1
+            running.is_prefilling = False
             return self._tell(running, chunk)
         return self._end_call(running, message, now)
 
@@ -428,27 +436,30 @@
     def _start_waiting(self, now: timedelta) -> list[AgentEffect]:
         effects: list[AgentEffect] = []
         while self._queue and self._has_slot():
-            attempt_id = self._find_first(now)
-            peer, queued = self._queue[attempt_id]
-            if not self._fits(queued):
+            queued = self._order.choose(self._load(), now)
+            if queued is None:
                 break
-            self._queue.pop(attempt_id)
-            self._ledger.reserve(attempt_id, queued.total_tokens)
-            self._running[attempt_id] = _Running(peer, queued)
-            effects.append(StartCall(queued.attempt))
+            effects.append(self._start(queued))
         return effects
 
-    def _find_first(self, now: timedelta) -> str:
-        def rank(attempt_id: str) -> float:
-            return self._order.rank(self._queue[attempt_id][1], now)
-
-        return min(self._queue, key=rank)
+    def _start(self, queued: QueuedAttempt) -> StartCall:
+        attempt = queued.attempt
+        peer, _ = self._queue.pop(attempt.attempt_id)
+        self._ledger.reserve(attempt.attempt_id, queued.total_tokens)
+        self._running[attempt.attempt_id] = _Running(peer, queued)
+        return StartCall(attempt, self._order.priority(attempt))
+
+    def _load(self) -> TargetLoad:
+        return TargetLoad(
+            waiting=[queued for _, queued in self._queue.values()],
+            prefilling=[
+                running.queued
+                for running in self._running.values()
+                if running.is_prefilling
+            ],
+            free_tokens=self._limit.limit_tokens - self.reserved_tokens,
+            is_idle=not self._running,
+        )
 
     def _has_slot(self) -> bool:
         return len(self._running) < self._target.concurrency_count
-
-    def _fits(self, queued: QueuedAttempt) -> bool:
-        if not self._running:
-            return True
-        held_tokens = self.reserved_tokens + queued.total_tokens
-        return held_tokens <= self._limit.limit_tokens
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -1,9 +1,11 @@
 """Order in which an agent starts the attempts that wait."""
 
+from collections.abc import Sequence
 from datetime import timedelta
 from typing import Protocol
 
 from ._generated.messages import Attempt
+from .priorities import EnginePriority, EqualPriority
 
 
 class QueuedAttempt:
@@ -32,35 +34,118 @@
         return self.attempt.prompt_tokens + self.attempt.output_tokens
 
 
+class TargetLoad:
+    """What an admission order sees of its target.
+
+    :param waiting: attempts to choose from.
+    :param prefilling: running attempts that have no first token yet.
+    :param free_tokens: tokens that the target may still take.
+    :param is_idle: whether nothing runs.
+    """
+
+    __slots__ = ('free_tokens', 'is_idle', 'prefilling', 'waiting')
+
+    def __init__(
+        self,
+        waiting: Sequence[QueuedAttempt],
+        prefilling: Sequence[QueuedAttempt],
+        free_tokens: int,
+        *,
+        is_idle: bool,
+    ) -> None:
+        self.waiting = waiting
+        self.prefilling = prefilling
+        self.free_tokens = free_tokens
+        self.is_idle = is_idle
+
+    def fits(self, queued: QueuedAttempt) -> bool:
+        """Tell whether the target bears the attempt now.
+
+        :param queued: a waiting attempt.
+        """
+        return self.is_idle or queued.total_tokens <= self.free_tokens
+
+
 class AdmissionOrder(Protocol):
     """Policy that orders waiting attempts."""
 
-    def rank(self, queued: QueuedAttempt, now: timedelta) -> float:
-        """Return the rank of an attempt, the lowest starting first.
+    def choose(
+        self,
+        load: TargetLoad,
+        now: timedelta,
+    ) -> QueuedAttempt | None:
+        """Return the attempt to start now, or nothing.
 
-        :param queued: the waiting attempt.
+        :param load: what waits and runs; something waits.
         :param now: time on the monotonic clock.
         """
 
+    def priority(self, attempt: Attempt) -> int:
+        """Return the priority at the engine, the lowest being first.
+
+        :param attempt: the attempt that starts.
+        """
+
 
 class FifoOrder:
     """Baseline: first in, first out."""
 
     __slots__ = ()
 
-    def rank(self, queued: QueuedAttempt, now: timedelta) -> float:
-        """Return the arrival time."""
-        return queued.arrival.total_seconds()
+    def choose(
+        self,
+        load: TargetLoad,
+        now: timedelta,
+    ) -> QueuedAttempt | None:
+        """Return the oldest attempt if it fits."""
+        first = min(load.waiting, key=_arrival)
+        return first if load.fits(first) else None
+
+    def priority(self, attempt: Attempt) -> int:
+        """Return the same priority for every attempt."""
+        return 0
 
 
 class ShortestFirstOrder:
-    """Short prompts first; waiting ages a long one towards its deadline."""
+    """Short prompts first; waiting ages a long one towards its deadline.
+
+    :param engine_priority: ranks the prefill at the engine.
+    """
+
+    __slots__ = ('_engine_priority',)
+
+    def __init__(self, engine_priority: EnginePriority | None = None) -> None:
+        self._engine_priority = engine_priority or EqualPriority()
+
+    def choose(
+        self,
+        load: TargetLoad,
+        now: timedelta,
+    ) -> QueuedAttempt | None:
+        """Return the attempt with the least aged work if it fits."""
+
+        def rank(queued: QueuedAttempt) -> float:
+            return aged_tokens(queued, now)
+
+        first = min(load.waiting, key=rank)
+        return first if load.fits(first) else None
+
+    def priority(self, attempt: Attempt) -> int:
+        """Return the priority at the engine."""
+        return self._engine_priority.rank(attempt)
+
+
+def aged_tokens(queued: QueuedAttempt, now: timedelta) -> float:
+    """Return the tokens of an attempt, shrunk as its deadline comes near.
+
+    :param queued: the waiting attempt.
+    :param now: time on the monotonic clock.
+    """
+    allowed = (queued.deadline - queued.arrival).total_seconds()
+    remaining = (queued.deadline - now).total_seconds()
+    share = max(0.0, remaining / allowed) if allowed > 0 else 0.0
+    return queued.total_tokens * share
 
-    __slots__ = ()
 
-    def rank(self, queued: QueuedAttempt, now: timedelta) -> float:
-        """Return the tokens, shrunk as the deadline comes near."""
-        allowed = (queued.deadline - queued.arrival).total_seconds()
-        remaining = (queued.deadline - now).total_seconds()
-        share = max(0.0, remaining / allowed) if allowed > 0 else 0.0
-        return queued.total_tokens * share
+def _arrival(queued: QueuedAttempt) -> timedelta:
+    return queued.arrival
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -11,6 +11,7 @@
     RoundRobinPlacement,
     TwoChoicesPlacement,
 )
+from buckthornpond_core.priorities import LengthPriority
 from buckthornpond_core.queueing import (
     AdmissionOrder,
     FifoOrder,
@@ -51,6 +52,10 @@
     return FixedLimit(memory_tokens)
 
 
+def _prioritised() -> AdmissionOrder:
+    return ShortestFirstOrder(LengthPriority())
+
+
 _SETS = (
     PolicySet(
         'random-fifo',
@@ -76,8 +81,28 @@
         order=ShortestFirstOrder,
         limit=_slow_start,
     ),
+    PolicySet(
+        'random-priority',
+        placement=RandomPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+    ),
+    PolicySet(
+        'two-priority',
+        placement=TwoChoicesPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+    ),
+    PolicySet(
+        'least-priority',
+        placement=LeastLoadedPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+    ),
 )
 
 POLICIES: Mapping[str, PolicySet] = MappingProxyType(
     {policies.name: policies for policies in _SETS},
 )
+
+SHIPPED = 'two-priority'
