Place requests on targets that have free memory for them

Change: FittingPlacement takes the less loaded of two random candidates among those whose last hint, less what this entry sent since, leaves room for the request. features/policy.feature holds the bound of 1.2 for both mixes. Conclusion: kept and shipped in the entry.

--- /dev/null
+++ b/features/policy.feature
@@ -0,0 +1,15 @@
+Feature: Policy under load, on a fake clock with fixed seeds
+
+  Scenario Outline: long prompts do not slow short ones down
+    Given the load of <mix> at 70 percent of capacity with seeds 0 to 1
+    When it runs with and without long prompts under random-fifo
+    And it runs with and without long prompts under the shipped policies
+    Then the p99 slowdown of short prompts under the shipped policies is within 1.2 of the load without long prompts
+    And under random-fifo it is beyond that bound
+    And no short prompt is refused or late under the shipped policies
+    And every long prompt that an engine can hold finishes in time
+
+    Examples:
+      | mix     |
+      | nilwave |
+      | ravi    |
--- /dev/null
+++ b/features/steps/policy_steps.py
@@ -0,0 +1,93 @@
+"""Steps that run the decision classes under load on a fake clock."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from behave import given, then, when
+
+from buckthornpond_standins.experiments import (
+    COSTS,
+    Result,
+    compare,
+    quantile,
+    slowdowns,
+)
+from buckthornpond_standins.mixes import LONG_TOKENS, MIXES, SHORT_TOKENS
+from buckthornpond_standins.policies import POLICIES, SHIPPED
+from buckthornpond_standins.records import RequestRecord
+
+_SECONDS = 60.0
+_P99 = 0.99
+
+
+@given(
+    'the load of {mix} at {percent:d} percent of capacity with seeds 0 to {last:d}'
+)
+def choose_load(context: Any, mix: str, percent: int, last: int) -> None:
+    """Keep what the runs have in common."""
+    context.mix = next(each for each in MIXES if each.name == mix)
+    context.load = percent / 100
+    context.seeds = range(last + 1)
+    context.results = {}
+
+
+@when('it runs with and without long prompts under {policy}')
+def run_policy(context: Any, policy: str) -> None:
+    """Run the load under one set of policies."""
+    name = SHIPPED if policy == 'the shipped policies' else policy
+    context.results[name] = compare(
+        context.mix,
+        [POLICIES[name]],
+        load=context.load,
+        seeds=context.seeds,
+        duration_seconds=_SECONDS,
+        report=str,
+    )[0]
+
+
+@then(
+    'the p99 slowdown of short prompts under the shipped policies is within {bound:g} of the load without long prompts'
+)
+def check_slowdown(context: Any, bound: float) -> None:
+    """Compare both runs of the shipped policies."""
+    result = context.results[SHIPPED]
+    context.bound = bound * short_p99(result.bare_records)
+    found = short_p99(result.records)
+    assert found <= context.bound, (found, context.bound)
+
+
+@then('under {policy} it is beyond that bound')
+def check_baseline(context: Any, policy: str) -> None:
+    """Check that a naive policy would be caught."""
+    found = short_p99(context.results[policy].records)
+    assert found > context.bound, (found, context.bound)
+
+
+@then('no short prompt is refused or late under the shipped policies')
+def check_short(context: Any) -> None:
+    """Check the outcome of each short prompt."""
+    check_outcomes(context.results[SHIPPED], 0, SHORT_TOKENS)
+
+
+@then('every long prompt that an engine can hold finishes in time')
+def check_long(context: Any) -> None:
+    """Check the outcome of each long prompt."""
+    highest = COSTS.memory_tokens - 1000
+    check_outcomes(context.results[SHIPPED], LONG_TOKENS, highest)
+
+
+def short_p99(records: Iterable[RequestRecord]) -> float:
+    """Return the 99th percentile of short prompts' slowdown."""
+    return quantile(slowdowns(records, 0, SHORT_TOKENS), _P99)
+
+
+def check_outcomes(result: Result, lowest: int, highest: int) -> None:
+    """Check that each prompt of a length bucket got a whole answer."""
+    outcomes = [
+        record.outcome
+        for record in result.records
+        if lowest <= record.arrival.submission.prompt_tokens < highest
+    ]
+    assert outcomes
+    bad = [outcome for outcome in outcomes if outcome != 'complete']
+    assert not bad, bad
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -41,6 +41,17 @@
         held_tokens = self.hint.limit_tokens - self.hint.free_tokens
         return held_tokens + self.hint.queued_tokens + self.pending_tokens
 
+    @property
+    def free_tokens(self) -> int:
+        """Return the tokens that a new request finds free, by the last hint."""
+        if self.hint is None:
+            return 0
+        return (
+            self.hint.free_tokens
+            - self.hint.queued_tokens
+            - self.pending_tokens
+        )
+
     @property
     def is_open(self) -> bool:
         """Tell whether the agent said that it takes new work."""
@@ -142,6 +153,29 @@
         return min(random.sample(candidates, count), key=_backlog)
 
 
+class FittingPlacement:
+    """Two random choices among the candidates with free memory for it."""
+
+    __slots__ = ()
+
+    def choose(
+        self,
+        candidates: Sequence[AgentView],
+        submission: Submission,
+        random: RandomSource,
+    ) -> AgentView:
+        """Return the less loaded of two candidates that bear it now."""
+        wanted_tokens = submission.prompt_tokens + submission.output_tokens
+        fitting = [
+            view for view in candidates if view.free_tokens >= wanted_tokens
+        ]
+        among = fitting or candidates
+        return min(
+            random.sample(among, min(_CHOICES, len(among))),
+            key=_backlog,
+        )
+
+
 def _backlog(view: AgentView) -> int:
     return view.backlog_tokens
 
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -5,6 +5,7 @@
 
 from buckthornpond_core.limits import FixedLimit, SlowStartLimit, TargetLimit
 from buckthornpond_core.placement import (
+    FittingPlacement,
     LeastLoadedPlacement,
     Placement,
     RandomPlacement,
@@ -116,6 +117,18 @@
         order=_window,
         limit=_slow_start,
     ),
+    PolicySet(
+        'fitting-priority',
+        placement=FittingPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+    ),
+    PolicySet(
+        'fitting-window',
+        placement=FittingPlacement,
+        order=_window,
+        limit=_slow_start,
+    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
@@ -128,4 +141,4 @@
     {policies.name: policies for policies in _SETS},
 )
 
-SHIPPED = 'two-priority'
+SHIPPED = 'fitting-priority'
