--- /dev/null
+++ b/packages/standins/src/buckthornpond_standins/overload.py
@@ -0,0 +1,145 @@
+"""Goodput of policies at loads below and above the fleet's capacity."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from .bench import DecisionBench
+from .engine import EngineCosts
+from .experiments import COSTS, LONG_SHARE
+from .mixes import LONG_TOKENS, SHORT_TOKENS, Mix, generate_load
+from .policies import PolicySet
+from .records import RequestRecord
+
+LOADS = (0.5, 0.7, 0.9, 1.0, 1.2, 2.0)
+
+
+class GoodputResult:
+    """Goodput of one policy at one load, over all seeds.
+
+    :param name: the policy.
+    :param load: share of the fleet's prefill capacity.
+    """
+
+    __slots__ = (
+        'duration_seconds',
+        'load',
+        'name',
+        'records',
+        'retry_count',
+    )
+
+    def __init__(self, name: str, load: float) -> None:
+        self.name = name
+        self.load = load
+        self.duration_seconds = 0.0
+        self.records: list[RequestRecord] = []
+        self.retry_count = 0
+
+    @property
+    def good_per_second(self) -> float:
+        """Return whole answers in time a second."""
+        good = sum(record.is_good for record in self.records)
+        return good / self.duration_seconds
+
+    @property
+    def good_tokens_per_second(self) -> float:
+        """Return prompt tokens of whole answers in time a second."""
+        tokens = sum(
+            record.arrival.submission.prompt_tokens
+            for record in self.records
+            if record.is_good
+        )
+        return tokens / self.duration_seconds
+
+    @property
+    def late_percent(self) -> float:
+        """Return the share of requests that were taken and then failed."""
+        late = sum(
+            not record.is_good and not record.is_refused_early
+            for record in self.records
+        )
+        return 100 * late / len(self.records)
+
+    def good_percent(self, lowest_tokens: int, highest_tokens: int) -> float:
+        """Return the share of a length bucket that was answered in time.
+
+        :param lowest_tokens: shortest prompt of the bucket.
+        :param highest_tokens: end of the bucket.
+        """
+        found = [
+            record.is_good
+            for record in self.records
+            if lowest_tokens
+            <= record.arrival.submission.prompt_tokens
+            < highest_tokens
+        ]
+        return 100 * sum(found) / len(found) if found else 0.0
+
+
+def measure_goodput(
+    mix: Mix,
+    policies: Sequence[PolicySet],
+    *,
+    seeds: Iterable[int],
+    duration_seconds: float,
+    loads: Sequence[float] = LOADS,
+    costs: EngineCosts = COSTS,
+    report: Callable[[str], None],
+) -> list[GoodputResult]:
+    """Return the goodput of each policy at each load.
+
+    :param mix: fleet and callers.
+    :param policies: what to compare.
+    :param seeds: seeds of the loads.
+    :param duration_seconds: length of each load.
+    :param loads: shares of the prefill capacity.
+    :param costs: costs of the engines.
+    :param report: receives a line of progress.
+    """
+    found = {
+        (policy.name, load): GoodputResult(policy.name, load)
+        for load in loads
+        for policy in policies
+    }
+    capacity = mix.target_count * costs.prefill_tokens_per_second
+    for seed in seeds:
+        for load in loads:
+            arrivals = generate_load(
+                mix,
+                tokens_per_second=load * capacity,
+                memory_tokens=costs.memory_tokens,
+                duration_seconds=duration_seconds,
+                long_share=LONG_SHARE,
+                seed=seed,
+            )
+            for policy in policies:
+                bench = DecisionBench(mix, costs, policy, seed=seed)
+                result = found[policy.name, load]
+                result.records.extend(bench.run(arrivals))
+                result.duration_seconds += duration_seconds
+                result.retry_count += bench.recorder.sum_of('retries/')
+                report(f'{mix.name} seed {seed} load {load} {policy.name}')
+    return list(found.values())
+
+
+def render_goodput(results: Iterable[GoodputResult]) -> str:
+    """Return a table of goodput by load.
+
+    :param results: what :func:`measure_goodput` returned.
+    """
+    lines = [
+        '| policy | load | good a second | good tokens a second | '
+        'short good % | middle good % | long good % | late % | retries |',
+        '|---|---|---|---|---|---|---|---|---|',
+    ]
+    edges = (0, SHORT_TOKENS, LONG_TOKENS, COSTS.memory_tokens - 1000)
+    for each in results:
+        shares = ' | '.join(
+            f'{each.good_percent(*edge):.1f}'
+            for edge in zip(edges, edges[1:], strict=False)
+        )
+        lines.append(
+            f'| {each.name} | {each.load} | {each.good_per_second:.1f} | '
+            f'{each.good_tokens_per_second:,.0f} | {shares} | '
+            f'{each.late_percent:.1f} | {each.retry_count} |',
+        )
+    return '\n'.join(lines)
--- a/packages/standins/src/buckthornpond_standins/records.py
+++ b/packages/standins/src/buckthornpond_standins/records.py
@@ -22,6 +22,17 @@
         """Add one to a counter."""
         self.counts[f'{name}/{reason}'] += 1
 
+    def sum_of(self, prefix: str) -> int:
+        """Return the sum of the counters whose name starts so.
+
+        :param prefix: name and slash.
+        """
+        return sum(
+            count
+            for name, count in self.counts.items()
+            if name.startswith(prefix)
+        )
+
     def log(self, code: EventCode, **fields: object) -> None:
         """Count the event."""
         self.counts[f'events/{code.name}'] += 1
@@ -46,6 +57,12 @@
         """Tell whether the answer was whole and in time."""
         return self.outcome == 'complete'
 
+    @property
+    def is_refused_early(self) -> bool:
+        """Tell whether the caller was told in time that nothing ran."""
+        is_not_run = self.outcome.endswith('/not_run')
+        return is_not_run and not self.outcome.startswith('deadline_exceeded')
+
     def slowdown(self, costs: EngineCosts) -> float:
         """Return time to first token over that on an idle fleet.
 
