--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -18,9 +18,6 @@
     FifoOrder,
     ShortestFirstOrder,
 )
-from buckthornpond_core.scheduling import BackfillOrder, PrefillWindowOrder
-
-_WINDOW_TOKENS = 8192
 
 
 class PolicySet:
@@ -60,14 +57,6 @@
     return ShortestFirstOrder(LengthPriority())
 
 
-def _backfill() -> AdmissionOrder:
-    return BackfillOrder(LengthPriority())
-
-
-def _window() -> AdmissionOrder:
-    return PrefillWindowOrder(LengthPriority(), _WINDOW_TOKENS)
-
-
 _SETS = (
     PolicySet(
         'random-fifo',
@@ -105,30 +94,12 @@
         order=_prioritised,
         limit=_slow_start,
     ),
-    PolicySet(
-        'two-backfill',
-        placement=TwoChoicesPlacement,
-        order=_backfill,
-        limit=_slow_start,
-    ),
-    PolicySet(
-        'two-window',
-        placement=TwoChoicesPlacement,
-        order=_window,
-        limit=_slow_start,
-    ),
     PolicySet(
         'fitting-priority',
         placement=FittingPlacement,
         order=_prioritised,
         limit=_slow_start,
     ),
-    PolicySet(
-        'fitting-window',
-        placement=FittingPlacement,
-        order=_window,
-        limit=_slow_start,
-    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
