Refuse an attempt early that cannot make its time

Change: PrefillForecast follows the prompts in prefill, learns the speeds of prefill and decoding from what ended, and takes off the speed what shorter prompts used of late. An attempt that would end after its deadline is refused as would_miss_deadline, not run, with the excess as Retry-After. Long prompts pay at and above capacity.

--- a/features/policy.feature
+++ b/features/policy.feature
@@ -13,3 +13,12 @@
       | mix     |
       | nilwave |
       | ravi    |
+
+  Scenario: overload is refused early and goodput does not fall
+    Given the load of nilwave at 200 percent of capacity with seeds 0 to 0
+    When goodput is measured at 100 and 200 percent under two-shortest
+    And goodput is measured at 100 and 200 percent under the shipped policies
+    Then goodput at 200 percent under the shipped policies is at least that at 100 percent
+    And under two-shortest goodput falls
+    And at most 4 percent of the requests under the shipped policies fail late
+    And no short prompt is refused or late at 200 percent under the shipped policies
--- a/features/steps/policy_steps.py
+++ b/features/steps/policy_steps.py
@@ -13,6 +13,7 @@
     slowdowns,
 )
 from buckthornpond_standins.mixes import LONG_TOKENS, MIXES, SHORT_TOKENS
+from buckthornpond_standins.overload import measure_goodput
 from buckthornpond_standins.policies import POLICIES, SHIPPED
 from buckthornpond_standins.records import RequestRecord
 
@@ -91,3 +92,49 @@
     assert outcomes
     bad = [outcome for outcome in outcomes if outcome != 'complete']
     assert not bad, bad
+
+
+@when('goodput is measured at 100 and 200 percent under {policy}')
+def run_goodput(context: Any, policy: str) -> None:
+    """Run one set of policies at and above capacity."""
+    name = SHIPPED if policy == 'the shipped policies' else policy
+    context.results[name] = measure_goodput(
+        context.mix,
+        [POLICIES[name]],
+        seeds=context.seeds,
+        duration_seconds=_SECONDS,
+        loads=(1.0, 2.0),
+        report=str,
+    )
+
+
+@then(
+    'goodput at 200 percent under the shipped policies is at least that at 100 percent'
+)
+def check_goodput(context: Any) -> None:
+    """Compare answers a second."""
+    at_capacity, above = context.results[SHIPPED]
+    assert above.good_per_second >= at_capacity.good_per_second
+
+
+@then('under {policy} goodput falls')
+def check_naive_goodput(context: Any, policy: str) -> None:
+    """Check that a naive policy would be caught."""
+    at_capacity, above = context.results[policy]
+    assert above.good_per_second < at_capacity.good_per_second
+
+
+@then(
+    'at most {bound:d} percent of the requests under the shipped policies fail late'
+)
+def check_late(context: Any, bound: int) -> None:
+    """Check the share of requests that were taken and then failed."""
+    assert context.results[SHIPPED][1].late_percent <= bound
+
+
+@then(
+    'no short prompt is refused or late at 200 percent under the shipped policies'
+)
+def check_short_above(context: Any) -> None:
+    """Check the outcome of each short prompt."""
+    assert context.results[SHIPPED][1].good_percent(0, SHORT_TOKENS) == 100
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -8,6 +8,7 @@
 from buckthornpond_core._generated.settings import AgentSettings
 from buckthornpond_core.admission import Admission, AgentLimits
 from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.forecasts import PrefillForecast
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.keys import KeyRegister
 from buckthornpond_core.limits import SlowStartLimit
@@ -65,6 +66,7 @@
         order=ShortestFirstOrder(LengthPriority()),
         keys=KeyRegister(clock.monotonic()),
         recorder=metrics,
+        forecast=PrefillForecast(),
     )
     task = AdmissionTask(
         instance=settings.instance,
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -32,6 +32,7 @@
     ToPeer,
     WireMessage,
 )
+from .forecasts import Forecast, NoForecast
 from .journal import EventCode
 from .keys import KeyRegister
 from .ledger import Ledger
@@ -93,6 +94,7 @@
     __slots__ = (
         '_configuration',
         '_fenced',
+        '_forecast',
         '_incarnation',
         '_instance',
         '_keys',
@@ -119,6 +121,7 @@
         order: AdmissionOrder,
         keys: KeyRegister,
         recorder: Recorder,
+        forecast: Forecast | None = None,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -128,6 +131,7 @@
         self._order = order
         self._keys = keys
         self._recorder = recorder
+        self._forecast = forecast or NoForecast()
         self._target = Target(address='0.0.0.0:0')
         self._ledger = Ledger()
         self._queue: dict[str, tuple[str, QueuedAttempt]] = {}
@@ -218,7 +222,9 @@
                 payload=message.payload,
             )
             running.chunk_count += 1
-            running.is_prefilling = False
+            if running.is_prefilling:
+                running.is_prefilling = False
+                self._forecast.record_first_token(message.attempt_id, now)
             return self._tell(running, chunk)
         return self._end_call(running, message, now)
 
@@ -287,6 +293,11 @@
         if reason:
             refused = self._refuse(attempt.attempt_id, reason)
             return [ToPeer(peer, refused)]
+        excess = self._predict(attempt, now) - attempt.remaining_ms
+        if excess > 0:
+            refused = self._refuse(attempt.attempt_id, 'would_miss_deadline')
+            refused.retry_after_ms = excess
+            return [ToPeer(peer, refused)]
         service = self._configuration.services[attempt.service]
         if attempt.idempotency_key:
             refusal = self._claim_key(attempt, service, now)
@@ -320,6 +331,18 @@
         )
         return next((reason for reason, applies in checks if applies), '')
 
+    def _predict(self, attempt: Attempt, now: timedelta) -> int:
+        waiting = [
+            queued.attempt.prompt_tokens for _, queued in self._queue.values()
+        ]
+        expected = self._forecast.predict(
+            attempt.prompt_tokens,
+            attempt.output_tokens,
+            waiting,
+            now,
+        )
+        return expected // timedelta(milliseconds=1)
+
     def _is_held(self, attempt_id: str) -> bool:
         return attempt_id in self._queue or attempt_id in self._running
 
@@ -396,6 +419,11 @@
     ) -> list[AgentEffect]:
         attempt = running.queued.attempt
         self._running.pop(ended.attempt_id)
+        self._forecast.record_end(
+            ended.attempt_id,
+            0 if ended.error else attempt.output_tokens,
+            now,
+        )
         tokens = self._ledger.release(ended.attempt_id)
         effects: list[AgentEffect] = []
         if ended.error:
@@ -439,11 +467,16 @@
             queued = self._order.choose(self._load(), now)
             if queued is None:
                 break
-            effects.append(self._start(queued))
+            effects.append(self._start(queued, now))
         return effects
 
-    def _start(self, queued: QueuedAttempt) -> StartCall:
+    def _start(self, queued: QueuedAttempt, now: timedelta) -> StartCall:
         attempt = queued.attempt
+        self._forecast.record_start(
+            attempt.attempt_id,
+            attempt.prompt_tokens,
+            now,
+        )
         peer, _ = self._queue.pop(attempt.attempt_id)
         self._ledger.reserve(attempt.attempt_id, queued.total_tokens)
         self._running[attempt.attempt_id] = _Running(peer, queued)
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -75,6 +75,11 @@
         'unauthorised': RefusalKind(401, 'Credential unknown'),
         'unknown_path': RefusalKind(404, 'Path unknown'),
         'unknown_service': RefusalKind(404, 'Service unknown'),
+        'would_miss_deadline': RefusalKind(
+            503,
+            'Time limit too short for the load',
+            may_retry=True,
+        ),
         'wrong_home': RefusalKind(503, 'Key moved', may_retry=True),
     }
 )
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -360,6 +360,7 @@
             ),
             limit=limit,
             order=self._policies.order(),
+            forecast=self._policies.forecast(),
             keys=KeyRegister(timedelta()),
             recorder=self.recorder,
         )
--- a/packages/standins/src/buckthornpond_standins/bench_commands.py
+++ b/packages/standins/src/buckthornpond_standins/bench_commands.py
@@ -6,7 +6,8 @@
 
 from .experiments import compare, render_outcomes, render_slowdowns
 from .mixes import MIXES
-from .policies import POLICIES
+from .overload import measure_goodput, render_goodput
+from .policies import POLICIES, SHIPPED
 
 _OUT = Path('out')
 
@@ -51,3 +52,22 @@
         head = f'{mix.name}: load {load}, {seeds} seeds of {seconds} s each'
         tables = [head, render_slowdowns(results), render_outcomes(results)]
         save(f'policies-{mix.name}.md', '\n\n'.join(tables))
+
+
+@bench.command()
+@click.option('--seeds', default=2, help='Seeds, from 0.')
+@click.option('--seconds', default=120.0, help='Length of a load.')
+@click.option('--policies', default='', help='Names with commas.')
+def goodput(seeds: int, seconds: float, policies: str) -> None:
+    """Measure goodput from half to twice the capacity, for each mix."""
+    names = policies.split(',') if policies else ['two-shortest', SHIPPED]
+    for mix in MIXES:
+        results = measure_goodput(
+            mix,
+            [POLICIES[name] for name in names],
+            seeds=range(seeds),
+            duration_seconds=seconds,
+            report=_show_progress,
+        )
+        head = f'{mix.name}: {seeds} seeds of {seconds} s each'
+        save(f'goodput-{mix.name}.md', f'{head}\n\n{render_goodput(results)}')
--- a/packages/standins/src/buckthornpond_standins/overload.py
+++ b/packages/standins/src/buckthornpond_standins/overload.py
@@ -9,6 +9,9 @@
 from .policies import PolicySet
 from .records import RequestRecord
 
+# Requests that arrive in this share of the load count: before it the fleet
+# fills, after it the last long prompts run without followers.
+_COUNTED = (0.2, 0.7)
 LOADS = (0.5, 0.7, 0.9, 1.0, 1.2, 2.0)
 
 
@@ -114,8 +117,13 @@
             for policy in policies:
                 bench = DecisionBench(mix, costs, policy, seed=seed)
                 result = found[policy.name, load]
-                result.records.extend(bench.run(arrivals))
-                result.duration_seconds += duration_seconds
+                first, last = (each * duration_seconds for each in _COUNTED)
+                result.records.extend(
+                    record
+                    for record in bench.run(arrivals)
+                    if first <= record.arrival.at_seconds < last
+                )
+                result.duration_seconds += last - first
                 result.retry_count += bench.recorder.sum_of('retries/')
                 report(f'{mix.name} seed {seed} load {load} {policy.name}')
     return list(found.values())
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -3,6 +3,11 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
+from buckthornpond_core.forecasts import (
+    Forecast,
+    NoForecast,
+    PrefillForecast,
+)
 from buckthornpond_core.limits import FixedLimit, SlowStartLimit, TargetLimit
 from buckthornpond_core.placement import (
     FittingPlacement,
@@ -27,9 +32,10 @@
     :param placement: makes the placement of an entry.
     :param order: makes the admission order of an agent.
     :param limit: makes the limit of a target from cold and whole memory.
+    :param forecast: makes the forecast of an agent.
     """
 
-    __slots__ = ('limit', 'name', 'order', 'placement')
+    __slots__ = ('forecast', 'limit', 'name', 'order', 'placement')
 
     def __init__(
         self,
@@ -38,11 +44,13 @@
         placement: Callable[[], Placement],
         order: Callable[[], AdmissionOrder],
         limit: Callable[[int, int], TargetLimit],
+        forecast: Callable[[], Forecast] = NoForecast,
     ) -> None:
         self.name = name
         self.placement = placement
         self.order = order
         self.limit = limit
+        self.forecast = forecast
 
 
 def _slow_start(cold_tokens: int, memory_tokens: int) -> TargetLimit:
@@ -100,6 +108,13 @@
         order=_prioritised,
         limit=_slow_start,
     ),
+    PolicySet(
+        'fitting-forecast',
+        placement=FittingPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+        forecast=PrefillForecast,
+    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
@@ -112,4 +127,4 @@
     {policies.name: policies for policies in _SETS},
 )
 
-SHIPPED = 'fitting-priority'
+SHIPPED = 'fitting-forecast'
