--- /dev/null
+++ b/features/costs.feature
@@ -0,0 +1,31 @@
+Feature: What the product costs by itself
+
+  Scenario: the agent stays small by what it does not import
+    When the agent's program is imported in a process of its own
+    Then it holds none of the modules "ssl, falcon, gevent.pywsgi, jsonschema"
+
+  Scenario Outline: a response is whole only at its proven end
+    When a response of kind "<kind>" arrives byte by byte
+    Then the call gives "<result>"
+
+    Examples:
+      | kind                        | result    |
+      | length                      | whole     |
+      | chunked                     | whole     |
+      | until closed                | whole     |
+      | interim first               | whole     |
+      | no body                     | nothing   |
+      | length cut short            | malformed |
+      | chunked cut short           | malformed |
+      | head cut short              | malformed |
+      | not http                    | malformed |
+
+  Scenario: events that wait together leave in one frame
+    Given a response that streams events
+    When 1 event arrives
+    Then the next frame holds 1 event
+    When 5 events and half of one arrive
+    Then the next frame holds 5 events
+    And no whole event waits
+    When 40 events of 100 bytes arrive for frames of 1024 bytes
+    Then no frame is longer than 1024 bytes and all 40 events come in order
--- /dev/null
+++ b/features/steps/costs_steps.py
@@ -0,0 +1,135 @@
+"""Steps on what the product costs by itself."""
+
+import re
+import subprocess
+import sys
+from typing import Any
+
+from behave import given, then, when
+
+from buckthornpond_runtime.responses import (
+    HttpResponse,
+    MalformedResponseError,
+)
+
+_RESPONSES = {
+    'length': b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole',
+    'chunked': b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+    b'2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n',
+    'until closed': b'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole',
+    'interim first': b'HTTP/1.1 102 Processing\r\n\r\n'
+    b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole',
+    'no body': b'HTTP/1.1 204 No Content\r\n\r\n',
+    'length cut short': b'HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nwhole',
+    'chunked cut short': b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n'
+    b'\r\n5\r\nwhole\r\n',
+    'head cut short': b'HTTP/1.1 200 OK\r\ncontent-le',
+    'not http': b'\x00\x01 nonsense\r\n\r\n',
+}
+_STREAM_HEAD = b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n'
+_EVENT_END = b'\n\n'
+_FRAME_BYTES = 16_384
+
+
+@when("the agent's program is imported in a process of its own")
+def import_agent(context: Any) -> None:
+    """List the modules that importing the agent loads."""
+    script = 'import sys, buckthornpond_agent.cli; print(*sys.modules)'
+    done = subprocess.run(
+        [sys.executable, '-c', script],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.modules = set(done.stdout.split())
+
+
+@then('it holds none of the modules "{names}"')
+def check_modules(context: Any, names: str) -> None:
+    """Check what was not loaded."""
+    assert 'buckthornpond_agent.cli' in context.modules
+    found = context.modules.intersection(names.split(', '))
+    assert not found, found
+
+
+@when('a response of kind "{kind}" arrives byte by byte')
+def feed_response(context: Any, kind: str) -> None:
+    """Feed each byte on its own, then the end of the connection."""
+    response = HttpResponse('GET')
+    context.result = 'malformed'
+    try:
+        for byte in _RESPONSES[kind]:
+            response.feed(bytes([byte]))
+        response.feed(b'')
+    except MalformedResponseError:
+        return
+    assert response.is_complete
+    context.result = response.take(100).decode() or 'nothing'
+
+
+@then('the call gives "{result}"')
+def check_result(context: Any, result: str) -> None:
+    """Compare the body."""
+    assert context.result == result, context.result
+
+
+@given('a response that streams events')
+def start_stream(context: Any) -> None:
+    """Feed the head alone."""
+    context.response = HttpResponse('POST')
+    context.response.feed(_STREAM_HEAD)
+    assert context.response.is_head_complete
+
+
+@when('{count:d} event arrives')
+def feed_event(context: Any, count: int) -> None:
+    """Feed whole events."""
+    context.response.feed(b'data: a\n\n' * count)
+
+
+@when('{count:d} events and half of one arrive')
+def feed_events(context: Any, count: int) -> None:
+    """Feed whole events and the begin of one more."""
+    context.response.feed(b'data: b\n\n' * count)
+    context.response.feed(b'data: c')
+
+
+@then('the next frame holds {count:d} event')
+@then('the next frame holds {count:d} events')
+def check_frame(context: Any, count: int) -> None:
+    """Count the events of one frame."""
+    frame = context.response.take_events(_FRAME_BYTES)
+    assert frame.endswith(_EVENT_END), frame
+    assert frame.count(_EVENT_END) == count, frame
+
+
+@then('no whole event waits')
+def check_empty(context: Any) -> None:
+    """Check that half an event is held back."""
+    assert context.response.take_events(_FRAME_BYTES) == b''
+
+
+@when('{count:d} events of 100 bytes arrive for frames of {limit:d} bytes')
+def feed_many(context: Any, count: int, limit: int) -> None:
+    """Finish the half event and feed many."""
+    context.response.feed(_EVENT_END)
+    assert context.response.take_event() == b'data: c\n\n'
+    events = [
+        f'data: {number:03}'.encode().ljust(98, b'x') + _EVENT_END
+        for number in range(count)
+    ]
+    context.response.feed(b''.join(events))
+    context.frames = []
+    while frame := context.response.take_events(limit):
+        context.frames.append(frame)
+
+
+@then(
+    'no frame is longer than {limit:d} bytes and all {count:d} events come in order'
+)
+def check_frames(context: Any, limit: int, count: int) -> None:
+    """Check the bound and the order."""
+    assert max(map(len, context.frames)) <= limit
+    assert len(context.frames) < count
+    found = re.findall(rb'data: (\d+)x', b''.join(context.frames))
+    assert [int(number) for number in found] == list(range(count)), found
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -4,69 +4,47 @@
 from datetime import timedelta
 
 from gevent import sleep, socket
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
-from buckthornpond_core.exceptions import TargetError
+from buckthornpond_core.exceptions import BuckthornpondError, TargetError
+
+from .responses import HttpResponse
 
 _LINE_END = '\r\n'
-_MAX_HEAD_BYTES = 65_536
-_MAX_EVENT_BYTES = 1_048_576
+_READ_BYTES = 65_536
+_NO_TYPE = 'application/octet-stream'
 _LOWEST_STATUS = 200
 _HIGHEST_STATUS = 599
-_BODILESS_STATUSES = frozenset((204, 304))
-
-
-class _BoundedResponse(HTTPSocketResponse):
-    """Response whose head, and what is buffered of its body, is bounded."""
-
-    def __init__(self, connection: socket.socket, method: str) -> None:
-        self._head_bytes = 0
-        self._unyielded_bytes = 0
-        super().__init__(connection, method=method)
-
-    def feed(self, data: str | bytes) -> None:  # noqa: WPS110
-        """Parse received bytes.
-
-        :param data: what the socket returned.
-        """
-        if not self.headers_complete:
-            self._head_bytes += len(data)
-            if self._head_bytes > _MAX_HEAD_BYTES:
-                raise HTTPParseError('response head too long')
-        super().feed(data)
-        if len(self._body_buffer) > _MAX_EVENT_BYTES:
-            raise HTTPParseError('event too long')
-        self._yield_turn(len(data))
-
-    def _yield_turn(self, length_bytes: int) -> None:
-        # A socket that is always readable would never let others run.
-        self._unyielded_bytes += length_bytes
-        if self._unyielded_bytes >= _MAX_HEAD_BYTES:
-            self._unyielded_bytes = 0
-            sleep(0)
 
 
 class HttpCall:
     """One HTTP request on a connection of its own.
 
-    The client of the library repeats some requests by itself; this one
-    sends once and knows whether any byte may have left.
+    Clients of libraries repeat some requests by themselves; this one sends
+    once and knows whether any byte may have left.
 
     :param address: IP number and port of the server.
     :param timeout: longest silence of the server.
     """
 
-    __slots__ = ('_address', '_response', '_socket', '_timeout', 'is_sent')
+    __slots__ = (
+        '_address',
+        '_response',
+        '_socket',
+        '_timeout',
+        '_unyielded_bytes',
+        'is_sent',
+    )
 
     def __init__(self, address: str, timeout: timedelta) -> None:
         self._address = address
         self._timeout = timeout
         self._socket: socket.socket | None = None
-        self._response: HTTPSocketResponse | None = None
+        self._response: HttpResponse | None = None
+        self._unyielded_bytes = 0
         self.is_sent = False
 
     @property
-    def response(self) -> HTTPSocketResponse:
+    def response(self) -> HttpResponse:
         """Return the response whose head has arrived."""
         if self._response is None:
             raise self._fail('no response yet', 'read response')
@@ -75,8 +53,15 @@
     @property
     def content_type(self) -> str:
         """Return the content type of the response."""
-        found = self.response.get('content-type', 'application/octet-stream')
-        return str(found)
+        return self.response.get('content-type', _NO_TYPE)
+
+    @property
+    def has_length(self) -> bool:
+        """Tell whether the end of the body can be told from a cut.
+
+        A body that ends with the connection may have been truncated.
+        """
+        return self.response.is_bounded
 
     def send(
         self,
@@ -93,67 +78,85 @@
         :param headers: header fields besides host and length.
         :raises TargetError: when there is no valid head.
         """
-        host, port = self._address.rsplit(':', 1)
-        timeout_seconds = self._timeout.total_seconds()
-        try:
-            self._socket = socket.create_connection(
-                (host, int(port)),
-                timeout_seconds,
-            )
-        except OSError as error:
-            raise self._fail(str(error), 'connect') from error
-        self._socket.setsockopt(
-            standard_socket.IPPROTO_TCP,
-            standard_socket.TCP_NODELAY,
-            1,
-        )
         head = self._render_head(method, path, len(body), headers)
+        connection = self._connect()
+        response = HttpResponse(method)
         self.is_sent = True
         try:
-            self._socket.sendall(head + body)
-            self._response = _BoundedResponse(self._socket, method=method)
-        except Exception as error:
+            connection.sendall(head + body)
+        except OSError as error:
             raise self._fail(str(error) or repr(error), 'send') from error
-        status_code = self._response.status_code
-        if not _LOWEST_STATUS <= status_code <= _HIGHEST_STATUS:
+        while not response.is_head_complete:
+            self._receive(response, 'send')
+        if not _LOWEST_STATUS <= response.status_code <= _HIGHEST_STATUS:
             raise self._fail('status out of range', 'send')
+        self._response = response
 
-    @property
-    def has_length(self) -> bool:
-        """Tell whether the end of the body can be told from a cut.
+    def read_event(self) -> bytes:
+        """Return the next server-sent event, or nothing at the end."""
+        return self.read_events(0)
 
-        A body that ends with the connection may have been truncated.
+    def read_events(self, limit_bytes: int) -> bytes:
+        """Return every whole event at hand, waiting for the first.
+
+        :param limit_bytes: the most bytes, unless one event has more.
         """
         response = self.response
-        return (
-            response.method == 'HEAD'
-            or response.status_code in _BODILESS_STATUSES
-            or response.content_length is not None
-            or 'transfer-encoding' in response
-        )
-
-    def read_event(self) -> bytes:
-        """Return the next server-sent event, or nothing at the end."""
-        try:
-            return bytes(self.response.readline(b'\n\n'))
-        except Exception as error:
-            raise self._fail(str(error) or repr(error), 'read') from error
+        while True:
+            found = response.take_events(limit_bytes)
+            if found or response.is_complete:
+                return found
+            self._receive(response, 'read')
 
     def read_block(self, length_bytes: int) -> bytes:
         """Return the next bytes of the body, or nothing at the end.
 
         :param length_bytes: the most bytes to return.
         """
-        try:
-            return bytes(self.response.read(length_bytes))
-        except Exception as error:
-            raise self._fail(str(error) or repr(error), 'read') from error
+        response = self.response
+        while not response.holds(length_bytes):
+            self._receive(response, 'read')
+        return response.take(length_bytes)
 
     def close(self) -> None:
         """Close the connection, which cancels an unfinished call."""
         if self._socket is not None:
             self._socket.close()
 
+    def _connect(self) -> socket.socket:
+        host, port = self._address.rsplit(':', 1)
+        try:
+            connection = socket.create_connection(
+                (host, int(port)),
+                self._timeout.total_seconds(),
+            )
+        except OSError as error:
+            raise self._fail(str(error), 'connect') from error
+        connection.setsockopt(
+            standard_socket.IPPROTO_TCP,
+            standard_socket.TCP_NODELAY,
+            1,
+        )
+        self._socket = connection
+        return connection
+
+    def _receive(self, response: HttpResponse, step: str) -> None:
+        if self._socket is None:
+            raise self._fail('not connected', step)
+        try:
+            received = self._socket.recv(_READ_BYTES)
+            response.feed(received)
+        except (OSError, BuckthornpondError) as error:
+            raise self._fail(str(error) or repr(error), step) from error
+        self._yield_turn(len(received))
+
+    def _yield_turn(self, length_bytes: int) -> None:
+        # A socket that is always readable would never let others run.
+        self._unyielded_bytes += length_bytes
+        if self._unyielded_bytes >= _READ_BYTES:
+            self._unyielded_bytes = 0
+            sleep(0)
+
     def _render_head(
         self,
         method: str,
--- a/packages/runtime/src/buckthornpond_runtime/processes.py
+++ b/packages/runtime/src/buckthornpond_runtime/processes.py
@@ -1,7 +1,6 @@
 """Start and graceful stop of a process."""
 
 import os
-import secrets
 import signal
 from collections.abc import Callable
 from datetime import timedelta
@@ -15,6 +14,7 @@
 
 _POLL_SECONDS = 0.05
 _GRACE_SECONDS = 0.3
+_INCARNATION_BYTES = 8
 
 
 def new_incarnation(instance: str) -> str:
@@ -22,7 +22,7 @@
 
     :param instance: the instance it runs on.
     """
-    return f'{instance}.{secrets.token_hex(8)}'
+    return f'{instance}.{os.urandom(_INCARNATION_BYTES).hex()}'
 
 
 class StopSignal:
--- /dev/null
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -0,0 +1,165 @@
+"""Parsed HTTP responses, fed with bytes by whoever owns the socket."""
+
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpResponseParser,
+)
+
+from buckthornpond_core.exceptions import BuckthornpondError
+
+_CONTINUE_LIMIT = 200
+_MAX_HEAD_BYTES = 65_536
+_MAX_BUFFERED_BYTES = 1_048_576
+_EVENT_END = b'\n\n'
+_BODILESS_CODES = frozenset((204, 304))
+_LENGTH_FIELDS = frozenset(('content-length', 'transfer-encoding'))
+
+
+class MalformedResponseError(BuckthornpondError):
+    """A server sent bytes that are no whole HTTP response."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, step='parse response', peer='server')
+
+    def __str__(self) -> str:
+        """Return the message alone; the call adds step and peer."""
+        return self.message
+
+
+class HttpResponse:
+    """Head and buffered body of one response.
+
+    :param method: method of the request, which may forbid a body.
+    """
+
+    __slots__ = (
+        '_body',
+        '_fields',
+        '_head_bytes',
+        '_method',
+        '_parser',
+        'is_complete',
+        'is_head_complete',
+        'status_code',
+    )
+
+    def __init__(self, method: str) -> None:
+        self.status_code = 0
+        self.is_head_complete = False
+        self.is_complete = False
+        self._method = method
+        self._fields: dict[str, str] = {}
+        self._head_bytes = 0
+        self._body = bytearray()
+        self._parser = HttpResponseParser(self)
+
+    @property
+    def is_bounded(self) -> bool:
+        """Tell whether the head says how the body ends."""
+        return self._is_bodiless or any(
+            name in self._fields for name in _LENGTH_FIELDS
+        )
+
+    @property
+    def _is_bodiless(self) -> bool:
+        return self._method == 'HEAD' or self.status_code in _BODILESS_CODES
+
+    def get(self, name: str, default: str) -> str:
+        """Return a header field, or the default.
+
+        :param name: name of the field in lower case.
+        :param default: what stands for an absent field.
+        """
+        return self._fields.get(name, default)
+
+    def feed(self, received: bytes) -> None:
+        """Take bytes from the socket, none of them at its end.
+
+        :param received: what the socket returned.
+        :raises MalformedResponseError: when they are not HTTP, or end early.
+        """
+        if not received:
+            self._finish()
+            return
+        if not self.is_head_complete:
+            self._head_bytes += len(received)
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            raise MalformedResponseError('response head too long')
+        self._parse(received)
+        if len(self._body) > _MAX_BUFFERED_BYTES:
+            raise MalformedResponseError('event too long')
+
+    def take_events(self, limit_bytes: int) -> bytes:
+        """Return the whole server-sent events at hand, or nothing.
+
+        :param limit_bytes: the most bytes, unless one event has more.
+        """
+        end = self._body.rfind(_EVENT_END, 0, limit_bytes)
+        if end < 0:
+            end = self._body.find(_EVENT_END)
+        if end < 0:
+            return b''
+        return self.take(end + len(_EVENT_END))
+
+    def take_event(self) -> bytes:
+        """Return the first server-sent event, or nothing before its end."""
+        return self.take_events(0)
+
+    def take(self, length_bytes: int) -> bytes:
+        """Return bytes of the body that are at hand.
+
+        :param length_bytes: the most bytes.
+        """
+        taken = bytes(self._body[:length_bytes])
+        del self._body[:length_bytes]
+        return taken
+
+    def holds(self, length_bytes: int) -> bool:
+        """Tell whether a part of the body, or all that comes, is at hand.
+
+        :param length_bytes: length of the part.
+        """
+        return self.is_complete or len(self._body) >= length_bytes
+
+    # The parser calls the methods below.
+
+    def on_message_begin(self) -> None:
+        """Begin a response, perhaps after an interim one."""
+        self._fields.clear()
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Keep a header field."""
+        self._fields[name.decode('latin-1').lower()] = field.decode('latin-1')
+
+    def on_headers_complete(self) -> None:
+        """Take the status of a response that is not interim."""
+        status_code = self._parser.get_status_code()
+        if status_code < _CONTINUE_LIMIT:
+            return
+        self.status_code = status_code
+        self.is_head_complete = True
+        self.is_complete = self._is_bodiless
+
+    def on_body(self, part: bytes) -> None:
+        """Keep a part of the body."""
+        self._body += part
+
+    def on_message_complete(self) -> None:
+        """Note the end of a response that is not interim."""
+        self.is_complete = self.is_head_complete
+
+    def _finish(self) -> None:
+        if self.is_complete:
+            return
+        if self.is_bounded or not self.is_head_complete:
+            raise MalformedResponseError('connection closed early')
+        self.is_complete = True
+
+    def _parse(self, received: bytes) -> None:
+        try:
+            self._parser.feed_data(received)
+        except (HttpParserError, HttpParserUpgrade) as error:
+            # Bytes after a whole response belong to nobody.
+            if not self.is_complete:
+                raise MalformedResponseError(str(error)) from error
