Send the events that wait together in one frame

Cause: the agent read one server-sent event for each frame, also when several had arrived. Change: read every whole event at hand, up to the frame's bound; the first token and a lone token still leave at once.

--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -21,6 +21,7 @@
 _EVENT_STREAM = 'text/event-stream'
 _DONE = b'data: [DONE]'
 _ERROR = b'event: error'
+_EVENT_END = b'\n\n'
 _CONNECT_STEP = 'connect'
 
 
@@ -126,11 +127,11 @@
         is_done = False
         while True:
             self._has_credit.wait()
-            event = self._call.read_event()
-            if not event:
+            events = self._call.read_events(self._max_frame_bytes)
+            if not events:
                 break
-            is_done = event.startswith((_DONE, _ERROR))
-            self._forward(event)
+            is_done = _find_last(events).startswith((_DONE, _ERROR))
+            self._forward(events)
         if not is_done:
             raise self._fail('stream ended without its last event')
 
@@ -157,3 +158,10 @@
         self._report(
             CallChunk(attempt_id=self._attempt.attempt_id, payload=payload),
         )
+
+
+def _find_last(events: bytes) -> bytes:
+    begin = events.rfind(_EVENT_END, 0, -len(_EVENT_END))
+    if begin < 0:
+        return events
+    return events[begin + len(_EVENT_END) :]
