Bound only the bytes received before a response's head is complete

Cause: the parser's bound counted the first bytes of the body too. Change: count what arrived while the head was still incomplete.

--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -61,10 +61,6 @@
             name in self._fields for name in _LENGTH_FIELDS
         )
 
-    @property
-    def _is_bodiless(self) -> bool:
-        return self._method == 'HEAD' or self.status_code in _BODILESS_CODES
-
     def get(self, name: str, default: str) -> str:
         """Return a header field, or the default.
 
@@ -82,11 +78,11 @@
         if not received:
             self._finish()
             return
+        self._parse(received)
         if not self.is_head_complete:
             self._head_bytes += len(received)
         if self._head_bytes > _MAX_HEAD_BYTES:
             raise MalformedResponseError('response head too long')
-        self._parse(received)
         if len(self._body) > _MAX_BUFFERED_BYTES:
             raise MalformedResponseError('event too long')
 
@@ -149,6 +145,10 @@
         """Note the end of a response that is not interim."""
         self.is_complete = self.is_head_complete
 
+    @property
+    def _is_bodiless(self) -> bool:
+        return self._method == 'HEAD' or self.status_code in _BODILESS_CODES
+
     def _finish(self) -> None:
         if self.is_complete:
             return
