Spread documents by request between peers and bound the readers

Cause: every process polled the configuration service, so reads grew with the fleet; a fresh process trusted whatever the service served; each heartbeat of a slow peer pushed whole documents again; a document with faults was checked again each time a peer sent it.

Change: versions and a digest ride on heartbeats and hints, and whoever is behind asks one peer that is ahead (core/dissemination.py). A fresh process holds until two peers answered or the hold ended, and takes no document older than what a live peer told. Of one version with two contents the higher digest wins everywhere (core/acceptance.py). The first agents of each zone by rendezvous hash read the platform; the age of the last read rides along, and later ranks take over after a silence (core/readers.py). Documents are watched, the instance list is polled by the same readers and passed on. Entries ask a few agents from their settings at the start.

A process cut off from every peer past its hold may take an older version until it hears a peer.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -13,11 +13,11 @@
 from buckthornpond_core.limits import SlowStartLimit
 from buckthornpond_core.queueing import ShortestFirstOrder
 from buckthornpond_runtime.administration import AdministrationTask
+from buckthornpond_runtime.assembly import ExchangeAssembly
 from buckthornpond_runtime.clocks import SystemClock
 from buckthornpond_runtime.commands import check_command, show_errors
 from buckthornpond_runtime.logs import log_event, start_logging
 from buckthornpond_runtime.metrics import Metrics
-from buckthornpond_runtime.platforms import PlatformTask
 from buckthornpond_runtime.processes import StopSignal, drain, new_incarnation
 from buckthornpond_runtime.settings import load_settings
 from buckthornpond_runtime.tasks import Supervisor
@@ -25,6 +25,8 @@
 
 from .tasks import AdmissionTask
 
+_STARTUP_PEER_COUNT = 2
+
 
 @click.group()
 def main() -> None:
@@ -65,12 +67,21 @@
         keys=KeyRegister(clock.monotonic()),
         recorder=metrics,
     )
+    assembly = ExchangeAssembly(
+        settings.instance,
+        settings.availability_zone,
+        settings.platform,
+        configuration,
+        metrics=metrics,
+        started=clock.monotonic(),
+        startup_peer_count=_STARTUP_PEER_COUNT,
+    )
     task = AdmissionTask(
         instance=settings.instance,
         admission=admission,
         configuration=configuration,
         clock=clock,
-        metrics=metrics,
+        exchange=assembly.exchange,
         max_frame_bytes=settings.max_frame_bytes,
     )
     port = PortTask(
@@ -85,14 +96,13 @@
         metrics,
         lambda: not admission.is_stopping,
     )
-    platform = PlatformTask(settings.platform, task.mailbox.send, metrics)
     metrics.add_gauge('held_attempts', lambda: admission.held_count)
     metrics.add_gauge('reserved_tokens', lambda: admission.reserved_tokens)
     stop = StopSignal()
     supervisor = Supervisor()
     supervisor.start('admission', task.run)
     supervisor.start('port', port.run)
-    supervisor.start('platform', platform.run)
+    assembly.start(supervisor, task.mailbox.send)
     supervisor.start('administration', administration.run)
     log_event(EventCode.process_started, incarnation=incarnation)
     stop.wait()
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -1,15 +1,20 @@
 """Tasks of an agent process."""
 
 from datetime import timedelta
-from typing import TypeAlias
+from typing import TypeAlias, TypeGuard
 
 from buckthornpond_core._generated.events import (
     CallChunk,
     CallEnded,
     CallStarted,
+    ServiceRead,
+)
+from buckthornpond_core._generated.messages import (
+    Attempt,
+    Document,
+    DocumentRequest,
+    Heartbeat,
 )
-from buckthornpond_core._generated.messages import Document
-from buckthornpond_core._generated.platform import InstanceList, InstanceState
 from buckthornpond_core.admission import Admission
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
@@ -18,10 +23,10 @@
     GrantCall,
     StartCall,
     ToPeer,
+    WireMessage,
 )
 from buckthornpond_core.types import Clock
-from buckthornpond_runtime.documents import accept_document
-from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.tasks import Mailbox
 from buckthornpond_runtime.transports import Received
 
@@ -30,7 +35,7 @@
 _TICK_SECONDS = 0.05
 
 AdmissionMessage: TypeAlias = (
-    CallChunk | CallEnded | CallStarted | Document | InstanceList | Received
+    CallChunk | CallEnded | CallStarted | Received | ServiceRead
 )
 
 
@@ -41,7 +46,7 @@
     :param admission: the decisions.
     :param configuration: what is in force.
     :param clock: source of time.
-    :param metrics: counters of the process.
+    :param exchange: takes and hands out documents.
     :param max_frame_bytes: the most bytes of one chunk.
     """
 
@@ -50,9 +55,9 @@
         '_calls',
         '_clock',
         '_configuration',
+        '_exchange',
         '_instance',
         '_max_frame_bytes',
-        '_metrics',
         'mailbox',
         'port',
     )
@@ -64,7 +69,7 @@
         admission: Admission,
         configuration: Configuration,
         clock: Clock,
-        metrics: Metrics,
+        exchange: DocumentExchange,
         max_frame_bytes: int,
     ) -> None:
         self.mailbox: Mailbox[AdmissionMessage] = Mailbox()
@@ -73,7 +78,7 @@
         self._admission = admission
         self._configuration = configuration
         self._clock = clock
-        self._metrics = metrics
+        self._exchange = exchange
         self._max_frame_bytes = max_frame_bytes
         self._calls: dict[str, CallTask] = {}
 
@@ -88,6 +93,7 @@
             if now >= next_tick:
                 next_tick = now + timedelta(seconds=_TICK_SECONDS)
                 self._apply(self._admission.tick(now))
+                self._apply(list(self._exchange.tick(now)))
 
     def _handle(
         self,
@@ -95,33 +101,43 @@
         now: timedelta,
     ) -> list[AgentEffect]:
         if isinstance(message, Received):
-            if isinstance(message.message, Document):
-                self._configure(message.message, message.peer)
-                return []
-            return self._admission.receive(message.peer, message.message, now)
-        if isinstance(message, Document):
-            self._configure(message, 'configuration service')
-            return []
-        if isinstance(message, InstanceList):
-            self._configuration.leaving_instances = frozenset(
-                each.name
-                for each in message.instances
-                if each.state is InstanceState.leaving
-            )
-            return []
+            return self._receive(message, now)
+        if isinstance(message, ServiceRead):
+            return self._follow(self._exchange.take_read(message, now))
         if isinstance(message, CallEnded):
             self._calls.pop(message.attempt_id, None)
         return self._admission.update_call(message, now)
 
-    def _configure(self, document: Document, peer: str) -> None:
-        is_accepted = accept_document(
-            self._configuration,
-            document,
-            peer=peer,
-            metrics=self._metrics,
+    def _receive(
+        self,
+        received: Received,
+        now: timedelta,
+    ) -> list[AgentEffect]:
+        peer = received.peer
+        message = received.message
+        if isinstance(message, Document):
+            return self._follow(self._exchange.take(message, peer))
+        if isinstance(message, DocumentRequest):
+            return list(self._exchange.answer(peer, message, now))
+        effects: list[AgentEffect] = []
+        if isinstance(message, Heartbeat) or self._is_behind(message):
+            effects.extend(
+                self._exchange.hear(peer, message.configuration, now),
+            )
+        effects.extend(self._admission.receive(peer, message, now))
+        return effects
+
+    def _is_behind(self, message: WireMessage) -> TypeGuard[Attempt]:
+        return isinstance(message, Attempt) and self._configuration.is_behind(
+            message.configuration,
         )
-        if is_accepted:
-            self._admission.follow_configuration()
+
+    def _follow(self, is_accepted: bool) -> list[AgentEffect]:
+        if not is_accepted:
+            return []
+        self._admission.follow_configuration()
+        hint = self._admission.hint()
+        return [ToPeer(peer, hint) for peer in self._exchange.peers]
 
     def _apply(self, effects: list[AgentEffect]) -> None:
         for effect in effects:
--- a/packages/core/src/buckthornpond_core/_generated/events.py
+++ b/packages/core/src/buckthornpond_core/_generated/events.py
@@ -91,3 +91,14 @@
             description='Whether any byte of the request may have reached the target.'
         ),
     ]
+
+
+class ServiceRead(Struct):
+    """
+    Result of one read at the platform.
+    """
+
+    name: Annotated[str, Meta(description='A document name of the messages.')]
+    is_reached: bool
+    version: Annotated[int, Meta(ge=0)]
+    content: Annotated[bytes, Meta(description='Empty when nothing is newer.')]
--- a/packages/core/src/buckthornpond_core/_generated/inventory.py
+++ b/packages/core/src/buckthornpond_core/_generated/inventory.py
@@ -93,6 +93,12 @@
         int,
         Meta(description='Time limit of a request that names none.', ge=100),
     ] = 60000
+    model_version: Annotated[
+        str,
+        Meta(
+            description='Version that the engines are ordered to load; empty for none.'
+        ),
+    ] = ''
 
 
 class Organisation(StrictRecord):
--- a/packages/core/src/buckthornpond_core/_generated/messages.py
+++ b/packages/core/src/buckthornpond_core/_generated/messages.py
@@ -54,6 +54,21 @@
 
     inventory_version: Annotated[int, Meta(ge=0)]
     rules_version: Annotated[int, Meta(ge=0)]
+    leaving_version: Annotated[int, Meta(ge=0)] = 0
+    digest: Annotated[
+        int,
+        Meta(
+            description='Digest of all documents in force, which differs when one version has two contents.',
+            ge=0,
+        ),
+    ] = 0
+    read_age_ms: Annotated[
+        int,
+        Meta(
+            description='Time since any process known here read the configuration service.',
+            ge=0,
+        ),
+    ] = 3600000
 
 
 class Hint(Struct):
@@ -79,6 +94,9 @@
 
     sender_incarnation: str
     configuration: ConfigurationVersion
+    interval_ms: Annotated[
+        int, Meta(description='Time until the next heartbeat.', ge=0)
+    ] = 0
 
 
 class Attempt(Struct):
@@ -215,18 +233,34 @@
 
 class DocumentName(StrEnum):
     """
-    A document that operators publish.
+    What the platform publishes and peers pass on: two documents of the operators, and the leaving instances of the instance list.
     """
 
     inventory = 'inventory'
     rules = 'rules'
+    leaving = 'leaving'
 
 
 class Document(Struct):
     """
-    One version of an operators' document as its JSON text.
+    One version of a document as its JSON text.
     """
 
     name: DocumentName
     version: Annotated[int, Meta(ge=0)]
     content: bytes
+
+
+class DocumentRequest(Struct):
+    """
+    Asks a peer for a document that it has in a newer version.
+    """
+
+    name: DocumentName
+    version: Annotated[
+        int, Meta(description='Version in force at the sender.', ge=0)
+    ]
+    digest: Annotated[
+        int,
+        Meta(description='Digest of the content in force at the sender.', ge=0),
+    ]
--- a/packages/core/src/buckthornpond_core/_generated/settings.py
+++ b/packages/core/src/buckthornpond_core/_generated/settings.py
@@ -3,9 +3,9 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeAlias
 
-from msgspec import Meta
+from msgspec import Meta, field
 
 from buckthornpond_core.types import StrictRecord
 
@@ -25,6 +25,41 @@
     instance_list_address: Annotated[str, Meta(pattern='^[0-9.]+:[0-9]+$')]
     poll_interval_ms: Annotated[int, Meta(ge=50, le=60000)] = 1000
     request_timeout_ms: Annotated[int, Meta(ge=50, le=60000)] = 2000
+    watch_ms: Annotated[
+        int,
+        Meta(
+            description='How long a read waits at the configuration service for a change.',
+            ge=0,
+            le=60000,
+        ),
+    ] = 2000
+    readers_per_zone: Annotated[
+        int,
+        Meta(
+            description='Agents of an availability zone that read the platform.',
+            ge=1,
+            le=100,
+        ),
+    ] = 2
+    takeover_ms: Annotated[
+        int,
+        Meta(
+            description='Silence about reads after which the next agent reads.',
+            ge=100,
+            le=600000,
+        ),
+    ] = 6000
+    startup_hold_ms: Annotated[
+        int,
+        Meta(
+            description='How long a fresh process asks its peers before it trusts the service.',
+            ge=0,
+            le=600000,
+        ),
+    ] = 2000
+
+
+PeerAddress: TypeAlias = Annotated[str, Meta(pattern='^[0-9.]+:[0-9]+$')]
 
 
 class EntrySettings(StrictRecord):
@@ -50,6 +85,34 @@
     header_timeout_ms: Annotated[int, Meta(ge=100, le=600000)] = 10000
     notice_period_ms: Annotated[int, Meta(ge=0, le=600000)] = 2000
     drain_timeout_ms: Annotated[int, Meta(ge=0, le=3600000)] = 60000
+    peer_addresses: Annotated[
+        list[PeerAddress],
+        Meta(
+            description='Agents that a fresh entry asks for the configuration.'
+        ),
+    ] = field(default_factory=list)
+    subset_size: Annotated[
+        int,
+        Meta(
+            description='Most instances of one service that the entry keeps links to.',
+            ge=1,
+            le=10000,
+        ),
+    ] = 48
+    control_budget_bytes: Annotated[
+        int,
+        Meta(
+            description='Bytes a second for heartbeats and hints, which stretches the interval.',
+            ge=100,
+        ),
+    ] = 1024
+    link_idle_ms: Annotated[
+        int,
+        Meta(
+            description='Idle time after which a link outside the subset is closed.',
+            ge=1000,
+        ),
+    ] = 60000
 
 
 class AgentSettings(StrictRecord):
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -38,7 +38,6 @@
 from .limits import TargetLimit
 from .placement import join_key, rank_homes
 from .queueing import AdmissionOrder, QueuedAttempt
-from .routing import newer_documents
 from .types import Recorder
 
 _QUEUE_RETRY_AFTER_MS = 200
@@ -172,7 +171,7 @@
         """
         self._peers[peer] = now
         if isinstance(message, Heartbeat):
-            return self._reply_hint(peer, message)
+            return [ToPeer(peer, self.hint())]
         if isinstance(message, Attempt):
             return self._admit(peer, message, now)
         if isinstance(message, Credit):
@@ -254,21 +253,6 @@
             configuration=self._configuration.version,
         )
 
-    def _reply_hint(
-        self,
-        peer: str,
-        heartbeat: Heartbeat,
-    ) -> list[AgentEffect]:
-        effects: list[AgentEffect] = [ToPeer(peer, self.hint())]
-        effects.extend(
-            ToPeer(peer, document)
-            for document in newer_documents(
-                self._configuration,
-                heartbeat.configuration,
-            )
-        )
-        return effects
-
     def _admit(
         self,
         peer: str,
--- a/packages/core/src/buckthornpond_core/configuration.py
+++ b/packages/core/src/buckthornpond_core/configuration.py
@@ -7,7 +7,15 @@
     Rules,
     Service,
 )
-from ._generated.messages import ConfigurationVersion
+from ._generated.messages import ConfigurationVersion, DocumentName
+from .acceptance import (
+    AcceptanceOrder,
+    DocumentStamp,
+    RisingOrder,
+    digest_content,
+)
+
+_UNKNOWN_AGE_MS = 3_600_000
 
 
 def find_inventory_problems(inventory: Inventory) -> list[str]:
@@ -76,21 +84,30 @@
 
 
 class Configuration:
-    """The highest accepted inventory and rules, indexed for look-up."""
+    """The accepted documents, indexed for look-up.
+
+    :param order: which of two documents is accepted.
+    """
 
     __slots__ = (
+        '_digest',
         '_draining_instances',
         '_draining_zones',
+        '_order',
         '_organisations',
         'contents',
         'instances',
         'inventory',
         'leaving_instances',
+        'read_age_ms',
         'rules',
         'services',
+        'stamps',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, order: AcceptanceOrder | None = None) -> None:
+        self._order = order or RisingOrder()
+        self._digest = 0
         self.inventory = Inventory(
             version=1,
             availability_zones=[],
@@ -101,7 +118,9 @@
         self.inventory.version = 0
         self.rules = Rules(version=1)
         self.rules.version = 0
-        self.contents: dict[str, bytes] = {}
+        self.contents: dict[DocumentName, bytes] = {}
+        self.stamps = {name: DocumentStamp() for name in DocumentName}
+        self.read_age_ms = _UNKNOWN_AGE_MS
         self.instances: dict[str, Instance] = {}
         self.services: dict[str, Service] = {}
         self.leaving_instances: frozenset[str] = frozenset()
@@ -113,20 +132,30 @@
     def version(self) -> ConfigurationVersion:
         """Return the versions in force."""
         return ConfigurationVersion(
-            inventory_version=self.inventory.version,
-            rules_version=self.rules.version,
+            inventory_version=self.stamps[DocumentName.inventory].version,
+            rules_version=self.stamps[DocumentName.rules].version,
+            leaving_version=self.stamps[DocumentName.leaving].version,
+            digest=self._digest,
+            read_age_ms=self.read_age_ms,
         )
 
+    def is_newer(self, name: DocumentName, stamp: DocumentStamp) -> bool:
+        """Tell whether a document would replace the one in force.
+
+        :param name: which document.
+        :param stamp: its version and digest.
+        """
+        return self._order.is_newer(stamp, self.stamps[name])
+
     def accept_inventory(self, inventory: Inventory, content: bytes) -> bool:
         """Put a valid inventory in force unless it is not newer.
 
         :param inventory: the decoded document, free of problems.
         :param content: its JSON text, for peers that are behind.
         """
-        if inventory.version <= self.inventory.version:
+        if not self._accept(DocumentName.inventory, inventory.version, content):
             return False
         self.inventory = inventory
-        self.contents['inventory'] = content
         self.instances = {each.name: each for each in inventory.instances}
         self.services = {each.name: each for each in inventory.services}
         self._organisations = {
@@ -140,14 +169,30 @@
         :param rules: the decoded document, free of problems.
         :param content: its JSON text, for peers that are behind.
         """
-        if rules.version <= self.rules.version:
+        if not self._accept(DocumentName.rules, rules.version, content):
             return False
         self.rules = rules
-        self.contents['rules'] = content
         self._draining_instances = frozenset(rules.draining_instances)
         self._draining_zones = frozenset(rules.draining_availability_zones)
         return True
 
+    def accept_leaving(
+        self,
+        names: list[str],
+        version: int,
+        content: bytes,
+    ) -> bool:
+        """Take up the leaving instances unless they are not newer.
+
+        :param names: instances that the platform takes out.
+        :param version: number of this change among the readers' changes.
+        :param content: the JSON text, for peers that are behind.
+        """
+        if not self._accept(DocumentName.leaving, version, content):
+            return False
+        self.leaving_instances = frozenset(names)
+        return True
+
     def find_organisation(self, credential_sha256: str) -> Organisation | None:
         """Return the organisation that owns a credential.
 
@@ -174,7 +219,35 @@
 
         :param version: the versions in force at the peer.
         """
-        return (
-            version.inventory_version > self.inventory.version
-            or version.rules_version > self.rules.version
+        return any(
+            version_of(version, name) > stamp.version
+            for name, stamp in self.stamps.items()
         )
+
+    def _accept(
+        self,
+        name: DocumentName,
+        version: int,
+        content: bytes,
+    ) -> bool:
+        stamp = DocumentStamp(version, digest_content(content))
+        if not self.is_newer(name, stamp):
+            return False
+        self.contents[name] = content
+        self.stamps[name] = stamp
+        digests = ','.join(str(each.digest) for each in self.stamps.values())
+        self._digest = digest_content(digests.encode())
+        return True
+
+
+def version_of(version: ConfigurationVersion, name: DocumentName) -> int:
+    """Return the version of one document.
+
+    :param version: the versions in force at a process.
+    :param name: which document.
+    """
+    if name is DocumentName.inventory:
+        return version.inventory_version
+    if name is DocumentName.rules:
+        return version.rules_version
+    return version.leaving_version
--- a/packages/core/src/buckthornpond_core/effects.py
+++ b/packages/core/src/buckthornpond_core/effects.py
@@ -1,5 +1,6 @@
 """What the decision classes ask their tasks to do."""
 
+from datetime import timedelta
 from typing import TypeAlias
 
 from ._generated.events import CallChunk, CallEnded, CallStarted
@@ -10,6 +11,8 @@
     Chunk,
     Credit,
     Document,
+    DocumentName,
+    DocumentRequest,
     FenceKey,
     FenceReply,
     Final,
@@ -28,6 +31,7 @@
     | Chunk
     | Credit
     | Document
+    | DocumentRequest
     | FenceKey
     | FenceReply
     | Final
@@ -93,5 +97,26 @@
         self.attempt_id = attempt_id
 
 
+class ReadService:
+    """Read a document of the platform.
+
+    :param name: which document.
+    :param after_version: version that needs no new read.
+    :param watch: how long the read waits for a change.
+    """
+
+    __slots__ = ('after_version', 'name', 'watch')
+
+    def __init__(
+        self,
+        name: DocumentName,
+        after_version: int,
+        watch: timedelta,
+    ) -> None:
+        self.name = name
+        self.after_version = after_version
+        self.watch = watch
+
+
 RouterEffect: TypeAlias = ToPeer | ToCaller
 AgentEffect: TypeAlias = ToPeer | StartCall | GrantCall | CancelCall
--- a/packages/core/src/buckthornpond_core/journal.py
+++ b/packages/core/src/buckthornpond_core/journal.py
@@ -20,5 +20,7 @@
     malformed_entry_message = 303
     configuration_accepted = 401
     configuration_rejected = 402
+    configuration_conflict = 403
+    startup_hold_ended = 404
     configuration_unreachable = 501
     instance_list_unreachable = 502
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -10,10 +10,7 @@
     Attempt,
     Cancel,
     Chunk,
-    ConfigurationVersion,
     Credit,
-    Document,
-    DocumentName,
     Final,
     Heartbeat,
     Hint,
@@ -268,11 +265,15 @@
 
     def heartbeat(self) -> list[RouterEffect]:
         """Return a heartbeat for each agent."""
-        beat = Heartbeat(
+        beat = self.make_heartbeat()
+        return [ToPeer(instance, beat) for instance in self._agents]
+
+    def make_heartbeat(self) -> Heartbeat:
+        """Return what this process tells its peers."""
+        return Heartbeat(
             sender_incarnation=self._incarnation,
             configuration=self._configuration.version,
         )
-        return [ToPeer(instance, beat) for instance in self._agents]
 
     def follow_configuration(self) -> None:
         """Take up agents that the configuration names, drop the others."""
@@ -428,13 +429,6 @@
         if is_restarted:
             for request in self._held_by(view.instance):
                 effects.extend(self._take_loss(request, 'agent_restarted', now))
-        effects.extend(
-            ToPeer(view.instance, document)
-            for document in newer_documents(
-                self._configuration,
-                hint.configuration,
-            )
-        )
         return effects
 
     def _find(self, instance: str, attempt_id: str) -> _Request | None:
@@ -554,33 +548,3 @@
     def _forget(self, request: _Request) -> None:
         self._attempts.pop(request.attempt_id, None)
         self._requests.pop(request.submission.request_number, None)
-
-
-def newer_documents(
-    configuration: Configuration,
-    peer_version: ConfigurationVersion,
-) -> list[Document]:
-    """Return the documents that a peer lacks.
-
-    :param configuration: what this process has accepted.
-    :param peer_version: the versions in force at the peer.
-    """
-    documents: list[Document] = []
-    version = configuration.version
-    if version.inventory_version > peer_version.inventory_version:
-        documents.append(
-            Document(
-                name=DocumentName.inventory,
-                version=version.inventory_version,
-                content=configuration.contents['inventory'],
-            ),
-        )
-    if version.rules_version > peer_version.rules_version:
-        documents.append(
-            Document(
-                name=DocumentName.rules,
-                version=version.rules_version,
-                content=configuration.contents['rules'],
-            ),
-        )
-    return documents
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -12,11 +12,11 @@
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
 from buckthornpond_runtime.administration import AdministrationTask
+from buckthornpond_runtime.assembly import ExchangeAssembly
 from buckthornpond_runtime.clocks import SystemClock
 from buckthornpond_runtime.commands import check_command, show_errors
 from buckthornpond_runtime.logs import log_event, start_logging
 from buckthornpond_runtime.metrics import Metrics
-from buckthornpond_runtime.platforms import PlatformTask
 from buckthornpond_runtime.processes import StopSignal, drain, new_incarnation
 from buckthornpond_runtime.settings import load_settings
 from buckthornpond_runtime.tasks import Supervisor
@@ -26,6 +26,7 @@
 from .tasks import EndAll, RouterTask
 
 _RETRY_RESERVE = 100
+_STARTUP_PEER_COUNT = 2
 
 
 @click.group()
@@ -68,12 +69,26 @@
         random=random.Random(),
         recorder=metrics,
     )
+    assembly = ExchangeAssembly(
+        settings.instance,
+        settings.availability_zone,
+        settings.platform,
+        configuration,
+        metrics=metrics,
+        started=clock.monotonic(),
+        startup_peer_count=min(
+            _STARTUP_PEER_COUNT,
+            len(settings.peer_addresses),
+        ),
+    )
     router_task = RouterTask(
         router=router,
         configuration=configuration,
         clock=clock,
         metrics=metrics,
+        exchange=assembly.exchange,
         incarnation=incarnation,
+        peer_addresses=settings.peer_addresses,
         heartbeat_interval=timedelta(
             milliseconds=settings.heartbeat_interval_ms,
         ),
@@ -97,16 +112,13 @@
         metrics,
         lambda: router.open_agent_count > 0 and not server.is_stopping,
     )
-    platform = PlatformTask(
-        settings.platform, router_task.mailbox.send, metrics
-    )
     metrics.add_gauge('open_agents', lambda: router.open_agent_count)
     metrics.add_gauge('held_requests', lambda: router.held_count)
     metrics.add_gauge('held_body_bytes', lambda: front.budget.held_bytes)
     stop = StopSignal()
     supervisor = Supervisor()
     supervisor.start('router', router_task.run)
-    supervisor.start('platform', platform.run)
+    assembly.start(supervisor, router_task.mailbox.send)
     supervisor.start('administration', administration.run)
     supervisor.start('front', server.serve_forever)
     log_event(EventCode.process_started, incarnation=incarnation)
--- /dev/null
+++ b/packages/entry/src/buckthornpond_entry/links.py
@@ -0,0 +1,98 @@
+"""Links of an entry to agents."""
+
+from collections.abc import Mapping
+
+from zmq import green as zmq
+
+from buckthornpond_core.effects import ToPeer
+from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.tasks import Inbox
+from buckthornpond_runtime.transports import LinkTask, Received
+
+
+class LinkPool:
+    """Opens, closes and feeds the tasks that own the links.
+
+    :param incarnation: identity of this process.
+    :param inbox: mailbox of the task that owns the pool.
+    :param metrics: counters of the process.
+    """
+
+    __slots__ = (
+        '_context',
+        '_inbox',
+        '_incarnation',
+        '_links',
+        '_metrics',
+        'startup_peers',
+    )
+
+    def __init__(
+        self,
+        incarnation: str,
+        inbox: Inbox[Received],
+        metrics: Metrics,
+    ) -> None:
+        self._context = zmq.Context()
+        self._incarnation = incarnation
+        self._inbox = inbox
+        self._metrics = metrics
+        self._links: dict[str, LinkTask] = {}
+        self.startup_peers: list[str] = []
+
+    def open_startup_links(self, addresses: list[str]) -> None:
+        """Open links to the agents that a fresh entry asks.
+
+        They have an identity of their own, because an agent keeps one
+        connection for each identity.
+
+        :param addresses: IP numbers and ports of agents.
+        """
+        for address in addresses:
+            name = f'startup {address}'
+            identity = f'{self._incarnation}.startup'
+            self._links[name] = self._open(name, address, identity)
+            self.startup_peers.append(name)
+
+    def follow(self, wanted: Mapping[str, str]) -> list[str]:
+        """Open and close links and return the instances whose link closed.
+
+        :param wanted: address of the agent of each instance.
+        """
+        closed = [
+            name
+            for name, link in self._links.items()
+            if name not in self.startup_peers
+            and wanted.get(name) != link.address
+        ]
+        for name in closed:
+            self._links.pop(name).close()
+        for name, address in wanted.items():
+            if name not in self._links:
+                self._links[name] = self._open(
+                    name,
+                    address,
+                    self._incarnation,
+                )
+        return closed
+
+    def send(self, effect: ToPeer) -> None:
+        """Hand a message to the link of its peer.
+
+        :param effect: the peer and the message.
+        """
+        link = self._links.get(effect.peer)
+        if link is None or not link.mailbox.offer(effect.message):
+            self._metrics.count('undelivered_messages', 'agent')
+
+    def _open(self, name: str, address: str, identity: str) -> LinkTask:
+        link = LinkTask(
+            self._context,
+            identity=identity,
+            instance=name,
+            address=address,
+            inbox=self._inbox,
+            metrics=self._metrics,
+        )
+        link.start()
+        return link
--- a/packages/entry/src/buckthornpond_entry/tasks.py
+++ b/packages/entry/src/buckthornpond_entry/tasks.py
@@ -4,27 +4,29 @@
 from datetime import timedelta
 from typing import TypeAlias
 
-from zmq import green as zmq
-
 from buckthornpond_core._generated.events import (
     Consumed,
     Hangup,
+    ServiceRead,
     Submission,
 )
 from buckthornpond_core._generated.messages import (
     Document,
+    DocumentRequest,
+    Hint,
     Outcome,
     Refused,
 )
-from buckthornpond_core._generated.platform import InstanceList, InstanceState
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import AnswerMessage, RouterEffect, ToPeer
 from buckthornpond_core.routing import Router
 from buckthornpond_core.types import Clock
-from buckthornpond_runtime.documents import accept_document
+from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
-from buckthornpond_runtime.transports import LinkTask, Received
+from buckthornpond_runtime.transports import Received
+
+from .links import LinkPool
 
 _TICK_SECONDS = 0.05
 
@@ -50,13 +52,7 @@
 
 
 RouterMessage: TypeAlias = (
-    CallerSubmission
-    | Consumed
-    | Document
-    | EndAll
-    | Hangup
-    | InstanceList
-    | Received
+    CallerSubmission | Consumed | EndAll | Hangup | Received | ServiceRead
 )
 
 
@@ -67,7 +63,9 @@
     :param configuration: what is in force.
     :param clock: source of time.
     :param metrics: counters of the process.
+    :param exchange: takes and hands out documents.
     :param incarnation: identity of this process.
+    :param peer_addresses: agents that a fresh entry asks.
     :param heartbeat_interval: time between heartbeats.
     """
 
@@ -75,11 +73,9 @@
         '_callers',
         '_clock',
         '_configuration',
-        '_context',
+        '_exchange',
         '_heartbeat_interval',
-        '_incarnation',
         '_links',
-        '_metrics',
         '_numbers',
         '_router',
         'mailbox',
@@ -92,18 +88,19 @@
         configuration: Configuration,
         clock: Clock,
         metrics: Metrics,
+        exchange: DocumentExchange,
         incarnation: str,
+        peer_addresses: list[str],
         heartbeat_interval: timedelta,
     ) -> None:
         self.mailbox: Mailbox[RouterMessage] = Mailbox()
         self._router = router
         self._configuration = configuration
         self._clock = clock
-        self._metrics = metrics
-        self._incarnation = incarnation
+        self._exchange = exchange
+        self._links = LinkPool(incarnation, self.mailbox, metrics)
+        self._links.open_startup_links(peer_addresses)
         self._heartbeat_interval = heartbeat_interval
-        self._context = zmq.Context()
-        self._links: dict[str, LinkTask] = {}
         self._callers: dict[int, Mailbox[AnswerMessage]] = {}
         self._numbers = itertools.count(1)
 
@@ -123,9 +120,10 @@
             if now >= next_tick:
                 next_tick = now + timedelta(seconds=_TICK_SECONDS)
                 self._apply(self._router.tick(now))
+                self._apply(list(self._exchange.tick(now)))
             if now >= next_heartbeat:
                 next_heartbeat = now + self._heartbeat_interval
-                self._apply(self._router.heartbeat())
+                self._apply(self._beat())
 
     def _handle(
         self,
@@ -133,10 +131,7 @@
         now: timedelta,
     ) -> list[RouterEffect]:
         if isinstance(message, Received):
-            if isinstance(message.message, Document):
-                self._configure(message.message, message.peer)
-                return []
-            return self._router.receive(message.peer, message.message, now)
+            return self._receive(message, now)
         if isinstance(message, CallerSubmission):
             number = message.submission.request_number
             self._callers[number] = message.mailbox
@@ -149,73 +144,62 @@
         if isinstance(message, Hangup):
             self._callers.pop(message.request_number, None)
             return self._router.hang_up(message.request_number)
-        return self._handle_rare(message)
+        if isinstance(message, ServiceRead):
+            return self._follow(self._exchange.take_read(message, now))
+        return self._router.end_all('entry_stopping')
 
-    def _handle_rare(
+    def _receive(
         self,
-        message: RouterMessage,
+        received: Received,
+        now: timedelta,
     ) -> list[RouterEffect]:
+        peer = received.peer
+        message = received.message
         if isinstance(message, Document):
-            self._configure(message, 'configuration service')
-        elif isinstance(message, InstanceList):
-            self._configuration.leaving_instances = frozenset(
-                each.name
-                for each in message.instances
-                if each.state is InstanceState.leaving
+            return self._follow(self._exchange.take(message, peer))
+        if isinstance(message, DocumentRequest):
+            return list(self._exchange.answer(peer, message, now))
+        effects = self._router.receive(peer, message, now)
+        if isinstance(message, Hint):
+            effects.extend(
+                self._exchange.hear(peer, message.configuration, now),
             )
-        elif isinstance(message, EndAll):
-            return self._router.end_all('entry_stopping')
-        return []
-
-    def _configure(self, document: Document, peer: str) -> None:
-        is_accepted = accept_document(
-            self._configuration,
-            document,
-            peer=peer,
-            metrics=self._metrics,
-        )
-        if is_accepted:
-            self._router.follow_configuration()
-            self._follow_links()
-
-    def _follow_links(self) -> None:
-        configured = self._configuration.instances
-        for instance, link in list(self._links.items()):
-            wanted = configured.get(instance)
-            if wanted is None or wanted.agent_address != link.address:
-                self._links.pop(instance).close()
-                now = self._clock.monotonic()
-                self._apply(self._router.lose_agent(instance, now))
-        for name, wanted in configured.items():
-            if name not in self._links:
-                self._links[name] = self._open_link(name, wanted.agent_address)
-
-    def _open_link(self, instance: str, address: str) -> LinkTask:
-        link = LinkTask(
-            self._context,
-            identity=self._incarnation,
-            instance=instance,
-            address=address,
-            inbox=self.mailbox,
-            metrics=self._metrics,
-        )
-        link.start()
-        return link
+        return effects
+
+    def _follow(self, is_accepted: bool) -> list[RouterEffect]:
+        if not is_accepted:
+            return []
+        self._router.follow_configuration()
+        effects = self._follow_links()
+        effects.extend(self._beat())
+        return effects
+
+    def _follow_links(self) -> list[RouterEffect]:
+        wanted = {
+            name: instance.agent_address
+            for name, instance in self._configuration.instances.items()
+        }
+        effects: list[RouterEffect] = []
+        now = self._clock.monotonic()
+        for instance in self._links.follow(wanted):
+            effects.extend(self._router.lose_agent(instance, now))
+        return effects
+
+    def _beat(self) -> list[RouterEffect]:
+        beat = self._router.make_heartbeat()
+        effects = self._router.heartbeat()
+        effects.extend(ToPeer(peer, beat) for peer in self._links.startup_peers)
+        return effects
 
     def _apply(self, effects: list[RouterEffect]) -> None:
         for effect in effects:
             if isinstance(effect, ToPeer):
-                self._send(effect)
+                self._links.send(effect)
                 continue
             mailbox = self._callers.get(effect.request_number)
             if mailbox is not None:
                 mailbox.offer(effect.message)
 
-    def _send(self, effect: ToPeer) -> None:
-        link = self._links.get(effect.peer)
-        if link is None or not link.mailbox.offer(effect.message):
-            self._metrics.count('undelivered_messages', 'agent')
-
 
 def refuse_locally(reason: str) -> Refused:
     """Return the refusal of a request that never reached the router.
--- a/packages/runtime/src/buckthornpond_runtime/codecs.py
+++ b/packages/runtime/src/buckthornpond_runtime/codecs.py
@@ -26,6 +26,7 @@
             messages.Chunk,
             messages.Credit,
             messages.Document,
+            messages.DocumentRequest,
             messages.FenceKey,
             messages.FenceReply,
             messages.Final,
--- a/packages/runtime/src/buckthornpond_runtime/documents.py
+++ b/packages/runtime/src/buckthornpond_runtime/documents.py
@@ -1,17 +1,32 @@
 """Operators' documents: decoding, checks and acceptance."""
 
+from datetime import timedelta
+
+import msgspec
+
+from buckthornpond_core._generated.events import ServiceRead
 from buckthornpond_core._generated.inventory import Inventory, Rules
-from buckthornpond_core._generated.messages import Document, DocumentName
+from buckthornpond_core._generated.messages import (
+    ConfigurationVersion,
+    Document,
+    DocumentName,
+    DocumentRequest,
+)
+from buckthornpond_core.acceptance import DocumentStamp, digest_content
 from buckthornpond_core.configuration import (
     Configuration,
     find_inventory_problems,
     find_rules_problems,
 )
+from buckthornpond_core.dissemination import Dissemination
+from buckthornpond_core.effects import ReadService, ToPeer
 from buckthornpond_core.exceptions import InvalidDocumentError
 from buckthornpond_core.journal import EventCode
+from buckthornpond_core.readers import ReadSchedule
 
 from .codecs import decode_document
 from .metrics import Metrics
+from .tasks import Inbox
 
 _SCHEMA = 'inventory'
 
@@ -50,62 +65,199 @@
         raise InvalidDocumentError(problems, step='check document', peer=peer)
 
 
-def accept_document(
-    configuration: Configuration,
-    document: Document,
-    *,
-    peer: str,
-    metrics: Metrics,
-) -> bool:
-    """Put a document in force when it is valid and newer.
+def parse_leaving(content: bytes, peer: str) -> list[str]:
+    """Return the checked names of leaving instances.
 
-    :param configuration: what is in force.
-    :param document: what a peer or the configuration service sent.
-    :param peer: the sender, for the log.
-    :param metrics: counters of the process.
+    :param content: JSON text.
+    :param peer: where it came from, for the error.
+    :raises InvalidDocumentError: when it is no list of names.
     """
-    if document.version <= _version_in_force(configuration, document.name):
-        return False
     try:
-        is_accepted = _accept(configuration, document, peer)
-    except InvalidDocumentError as error:
-        metrics.count('rejected_documents', document.name)
-        metrics.log(
-            EventCode.configuration_rejected,
-            document=document.name,
-            version=document.version,
+        return msgspec.json.decode(content, type=list[str])
+    except msgspec.MsgspecError as error:
+        raise InvalidDocumentError(
+            [str(error)],
+            step='check document',
             peer=peer,
-            problems=error.problems,
+        ) from error
+
+
+class DocumentExchange:
+    """Takes and hands out documents on behalf of the task that owns it.
+
+    :param configuration: what is in force.
+    :param dissemination: decisions on documents of peers.
+    :param schedule: decisions on reads at the platform.
+    :param metrics: counters of the process.
+    """
+
+    __slots__ = (
+        '_configuration',
+        '_dissemination',
+        '_metrics',
+        '_schedule',
+        'readers',
+    )
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        dissemination: Dissemination,
+        schedule: ReadSchedule,
+        metrics: Metrics,
+    ) -> None:
+        self._configuration = configuration
+        self._dissemination = dissemination
+        self._schedule = schedule
+        self._metrics = metrics
+        self.readers: dict[DocumentName, Inbox[ReadService]] = {}
+
+    @property
+    def peers(self) -> list[str]:
+        """Return the peers to tell of a newer document."""
+        return self._dissemination.peers
+
+    def hear(
+        self,
+        peer: str,
+        version: ConfigurationVersion,
+        now: timedelta,
+    ) -> list[ToPeer]:
+        """Learn what a peer has in force.
+
+        :param peer: the sender.
+        :param version: its versions.
+        :param now: time of receipt on the monotonic clock.
+        """
+        self._schedule.hear(version, now)
+        return self._dissemination.hear(peer, version, now)
+
+    def answer(
+        self,
+        peer: str,
+        request: DocumentRequest,
+        now: timedelta,
+    ) -> list[ToPeer]:
+        """Answer a peer that asks for a document.
+
+        :param peer: the sender.
+        :param request: what it asks for.
+        :param now: time of receipt on the monotonic clock.
+        """
+        return self._dissemination.answer(peer, request, now)
+
+    def take_read(self, read: ServiceRead, now: timedelta) -> bool:
+        """Take the result of a read and tell whether a document is accepted.
+
+        :param read: what the task of the source reports.
+        :param now: time on the monotonic clock.
+        """
+        self._schedule.take(read, now)
+        if not read.content:
+            return False
+        document: Document | None = Document(
+            name=DocumentName(read.name),
+            version=read.version,
+            content=read.content,
         )
-        return False
-    if is_accepted:
-        metrics.count('accepted_documents', document.name)
-        metrics.log(
-            EventCode.configuration_accepted,
+        if read.name == DocumentName.leaving:
+            document = self._dissemination.number_leaving(read.content, now)
+        return document is not None and self.take(document, 'platform')
+
+    def take(self, document: Document, peer: str) -> bool:
+        """Put a document in force when it is valid and newer.
+
+        :param document: what a peer or the platform sent.
+        :param peer: the sender, for the log.
+        """
+        stamp = DocumentStamp(
+            document.version,
+            digest_content(document.content),
+        )
+        is_newer = self._configuration.is_newer(document.name, stamp)
+        if not is_newer or not self._dissemination.is_trusted(document):
+            self._metrics.count('ignored_documents', document.name)
+            return False
+        current = self._configuration.stamps[document.name]
+        if current.version == document.version:
+            self._log(EventCode.configuration_conflict, document, peer)
+        return self._accept(document, peer)
+
+    def tick(self, now: timedelta) -> list[ToPeer]:
+        """Send due reads to their tasks and return requests to peers.
+
+        :param now: time on the monotonic clock.
+        """
+        requests = self._dissemination.tick(now)
+        if not self._dissemination.is_held:
+            after_versions = self._dissemination.after_versions
+            for read in self._schedule.tick(after_versions, now):
+                self.readers[read.name].send(read)
+        return requests
+
+    def _accept(self, document: Document, peer: str) -> bool:
+        problems: list[str] = []
+        try:
+            accept_document(self._configuration, document, peer)
+        except InvalidDocumentError as error:
+            problems = error.problems
+        self._dissemination.settle(document, is_rejected=bool(problems))
+        if problems:
+            self._metrics.count('rejected_documents', document.name)
+            self._log(
+                EventCode.configuration_rejected,
+                document,
+                peer,
+                problems=problems,
+            )
+            return False
+        self._metrics.count('accepted_documents', document.name)
+        self._log(EventCode.configuration_accepted, document, peer)
+        return True
+
+    def _log(
+        self,
+        code: EventCode,
+        document: Document,
+        peer: str,
+        **fields: object,
+    ) -> None:
+        self._metrics.log(
+            code,
             document=document.name,
             version=document.version,
             peer=peer,
+            **fields,
         )
-    return is_accepted
-
-
-def _version_in_force(
-    configuration: Configuration,
-    name: DocumentName,
-) -> int:
-    version = configuration.version
-    if name is DocumentName.inventory:
-        return version.inventory_version
-    return version.rules_version
 
 
-def _accept(
+def accept_document(
     configuration: Configuration,
     document: Document,
     peer: str,
 ) -> bool:
-    if document.name is DocumentName.inventory:
-        inventory = parse_inventory(document.content, peer)
-        return configuration.accept_inventory(inventory, document.content)
-    rules = parse_rules(document.content, peer)
-    return configuration.accept_rules(rules, document.content)
+    """Check a document and put it in force when it is newer.
+
+    :param configuration: what is in force.
+    :param document: what a peer or the platform sent.
+    :param peer: the sender, for the error.
+    :raises InvalidDocumentError: with every fault found.
+    """
+    content = document.content
+    if document.name is DocumentName.leaving:
+        names = parse_leaving(content, peer)
+        return configuration.accept_leaving(names, document.version, content)
+    if document.name is DocumentName.rules:
+        rules = parse_rules(content, peer)
+        _check_version(document, rules.version, peer)
+        return configuration.accept_rules(rules, content)
+    inventory = parse_inventory(content, peer)
+    _check_version(document, inventory.version, peer)
+    return configuration.accept_inventory(inventory, content)
+
+
+def _check_version(document: Document, version: int, peer: str) -> None:
+    if document.version != version:
+        problem = f'version: {version}, but published as {document.version}'
+        _raise_for([problem], peer)
--- a/packages/runtime/src/buckthornpond_runtime/platforms.py
+++ b/packages/runtime/src/buckthornpond_runtime/platforms.py
@@ -3,18 +3,20 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-import gevent
 import msgspec
 
-from buckthornpond_core._generated.messages import Document, DocumentName
-from buckthornpond_core._generated.platform import InstanceList
+from buckthornpond_core._generated.events import ServiceRead
+from buckthornpond_core._generated.messages import DocumentName
+from buckthornpond_core._generated.platform import InstanceList, InstanceState
 from buckthornpond_core._generated.settings import PlatformSettings
+from buckthornpond_core.effects import ReadService
 from buckthornpond_core.exceptions import BuckthornpondError, PlatformError
 from buckthornpond_core.journal import EventCode
 
 from .connections import HttpCall
 from .logs import log_event
 from .metrics import Metrics
+from .tasks import Mailbox
 
 _OK = 200
 _UNCHANGED = 204
@@ -22,78 +24,87 @@
 
 
 class PlatformTask:
-    """Owns the connections to the platform and polls it.
+    """Owns the connection to one source of the platform.
 
-    :param settings: addresses and intervals.
-    :param post: hands what was read to the task that owns the state.
+    It reads when it is told to and reports each result.
+
+    :param name: the document or list that it reads.
+    :param settings: addresses and timeouts.
+    :param report: hands the result to the task that owns the state.
     :param metrics: counters of the process.
     """
 
-    __slots__ = ('_metrics', '_post', '_settings', '_versions')
+    __slots__ = ('_metrics', '_name', '_report', '_settings', 'mailbox')
 
     def __init__(
         self,
+        name: DocumentName,
         settings: PlatformSettings,
-        post: Callable[[Document | InstanceList], None],
+        report: Callable[[ServiceRead], None],
         metrics: Metrics,
     ) -> None:
+        self.mailbox: Mailbox[ReadService] = Mailbox()
+        self._name = name
         self._settings = settings
-        self._post = post
+        self._report = report
         self._metrics = metrics
-        self._versions = dict.fromkeys(DocumentName, 0)
 
     def run(self) -> None:
-        """Poll until the process ends."""
+        """Serve the mailbox until the process ends."""
         while True:
-            for name in DocumentName:
-                self._try(
-                    EventCode.configuration_unreachable,
-                    self._read_document,
-                    name,
-                )
-            self._try(EventCode.instance_list_unreachable, self._read_instances)
-            gevent.sleep(self._settings.poll_interval_ms / 1000)
-
-    def _try(
-        self,
-        event: EventCode,
-        read: Callable[..., None],
-        *names: DocumentName,
-    ) -> None:
+            order = self.mailbox.receive()
+            if order is not None:
+                self._report(self._read(order))
+
+    def _read(self, order: ReadService) -> ServiceRead:
+        result = ServiceRead(
+            name=self._name,
+            is_reached=True,
+            version=0,
+            content=b'',
+        )
         try:
-            read(*names)
+            self._fill(result, order)
         except (BuckthornpondError, msgspec.MsgspecError, ValueError) as error:
+            result.is_reached = False
+            result.content = b''
+            event = EventCode.configuration_unreachable
+            if self._name is DocumentName.leaving:
+                event = EventCode.instance_list_unreachable
             self._metrics.count('platform_errors', event.name)
             log_event(event, error=str(error))
+        return result
 
-    def _read_document(self, name: DocumentName) -> None:
-        version = self._versions[name]
+    def _fill(self, result: ServiceRead, order: ReadService) -> None:
+        if self._name is DocumentName.leaving:
+            content = self._read_instances()
+            result.content = _list_leaving(content)
+            return
+        watch_ms = order.watch // timedelta(milliseconds=1)
         call = self._get(
             self._settings.configuration_address,
-            f'/v1/documents/{name}?after={version}',
+            f'/v1/documents/{self._name}?after={order.after_version}'
+            f'&wait_ms={watch_ms}',
+            watch_ms,
         )
         if call is None:
             return
-        found_version = int(str(call.response.get('x-document-version', '0')))
-        content = self._read_body(call)
-        self._versions[name] = found_version
-        self._post(
-            Document(name=name, version=found_version, content=content),
-        )
+        found = str(call.response.get('x-document-version', '0'))
+        result.content = self._read_body(call)
+        result.version = int(found)
 
-    def _read_instances(self) -> None:
+    def _read_instances(self) -> bytes:
         call = self._get(
             self._settings.instance_list_address,
             '/v1/instances',
+            0,
         )
-        if call is not None:
-            content = self._read_body(call)
-            self._post(msgspec.json.decode(content, type=InstanceList))
-
-    def _get(self, address: str, path: str) -> HttpCall | None:
-        timeout = timedelta(milliseconds=self._settings.request_timeout_ms)
-        call = HttpCall(address, timeout)
-        self._metrics.count('platform_reads', path.split('?')[0])
+        return b'{"instances":[]}' if call is None else self._read_body(call)
+
+    def _get(self, address: str, path: str, watch_ms: int) -> HttpCall | None:
+        timeout_ms = self._settings.request_timeout_ms + watch_ms
+        call = HttpCall(address, timedelta(milliseconds=timeout_ms))
+        self._metrics.count('platform_reads', self._name)
         try:
             call.send('GET', path, b'', {})
         except BuckthornpondError:
@@ -113,6 +124,23 @@
 
     def _read_body(self, call: HttpCall) -> bytes:
         try:
-            return call.read_block(_MAX_DOCUMENT_BYTES + 1)
+            content = call.read_block(_MAX_DOCUMENT_BYTES + 1)
         finally:
             call.close()
+        if len(content) > _MAX_DOCUMENT_BYTES:
+            raise PlatformError(
+                f'more than {_MAX_DOCUMENT_BYTES} bytes',
+                step='read platform',
+                peer=self._name,
+            )
+        return content
+
+
+def _list_leaving(content: bytes) -> bytes:
+    listed = msgspec.json.decode(content, type=InstanceList)
+    names = sorted(
+        each.name
+        for each in listed.instances
+        if each.state is InstanceState.leaving
+    )
+    return msgspec.json.encode(names)
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -92,6 +92,10 @@
         """Return the end of the process's output."""
         return self._log_path.read_text()[-2000:]
 
+    def read_whole_log(self) -> str:
+        """Return the whole output of the process."""
+        return self._log_path.read_text()
+
     def wait(self, timeout_seconds: float) -> int | None:
         """Return the exit code, or nothing while the process lives.
 
@@ -144,6 +148,7 @@
     :param retry_window_ms: retry window of the plain service.
     :param entry_settings: settings of each entry that differ.
     :param agent_settings: settings of each agent that differ.
+    :param platform_readers: the only processes that reach the platform.
     """
 
     def __init__(
@@ -156,6 +161,7 @@
         retry_window_ms: int = 1000,
         entry_settings: dict[str, Any] | None = None,
         agent_settings: dict[str, Any] | None = None,
+        platform_readers: Iterable[str] | None = None,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
@@ -163,6 +169,7 @@
         self._retry_window_ms = retry_window_ms
         self._entry_settings = entry_settings or {}
         self._agent_settings = agent_settings or {}
+        self._platform_readers = platform_readers
         self.platform_address = free_address()
         self.platform = self.make_process(
             'platform',
@@ -213,6 +220,19 @@
             )
         return found
 
+    @property
+    def administered(self) -> list[tuple[Process, str]]:
+        """Return each process of the system with its administration."""
+        found = list(
+            zip(self.entries, self.entry_administration_addresses, strict=True),
+        )
+        found.extend(
+            (instance.agent, instance.administration_address)
+            for instance in self.instances
+            if instance.agent is not None
+        )
+        return found
+
     def close(self) -> None:
         """End every process and remove the folder."""
         for process in self.processes:
@@ -332,19 +352,27 @@
         administration: str,
         further: dict[str, Any],
     ) -> Path:
-        settings = {
+        readers = self._platform_readers
+        is_cut = readers is not None and name not in readers
+        platform_address = free_address() if is_cut else self.platform_address
+        settings: dict[str, Any] = {
             'instance': name,
             'availability_zone': zone,
             'listen_address': listen,
             'administration_address': administration,
             'heartbeat_interval_ms': 200,
             'platform': {
-                'configuration_address': self.platform_address,
-                'instance_list_address': self.platform_address,
+                'configuration_address': platform_address,
+                'instance_list_address': platform_address,
                 'poll_interval_ms': 500,
+                'startup_hold_ms': 500,
             },
             **further,
         }
+        if name.startswith('entry'):
+            settings['peer_addresses'] = [
+                each.agent_address for each in self.instances[:2]
+            ]
         path = self.settings_of(name)
         text = f'// Settings of {name}.\n{json.dumps(settings, indent=2)}\n'
         path.write_text(text)
--- a/packages/standins/src/buckthornpond_standins/platform.py
+++ b/packages/standins/src/buckthornpond_standins/platform.py
@@ -1,6 +1,9 @@
 """Stand-in of the configuration service and the instance list."""
 
+from urllib.parse import parse_qs
+
 import msgspec
+from gevent.event import Event
 
 from buckthornpond_core._generated.platform import (
     InstanceList,
@@ -14,12 +17,13 @@
 class PlatformStandIn:
     """Holds published documents; only tests and operators write them."""
 
-    __slots__ = ('documents', 'instances', 'read_count')
+    __slots__ = ('_changed', 'documents', 'instances', 'read_count')
 
     def __init__(self) -> None:
         self.documents: dict[str, tuple[int, bytes]] = {}
         self.instances: dict[str, InstanceState] = {}
         self.read_count = 0
+        self._changed = Event()
 
     def __call__(
         self,
@@ -65,11 +69,17 @@
             content = read_body(environ)
             version = int(environ['HTTP_X_DOCUMENT_VERSION'])
             self.documents[name] = (version, content)
+            self._changed.set()
+            self._changed.clear()
             return reply(start_response, '200 OK', b'{}')
         self.read_count += 1
         version, content = self.documents.get(name, (0, b''))
-        query = environ.get('QUERY_STRING', '')
-        after = int(query.removeprefix('after=') or 0)
+        query = parse_qs(environ.get('QUERY_STRING', ''))
+        after = int(query.get('after', ['0'])[0])
+        wait_ms = int(query.get('wait_ms', ['0'])[0])
+        if version <= after and wait_ms:
+            self._changed.wait(wait_ms / 1000)
+            version, content = self.documents.get(name, (0, b''))
         if version <= after:
             start_response('204 No Content', [])
             return []
