Answer a wrong method with 405 and name the authentication scheme

Cause: a method that a path does not take was answered with 400, and a 401 did not name its scheme, as the HTTP standard asks. Two checks of the tests were weakly founded: random bytes came from the system, not a fixed seed, and the bound on requests that fail late (4 percent) had no source. Change: code method_not_allowed with Allow; WWW-Authenticate; a seeded generator; the bound is the 5 in 100 that the stated target leaves.

--- a/features/caller_faults.feature
+++ b/features/caller_faults.feature
@@ -14,6 +14,7 @@
       | wrong credential       | 401    |
       | odd credential         | 401    |
       | unknown path           | 404    |
+      | wrong method           | 405    |
       | unknown service        | 404    |
       | chunked body           | 411    |
       | negative length        | 400    |
--- a/features/policy.feature
+++ b/features/policy.feature
@@ -20,5 +20,5 @@
     And goodput is measured at 100 and 200 percent under the shipped policies
     Then goodput at 200 percent under the shipped policies is at least that at 100 percent
     And under two-shortest goodput falls
-    And at most 4 percent of the requests under the shipped policies fail late
+    And at most 5 percent of the requests under the shipped policies fail late
     And no short prompt is refused or late at 200 percent under the shipped policies
--- a/features/steps/caller_faults_steps.py
+++ b/features/steps/caller_faults_steps.py
@@ -56,6 +56,9 @@
     'unknown path': lambda: [
         f'GET /nowhere HTTP/1.1\r\n{_AUTHORISED}\r\n'.encode()
     ],
+    'wrong method': lambda: [
+        f'DELETE /v1/completions HTTP/1.1\r\n{_AUTHORISED}\r\n'.encode(),
+    ],
     'unknown service': lambda: _post(
         b'x',
         'POST /v1/services/none/x HTTP/1.1\r\n',
--- a/features/steps/target_faults_steps.py
+++ b/features/steps/target_faults_steps.py
@@ -1,6 +1,6 @@
 """Steps with broken targets and broken messages between processes."""
 
-import os
+import random
 from datetime import timedelta
 from typing import Any
 
@@ -135,7 +135,11 @@
     """Send what no entry would."""
     context.port = context.fleet.plains[0].agent_address
     host, port = context.port.rsplit(':', 1)
-    for raw in (b'GET / HTTP/1.1\r\n\r\n', b'\x00' * 4096, os.urandom(64)):
+    for raw in (
+        b'GET / HTTP/1.1\r\n\r\n',
+        b'\x00' * 4096,
+        random.Random(7).randbytes(64),
+    ):
         connection = socket.create_connection((host, int(port)), 5)
         connection.sendall(raw)
         connection.close()
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -57,6 +57,7 @@
         'key_running': RefusalKind(409, 'Still running', may_retry=True),
         'key_unknown': RefusalKind(409, 'Outcome unknown'),
         'length_required': RefusalKind(411, 'Content-Length required'),
+        'method_not_allowed': RefusalKind(405, 'Method not allowed'),
         'prompt_too_large': RefusalKind(413, 'Prompt larger than any engine'),
         'queue_full': RefusalKind(503, 'Queue full', may_retry=True),
         'response_too_large': RefusalKind(502, 'Answer too large'),
--- a/packages/entry/src/buckthornpond_entry/answers.py
+++ b/packages/entry/src/buckthornpond_entry/answers.py
@@ -3,6 +3,7 @@
 import socket as standard_socket
 from collections.abc import Callable, Iterator
 from datetime import timedelta
+from http import HTTPStatus
 
 import falcon
 import msgspec
@@ -67,6 +68,8 @@
     response.status = problem.status
     response.content_type = _PROBLEM_TYPE
     response.data = msgspec.json.encode(problem)
+    if problem.status == HTTPStatus.UNAUTHORIZED:
+        response.set_header('WWW-Authenticate', 'Bearer')
     if find_refusal(refused.reason).may_retry:
         seconds = max(1, -(-refused.retry_after_ms // 1000))
         response.set_header('Retry-After', str(seconds))
--- a/packages/entry/src/buckthornpond_entry/front.py
+++ b/packages/entry/src/buckthornpond_entry/front.py
@@ -1,6 +1,8 @@
 """HTTP front end for callers."""
 
+from collections.abc import Mapping
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any, TypeAlias
 
 import falcon
@@ -36,6 +38,12 @@
 
 Application: TypeAlias = 'falcon.App[falcon.Request, falcon.Response]'
 
+_HTTP_REASONS: Mapping[int, str] = MappingProxyType(
+    {
+        HTTPStatus.NOT_FOUND: 'unknown_path',
+        HTTPStatus.METHOD_NOT_ALLOWED: 'method_not_allowed',
+    },
+)
 _IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
@@ -330,9 +338,11 @@
     error: falcon.HTTPError,
     params: dict[str, Any],
 ) -> None:
-    is_unknown = error.status_code == HTTPStatus.NOT_FOUND
-    reason = 'unknown_path' if is_unknown else 'invalid_request'
+    reason = _HTTP_REASONS.get(error.status_code, 'invalid_request')
     write_problem(response, refuse_locally(reason), error.title or '')
+    allowed = dict(error.headers or {}).get('Allow')
+    if allowed:
+        response.set_header('Allow', allowed)
 
 
 def _write_crash(
