--- /dev/null
+++ b/features/at_most_once.feature
@@ -0,0 +1,98 @@
+Feature: A key runs at most once and refusals tell the truth
+
+  Scenario Outline: a lot is accepted once although its home moves and restarts
+    Given two homes that are "<kind>"
+    When the key is used, <events>, and the key is used again
+    Then the lot was accepted <runs> times
+
+    Examples:
+      | kind      | events                               | runs |
+      | forgetful | the home moves                       | 2    |
+      | fencing   | the home moves                       | 1    |
+      | forgetful | the home restarts                    | 2    |
+      | fencing   | the home restarts                    | 1    |
+      | forgetful | the home moves without the old entry | 2    |
+      | fencing   | the home moves without the old entry | 1    |
+
+  Scenario: an earlier home that cannot be reached makes the outcome unknown
+    Given an agent that took over a key from an unreachable home
+    When the key is used and nothing answers in time
+    Then the refusal is "home_unreachable" and "outcome_unknown"
+
+  Scenario: an earlier home that operators list as stopped is not asked after the retry window
+    Given an agent that took over a key from an unreachable home
+    When operators list that home as stopped
+    Then the key is refused as "key_unknown" during the retry window
+    And it runs after the retry window
+
+  Scenario: an address that serves may not be listed as a former one
+    Then an inventory whose former instance still serves is rejected
+
+  Scenario: a drained home hands its keys over
+    Given an agent whose neighbour, the home of a key, is drained by the rules
+    When the key is used at the agent
+    Then the agent asks the drained home first
+
+  Scenario: a restarted home runs a new UUIDv7 key at once
+    Given a home that has just restarted
+    Then it refuses an opaque key for 3604000 ms
+    And it refuses UUIDv7 keys created up to 2000 ms after its start
+    And it runs a UUIDv7 key created 2001 ms after its start at once
+    And it refuses a UUIDv7 key older than the retry window as "key_expired"
+
+  Scenario: a repeated key gets the recorded answer
+    Given an agent that ran a key with an answer of 100 bytes
+    When the key is used again
+    Then the caller gets the recorded answer
+    And another request with the same key is refused as "key_reused"
+
+  Scenario: answers that are too large are not kept
+    Given an agent that ran a key with an answer of 20000 bytes
+    When the key is used again
+    Then the refusal is "key_done" and "outcome_unknown"
+    And no byte of an answer is held
+
+  Scenario: kept answers stay within their budget and go with the retry window
+    Given an agent that ran 1000 keys with answers of 10000 bytes
+    Then at most 4194304 bytes of answers are held
+    And after the retry window nothing is held
+
+  Scenario: a keyed call goes on after its caller has gone
+    Given an agent that runs a key
+    When the entry cancels the attempt and the call ends whole
+    And the key is used again
+    Then the caller gets the recorded answer
+
+  Scenario: a request whose attempt never arrived is placed again
+    Given an entry whose attempt without a key got lost
+    When the agent is silent and comes back
+    Then the entry asks for the fate of the attempt
+    And the agent bars it and the entry places the request again
+    And the lost attempt is refused when it comes late
+
+  Scenario: an attempt that ran is not reported as barred
+    Given an entry whose attempt without a key ran while the link was down
+    When the agent is silent and comes back
+    Then the entry asks for the fate of the attempt
+    And the caller is told "answer_lost" and "outcome_unknown"
+
+  Scenario: a restarted agent does not answer for its predecessor
+    Given an entry whose attempt without a key ran while the link was down
+    When the agent restarts before the entry has heard of it
+    Then the caller is told "answer_lost" and "outcome_unknown"
+
+  Scenario: a request that waits too long is proven not to have run
+    Given an entry whose attempt without a key waits in the agent's queue
+    When its time limit is nearly over
+    Then the entry asks for the fate of the attempt
+    And the caller is told "deadline_exceeded" and "not_run"
+
+  Scenario: no refusal of a request with a key claims that it has not run
+    Given an entry that does not know the service of a key
+    Then the caller is told "unknown_service" and "outcome_unknown"
+
+  Scenario: generated histories at one home agree with a log of everything
+    Then 1000 generated histories of one home agree with the log
+
+  Scenario: generated histories at moving homes agree with a table that never moves
+    Then 1000 generated histories of moving homes agree with the table
--- /dev/null
+++ b/features/at_most_once_model.feature
@@ -0,0 +1,50 @@
+Feature: Model of running at most once and of truthful refusals
+
+  Scenario Outline: no key runs twice in any state
+    When the specification of keys is explored with <versions> versions and <restarts> restarts
+    Then every state was explored and the key runs at most once
+
+    Examples:
+      | versions | restarts |
+      | 2        | 1        |
+      | 3        | 0        |
+
+  Scenario Outline: a specification without one guard runs a key twice
+    When the specification of keys is explored with <versions> versions, <restarts> restarts and without "<guard>"
+    Then the checker shows how the key runs twice
+
+    Examples:
+      | guard                  | versions | restarts |
+      | fences                 | 2        | 1        |
+      | bars                   | 2        | 1        |
+      | quarantines            | 2        | 1        |
+      | yields                 | 3        | 0        |
+      | refuses_unanswered     | 2        | 1        |
+      | checks_deadline        | 2        | 1        |
+      | keeps_reported_version | 2        | 1        |
+
+  Scenario: the real homes take every step as specified
+    When the real homes are driven along every step with 2 versions and no restart
+    Then no step differs
+
+  Scenario: the real homes take random walks as specified
+    When the real homes are driven along 8000 walks of 30 steps with 3 versions and 2 restarts
+    Then no step differs
+
+  Scenario: a home without fences leaves the specification
+    When homes that forget are driven along the same walks
+    Then a step differs
+
+  Scenario: "not run" is true in every state
+    When the specification of fates is explored
+    Then every state was explored and "not run" is true
+
+  Scenario Outline: a specification of fates without one guard tells an untruth
+    When the specification of fates is explored without "<guard>"
+    Then the checker shows an untrue "not run"
+
+    Examples:
+      | guard              |
+      | bars               |
+      | remembers_end      |
+      | checks_incarnation |
--- /dev/null
+++ b/features/specs/at_most_once.py
@@ -0,0 +1,280 @@
+"""Specification of one idempotency key at two homes.
+
+Home 0 runs the key under even versions of the configuration, home 1 under
+odd ones. Entries keep nothing that matters here: an attempt may go to the
+home of any version, however old, so that any number of stale entries is
+covered. A message in flight may come at any time or never, which covers
+cuts, late messages and receivers that are paused and wake up.
+"""
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from minicheck import Protocol
+
+FREE = 'free'
+ASKING = 'asking'
+CLAIMED = 'claimed'
+RAN = 'ran'
+BARRED = 'barred'
+
+ATTEMPT = 'attempt'
+ASK = 'ask'
+REPLY = 'reply'
+
+Pair = tuple[Any, Any]
+
+
+class Bounds(NamedTuple):
+    """Size of the exploration."""
+
+    versions: int = 2
+    attempts: int = 2
+    restarts: int = 1
+
+
+class Guards(NamedTuple):
+    """Rules of the protocol; a variant lacks one."""
+
+    fences: bool = True
+    bars: bool = True
+    quarantines: bool = True
+    yields: bool = True
+    refuses_unanswered: bool = True
+    checks_deadline: bool = True
+    keeps_reported_version: bool = True
+
+
+class State(NamedTuple):
+    """One state of both homes and the messages between them."""
+
+    versions: Pair = (1, 1)
+    records: Pair = (FREE, FREE)
+    incarnations: Pair = (0, 0)
+    doubts: Pair = (False, False)
+    acknowledged: Pair = (0, 0)
+    reported: Pair = (1, 1)
+    messages: frozenset[tuple[Any, ...]] = frozenset()
+    sent: int = 0
+    restarted: int = 0
+    is_over: bool = False
+    runs: int = 0
+
+
+Step = tuple[tuple[Any, ...], State]
+
+
+def home_of(version: int) -> int:
+    """Return the home of the key under a version."""
+    return version % 2
+
+
+def put(pair: Pair, index: int, value: Any) -> Pair:
+    """Return the pair with one side replaced."""
+    return (value, pair[1]) if index == 0 else (pair[0], value)
+
+
+_ALL_GUARDS = Guards()
+_DEFAULT_BOUNDS = Bounds()
+
+
+class KeySpecification:
+    """Transitions of the protocol under some guards and bounds."""
+
+    def __init__(
+        self,
+        guards: Guards = _ALL_GUARDS,
+        bounds: Bounds = _DEFAULT_BOUNDS,
+    ) -> None:
+        self.guards = guards
+        self.bounds = bounds
+
+    def protocol(self) -> Protocol:
+        """Return the model for the checker."""
+        return Protocol(
+            name='at most once',
+            candidate=False,
+            fields=State._fields,
+            initial=State(),
+            transitions=lambda state: [
+                (' '.join(map(str, label)), following)
+                for label, following in self.steps(state)
+            ],
+            invariants={'at most once': lambda state: state['runs'] <= 1},
+        )
+
+    def steps(self, state: State) -> Iterator[Step]:
+        """Yield every labelled successor of a state."""
+        for home in (0, 1):
+            yield from self._local_steps(state, home)
+        for message in sorted(state.messages):
+            following = state._replace(messages=state.messages - {message})
+            yield ('deliver', *message), self._deliver(following, message)
+        if not state.is_over:
+            if state.sent < self.bounds.attempts:
+                yield from self._sends(state)
+            yield ('close',), state._replace(is_over=True)
+
+    def _sends(self, state: State) -> Iterator[Step]:
+        for home in {
+            home_of(each) for each in range(1, self.bounds.versions + 1)
+        }:
+            number = state.sent + 1
+            message = (ATTEMPT, number, home, state.incarnations[home])
+            yield (
+                ('send', number, home),
+                state._replace(
+                    sent=number,
+                    messages=state.messages | {message},
+                ),
+            )
+
+    def _local_steps(self, state: State, home: int) -> Iterator[Step]:
+        version = state.versions[home]
+        record = state.records[home]
+        if version < self.bounds.versions:
+            yield (
+                ('learn', home),
+                state._replace(
+                    versions=put(state.versions, home, version + 1),
+                ),
+            )
+        if record == CLAIMED:
+            yield (
+                ('start', home),
+                state._replace(
+                    records=put(state.records, home, RAN),
+                    runs=state.runs + 1,
+                ),
+            )
+            yield ('withdraw', home), self._set(state, home, FREE)
+        if record == ASKING:
+            if not (state.is_over and self.guards.checks_deadline):
+                yield ('ask again', home), self._ask(state, home)
+            given_up = FREE if self.guards.refuses_unanswered else CLAIMED
+            yield ('give up', home), self._set(state, home, given_up)
+        if state.is_over:
+            yield from self._late_steps(state, home)
+        other = 1 - home
+        if not state.sent and state.versions[other] >= version:
+            yield (
+                ('acknowledge', home),
+                state._replace(
+                    acknowledged=put(
+                        state.acknowledged, home, state.versions[other]
+                    ),
+                    reported=self._report(state, other),
+                ),
+            )
+        if state.restarted < self.bounds.restarts:
+            yield from self._restarts(state, home)
+
+    def _late_steps(self, state: State, home: int) -> Iterator[Step]:
+        if state.records[home] in {RAN, BARRED}:
+            yield ('expire', home), self._set(state, home, FREE)
+        if state.doubts[home]:
+            yield (
+                ('trust', home),
+                state._replace(doubts=put(state.doubts, home, False)),
+            )
+
+    def _restarts(self, state: State, home: int) -> Iterator[Step]:
+        lowest = 1
+        if self.guards.keeps_reported_version:
+            lowest = state.reported[home]
+        is_doubtful = self.guards.quarantines and state.sent > 0
+        for version in range(lowest, state.versions[home] + 1):
+            yield (
+                ('restart', home, version),
+                state._replace(
+                    versions=put(state.versions, home, version),
+                    records=put(state.records, home, FREE),
+                    incarnations=put(
+                        state.incarnations, home, state.incarnations[home] + 1
+                    ),
+                    doubts=put(state.doubts, home, is_doubtful),
+                    acknowledged=put(state.acknowledged, home, 0),
+                    restarted=state.restarted + 1,
+                ),
+            )
+
+    def _deliver(self, state: State, message: tuple[Any, ...]) -> State:
+        kind, *fields = message
+        if kind == ATTEMPT:
+            return self._take_attempt(state, *fields[1:])
+        if kind == ASK:
+            return self._take_ask(state, *fields)
+        return self._take_reply(state, *fields)
+
+    def _take_attempt(self, state: State, home: int, incarnation: int) -> State:
+        if incarnation != state.incarnations[home]:
+            return state
+        if state.is_over and self.guards.checks_deadline:
+            return state
+        version = state.versions[home]
+        is_free = state.records[home] == FREE and not state.doubts[home]
+        if home_of(version) != home or not is_free:
+            return state
+        is_settled = version == 1 or state.acknowledged[home] >= version
+        if is_settled or not self.guards.fences:
+            return self._set(state, home, CLAIMED)
+        return self._ask(self._set(state, home, ASKING), home)
+
+    def _take_ask(
+        self,
+        state: State,
+        asker: int,
+        incarnation: int,
+        version: int,
+    ) -> State:
+        home = 1 - asker
+        answer = self._judge_ask(state, home, version)
+        is_stubborn = state.records[home] == ASKING and not self.guards.yields
+        if answer == BARRED and self.guards.bars and not is_stubborn:
+            state = self._set(state, home, BARRED)
+        message = (REPLY, asker, incarnation, answer)
+        return state._replace(
+            messages=state.messages | {message},
+            reported=self._report(state, home),
+        )
+
+    def _judge_ask(self, state: State, home: int, version: int) -> str:
+        record: str = state.records[home]
+        is_newer = state.versions[home] > version
+        if record == ASKING and is_newer and self.guards.yields:
+            return CLAIMED
+        if record not in {FREE, ASKING}:
+            return record
+        return 'unknown' if state.doubts[home] else BARRED
+
+    def _take_reply(
+        self,
+        state: State,
+        home: int,
+        incarnation: int,
+        answer: str,
+    ) -> State:
+        is_current = incarnation == state.incarnations[home]
+        if not is_current or state.records[home] != ASKING:
+            return state
+        is_late = state.is_over and self.guards.checks_deadline
+        if is_late or answer != BARRED:
+            return self._set(state, home, FREE)
+        is_home = home_of(state.versions[home]) == home
+        return self._set(state, home, CLAIMED if is_home else FREE)
+
+    def _ask(self, state: State, home: int) -> State:
+        message = (
+            ASK,
+            home,
+            state.incarnations[home],
+            state.versions[home],
+        )
+        return state._replace(messages=state.messages | {message})
+
+    def _report(self, state: State, home: int) -> Pair:
+        version = max(state.reported[home], state.versions[home])
+        return put(state.reported, home, version)
+
+    def _set(self, state: State, home: int, record: str) -> State:
+        return state._replace(records=put(state.records, home, record))
--- /dev/null
+++ b/features/specs/key_agents.py
@@ -0,0 +1,311 @@
+"""One agent and one entry at the level of decisions, on a clock by hand."""
+
+import random
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+from buckthornpond_core._generated.events import (
+    CallChunk,
+    CallEnded,
+    CallStarted,
+    Submission,
+)
+from buckthornpond_core._generated.inventory import (
+    Instance,
+    Inventory,
+    Rules,
+    Service,
+    Target,
+    TargetKind,
+)
+from buckthornpond_core._generated.messages import Attempt, Heartbeat
+from buckthornpond_core.admission import Admission, AgentLimits
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.effects import StartCall, ToCaller, ToHome, ToPeer
+from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.key_times import KeyTimes
+from buckthornpond_core.keyed_attempts import KeyedAttempts
+from buckthornpond_core.limits import FixedLimit
+from buckthornpond_core.placement import LeastLoadedPlacement
+from buckthornpond_core.queueing import FifoOrder
+from buckthornpond_core.retries import RetryBudget
+from buckthornpond_core.routing import Router, RouterLimits
+
+WALL = datetime(2026, 1, 1, tzinfo=UTC)
+WINDOW = timedelta(hours=1)
+SKEW = timedelta(seconds=2)
+RETENTION = WINDOW + 2 * SKEW
+START = timedelta()
+SECOND = timedelta(seconds=1)
+MILLISECOND = timedelta(milliseconds=1)
+PEER_TIMEOUT = timedelta(seconds=2)
+
+
+class SilentRecorder:
+    """Drops counters and events."""
+
+    def count(self, name: str, reason: str) -> None:
+        """Drop a counter."""
+
+    def log(self, code: Any, **fields: object) -> None:
+        """Drop an event."""
+
+
+def address_of(name: str) -> str:
+    """Return the agent's address of an instance."""
+    number = sum(name.encode())
+    return f'127.0.0.1:{1000 + number}'
+
+
+def make_inventory(
+    version: int,
+    names: list[str],
+    serving: list[str],
+    concurrency_count: int = 8,
+) -> Inventory:
+    """Return an inventory with one plain service."""
+    return Inventory(
+        version=version,
+        availability_zones=['zone-0'],
+        instances=[
+            Instance(
+                name=name,
+                availability_zone='zone-0',
+                agent_address=address_of(name),
+                target=Target(
+                    address='127.0.0.1:1',
+                    concurrency_count=concurrency_count,
+                ),
+            )
+            for name in names
+        ],
+        services=[
+            Service(
+                name='lots',
+                kind=TargetKind.plain,
+                instances=serving,
+                retry_window_ms=WINDOW // MILLISECOND,
+                clock_skew_ms=SKEW // MILLISECOND,
+                settle_ms=10**12,
+            ),
+        ],
+        organisations=[],
+    )
+
+
+class AgentBench:
+    """An agent's decisions, with everything they asked for."""
+
+    def __init__(
+        self,
+        name: str,
+        now: timedelta,
+        incarnation: str = 'first',
+    ) -> None:
+        self.name = name
+        self.now = now
+        self.incarnation = incarnation
+        self.sent: list[Any] = []
+        self.started: list[Attempt] = []
+        self.asked: list[ToHome] = []
+        self.configuration = Configuration()
+        self.home = FencingKeyHome(
+            instance=name,
+            configuration=self.configuration,
+            times=KeyTimes(now, WALL + now),
+            limits=KeyLimits(
+                fence_timeout=SECOND,
+                max_replay_bytes=16_384,
+                replay_budget_bytes=4_194_304,
+            ),
+        )
+        self.admission = Admission(
+            instance=name,
+            incarnation=incarnation,
+            configuration=self.configuration,
+            limits=AgentLimits(
+                max_queued_count=2000,
+                peer_timeout=timedelta(days=1),
+            ),
+            limit=FixedLimit(10**9),
+            order=FifoOrder(),
+            keyed=KeyedAttempts(
+                incarnation=incarnation,
+                configuration=self.configuration,
+                home=self.home,
+                max_replay_bytes=16_384,
+                recorder=SilentRecorder(),
+            ),
+            recorder=SilentRecorder(),
+        )
+        self.attempt_count = 0
+
+    def follow(self, inventory: Inventory, rules: Rules | None = None) -> None:
+        """Put documents in force."""
+        self.configuration.accept_inventory(inventory, b'')
+        if rules is not None:
+            self.configuration.accept_rules(rules, b'')
+        self.admission.follow_configuration(self.now)
+
+    def receive(self, message: Any, peer: str = 'entry') -> list[Any]:
+        """Take a message and return what goes back to its sender."""
+        return self._apply(self.admission.receive(peer, message, self.now))
+
+    def tick(self, span: timedelta) -> list[Any]:
+        """Let time pass."""
+        self.now += span
+        return self._apply(self.admission.tick(self.now))
+
+    def use(self, key: str, body: bytes = b'lot') -> list[Any]:
+        """Send a request with a key."""
+        self.attempt_count += 1
+        return self.receive(
+            make_attempt(
+                f'attempt-{self.attempt_count}',
+                self.incarnation,
+                key,
+                body,
+            ),
+        )
+
+    def end(self, attempt_id: str, body: bytes) -> list[Any]:
+        """Let the target answer whole."""
+        found: list[Any] = []
+        for message in (
+            CallStarted(
+                attempt_id=attempt_id,
+                status_code=201,
+                content_type='text/plain',
+            ),
+            CallChunk(attempt_id=attempt_id, payload=body),
+            CallEnded(attempt_id=attempt_id, error='', is_sent=True),
+        ):
+            found.extend(
+                self._apply(self.admission.update_call(message, self.now)),
+            )
+        return found
+
+    def _apply(self, effects: list[Any]) -> list[Any]:
+        replies: list[Any] = []
+        for effect in effects:
+            if isinstance(effect, ToPeer):
+                replies.append(effect.message)
+            elif isinstance(effect, ToHome):
+                self.asked.append(effect)
+            elif isinstance(effect, StartCall):
+                self.started.append(effect.attempt)
+        self.sent.extend(replies)
+        return replies
+
+
+class EntryBench:
+    """An entry's decisions, with everything they asked for."""
+
+    def __init__(self, inventory: Inventory) -> None:
+        self.now = timedelta()
+        self.configuration = Configuration()
+        self.configuration.accept_inventory(inventory, b'')
+        self.router = Router(
+            incarnation='entry',
+            configuration=self.configuration,
+            limits=RouterLimits(
+                max_held_requests=100,
+                max_attempts=8,
+                stream_window_bytes=65_536,
+                peer_timeout=PEER_TIMEOUT,
+            ),
+            placement=LeastLoadedPlacement(),
+            budget=RetryBudget(100, 100),
+            random=random.Random(1),
+            recorder=SilentRecorder(),
+        )
+        self.router.follow_configuration()
+        self.messages: list[ToPeer] = []
+        self.answers: list[Any] = []
+
+    def submit(
+        self, time_limit_ms: int, key: str = '', service: str = 'lots'
+    ) -> None:
+        """Take a caller's request that may not run twice."""
+        self.apply(
+            self.router.submit(
+                Submission(
+                    request_number=1,
+                    organisation='gate',
+                    service=service,
+                    method='POST',
+                    path='/accept',
+                    content_type='',
+                    idempotency_key=key,
+                    is_idempotent=False,
+                    is_stream=False,
+                    prompt_tokens=0,
+                    output_tokens=0,
+                    time_limit_ms=time_limit_ms,
+                    body=b'lot',
+                ),
+                self.now,
+            ),
+        )
+
+    def hear(self, instance: str, message: Any) -> None:
+        """Take a message of an agent."""
+        self.apply(self.router.receive(instance, message, self.now))
+
+    def tick(self, span: timedelta) -> None:
+        """Let time pass."""
+        self.now += span
+        self.apply(self.router.tick(self.now))
+
+    def meet(self, agent: AgentBench) -> None:
+        """Exchange heartbeat and hint with an agent."""
+        beat = Heartbeat(
+            sender_incarnation='entry',
+            configuration=self.configuration.version,
+        )
+        for reply in agent.receive(beat):
+            self.hear(agent.name, reply)
+
+    def find(self, kind: type, instance: str) -> list[Any]:
+        """Return the messages of a kind for an agent, in order."""
+        return [
+            effect.message
+            for effect in self.messages
+            if effect.peer == instance and isinstance(effect.message, kind)
+        ]
+
+    def apply(self, effects: list[Any]) -> None:
+        """Keep what the decisions asked for."""
+        for effect in effects:
+            if isinstance(effect, ToCaller):
+                self.answers.append(effect.message)
+            else:
+                self.messages.append(effect)
+
+
+def make_attempt(
+    attempt_id: str,
+    incarnation: str,
+    key: str,
+    body: bytes,
+) -> Attempt:
+    """Return an attempt that may not run twice."""
+    return Attempt(
+        attempt_id=attempt_id,
+        entry_incarnation='entry',
+        agent_incarnation=incarnation,
+        organisation='gate',
+        service='lots',
+        method='POST',
+        path='/accept',
+        content_type='',
+        idempotency_key=key,
+        is_idempotent=False,
+        is_stream=False,
+        prompt_tokens=0,
+        output_tokens=0,
+        remaining_ms=600_000,
+        credit_bytes=65_536,
+        configuration=Configuration().version,
+        body=body,
+    )
--- /dev/null
+++ b/features/specs/naive_keys.py
@@ -0,0 +1,167 @@
+"""Naive homes of keys: a baseline that fails, and one that searches a log."""
+
+from datetime import datetime, timedelta
+from typing import Any
+
+from buckthornpond_core._generated.messages import (
+    FenceKey,
+    FenceReply,
+    KeyState,
+)
+from buckthornpond_core.claims import (
+    KeyClaim,
+    KeyVerdict,
+    RefuseKey,
+    RunKey,
+)
+from buckthornpond_core.key_times import read_creation_time
+from buckthornpond_core.keys import RecordedAnswer
+from buckthornpond_core.placement import join_key
+
+
+class ForgetfulKeyHome:
+    """Baseline: remembers its own runs, doubts nothing and asks nobody."""
+
+    __slots__ = ('_states',)
+
+    def __init__(self) -> None:
+        self._states: dict[str, KeyState] = {}
+
+    def follow_configuration(self, now: timedelta) -> None:
+        """Ignore the configuration."""
+
+    def find_state(self, key: str) -> KeyState | None:
+        """Return what is recorded of a key."""
+        return self._states.get(key)
+
+    def claim(self, claim: KeyClaim, now: timedelta) -> KeyVerdict:
+        """Run every key that did not run here."""
+        state = self._states.get(claim.key)
+        if state is not None:
+            return RefuseKey(claim, f'key_{state}')
+        self._states[claim.key] = KeyState.running
+        return RunKey(claim)
+
+    def withdraw(self, claim: KeyClaim) -> None:
+        """Forget the key."""
+        self._states.pop(claim.key, None)
+
+    def finish(
+        self,
+        claim: KeyClaim,
+        state: KeyState,
+        answer: RecordedAnswer | None,
+        now: timedelta,
+    ) -> None:
+        """Remember the end."""
+        self._states[claim.key] = state
+
+    def fence(
+        self,
+        request: FenceKey,
+        now: timedelta,
+    ) -> tuple[KeyState, list[KeyVerdict]]:
+        """Tell the state without barring anything."""
+        key = join_key(
+            request.service,
+            request.organisation,
+            request.idempotency_key,
+        )
+        return self._states.get(key, KeyState.fenced), []
+
+    def take_reply(
+        self,
+        address: str,
+        reply: FenceReply,
+        now: timedelta,
+    ) -> list[KeyVerdict]:
+        """Ignore the answer to a question that it never asks."""
+        return []
+
+    def tick(self, now: timedelta) -> list[KeyVerdict]:
+        """Do nothing."""
+        return []
+
+
+class _Use:
+    """One use of a key in the log."""
+
+    def __init__(
+        self, claim: KeyClaim, now: timedelta, incarnation: int
+    ) -> None:
+        self.claim = claim
+        self.last = now
+        self.incarnation = incarnation
+        self.state = 'running'
+        self.body = b''
+
+
+class LogKeyHome:
+    """One home that keeps a log of everything and searches it each time.
+
+    The log outlives restarts, so that a test can check it for double runs;
+    verdicts use only what the running incarnation may know.
+    """
+
+    def __init__(self, now: timedelta, wall: datetime) -> None:
+        self.uses: list[_Use] = []
+        self._origin = wall - now
+        self._incarnation = 0
+        self._start = now
+
+    def restart(self, now: timedelta) -> None:
+        """Start the next incarnation."""
+        self._incarnation += 1
+        self._start = now
+
+    def judge(self, claim: KeyClaim, now: timedelta) -> str:
+        """Return the verdict on a claim, and log a run."""
+        for use in reversed(self.uses):
+            if self._is_remembered(use, claim, now):
+                if use.claim.digest != claim.digest:
+                    return 'key_reused'
+                is_done = use.state == 'done'
+                return f'replay {use.body!r}' if is_done else f'key_{use.state}'
+        verdict = self._judge_new(claim, now)
+        if verdict == 'run':
+            self.uses.append(_Use(claim, now, self._incarnation))
+        return verdict
+
+    def find(self, attempt_id: str) -> Any:
+        """Return the logged use of an attempt of this incarnation."""
+        return next(
+            (
+                use
+                for use in self.uses
+                if use.claim.attempt_id == attempt_id
+                and use.incarnation == self._incarnation
+                and use.state == 'running'
+            ),
+            None,
+        )
+
+    def _is_remembered(
+        self,
+        use: _Use,
+        claim: KeyClaim,
+        now: timedelta,
+    ) -> bool:
+        is_alive = use.state == 'running' or use.last + claim.retention > now
+        return (
+            use.claim.key == claim.key
+            and use.incarnation == self._incarnation
+            and use.state != 'cancelled'
+            and is_alive
+        )
+
+    def _judge_new(self, claim: KeyClaim, now: timedelta) -> str:
+        created = read_creation_time(claim.idempotency_key)
+        wall = self._origin + now
+        if created is not None and created <= wall + claim.skew:
+            if created + claim.window + claim.skew < wall:
+                return 'key_expired'
+            if created > self._origin + self._start + claim.skew:
+                return 'run'
+        if now - self._start >= claim.retention:
+            return 'run'
+        return 'key_unknown'
--- /dev/null
+++ b/features/steps/key_model_steps.py
@@ -0,0 +1,155 @@
+"""Steps that explore the specifications of keys and of fates."""
+
+from typing import Any
+
+from behave import then, when
+from minicheck import check_safety
+
+from features.specs.at_most_once import Bounds, Guards, KeySpecification
+from features.specs.counts import only, report
+from features.specs.fates import FateGuards, FateSpecification
+from features.specs.key_worlds import KeyWorld, compare_all, compare_walks
+from features.specs.naive_keys import ForgetfulKeyHome
+
+_MAX_STATES = 300_000
+_MAX_VARIANT_STATES = 100_000
+_SEED = 20260
+
+
+def explore(context: Any, protocol: Any, max_states: int) -> None:
+    """Explore a model and print how many states it has."""
+    context.found = check_safety(protocol, max_states=max_states)
+    report(f'{protocol.name}: {context.found["reachable_states"]} states')
+
+
+def only_property(context: Any) -> dict[str, Any]:
+    """Return the verdict on the one property of the model."""
+    verdict: dict[str, Any] = only(list(context.found['properties'].values()))
+    return verdict
+
+
+@when(
+    'the specification of keys is explored with {versions:d} versions and {restarts:d} restarts'
+)
+def explore_keys(context: Any, versions: int, restarts: int) -> None:
+    """Explore every state."""
+    bounds = Bounds(versions=versions, restarts=restarts)
+    explore(context, KeySpecification(bounds=bounds).protocol(), _MAX_STATES)
+
+
+@then('every state was explored and the key runs at most once')
+@then('every state was explored and "not run" is true')
+def check_holds(context: Any) -> None:
+    """Check that the sweep was whole and found nothing."""
+    assert context.found['exhaustive']
+    assert only_property(context)['holds'] is True, context.found
+
+
+@when(
+    'the specification of keys is explored with {versions:d} versions, {restarts:d} restarts and without "{guard}"'
+)
+def explore_unguarded(
+    context: Any,
+    versions: int,
+    restarts: int,
+    guard: str,
+) -> None:
+    """Explore the variant that lacks one guard."""
+    specification = KeySpecification(
+        Guards(**{guard: False}),
+        Bounds(versions=versions, restarts=restarts),
+    )
+    explore(context, specification.protocol(), _MAX_VARIANT_STATES)
+
+
+@then('the checker shows how the key runs twice')
+@then('the checker shows an untrue "not run"')
+def check_refuted(context: Any) -> None:
+    """Check that there is a counterexample."""
+    verdict = only_property(context)
+    assert verdict['holds'] is False, context.found
+    labels = [step['label'] for step in verdict['counterexample'][1:]]
+    report(f'counterexample of {len(labels)} steps: {labels}')
+
+
+@when(
+    'the real homes are driven along every step with {versions:d} versions and no restart'
+)
+def drive_all(context: Any, versions: int) -> None:
+    """Compare the real homes with the specification on every edge."""
+    bounds = Bounds(versions=versions, restarts=0)
+    states, steps = compare_all(KeySpecification(bounds=bounds))
+    report(f'{states} states, {steps} steps compared')
+    context.step_count = steps
+
+
+@when(
+    'the real homes are driven along {walks:d} walks of {length:d} steps with {versions:d} versions and {restarts:d} restarts'
+)
+def drive_walks(
+    context: Any,
+    walks: int,
+    length: int,
+    versions: int,
+    restarts: int,
+) -> None:
+    """Compare the real homes with the specification on seeded walks."""
+    bounds = Bounds(versions=versions, attempts=3, restarts=restarts)
+    context.step_count = compare_walks(
+        KeySpecification(bounds=bounds),
+        walks=walks,
+        length=length,
+        seed=_SEED,
+    )
+    report(f'{context.step_count} steps compared, seed {_SEED}')
+
+
+@then('no step differs')
+def check_same(context: Any) -> None:
+    """The comparison raised nothing; check that it compared something."""
+    assert context.step_count > 10_000, context.step_count
+
+
+class ForgetfulWorld(KeyWorld):
+    """The same world with homes that forget and ask nobody."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        for real in self.homes:
+            real.home = ForgetfulKeyHome()
+
+
+@when('homes that forget are driven along the same walks')
+def drive_forgetful(context: Any) -> None:
+    """Keep the first difference."""
+    context.difference = ''
+    try:
+        compare_walks(
+            KeySpecification(bounds=Bounds(versions=3, attempts=3, restarts=2)),
+            walks=100,
+            length=30,
+            seed=_SEED,
+            make_world=ForgetfulWorld,
+        )
+    except AssertionError as error:
+        context.difference = str(error)
+
+
+@then('a step differs')
+def check_different(context: Any) -> None:
+    """Check that the comparison noticed."""
+    assert context.difference
+    report(f'difference found: {context.difference}')
+
+
+@when('the specification of fates is explored')
+def explore_fates(context: Any) -> None:
+    """Explore every state."""
+    explore(context, FateSpecification().protocol(), _MAX_STATES)
+
+
+@when('the specification of fates is explored without "{guard}"')
+def explore_unguarded_fates(context: Any, guard: str) -> None:
+    """Explore the variant that lacks one guard."""
+    specification = FateSpecification(FateGuards(**{guard: False}))
+    explore(context, specification.protocol(), _MAX_VARIANT_STATES)
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -84,6 +84,7 @@
         r"_fail\([^()']*'(\w+)'",
         r"reason='(\w+)'",
         r"refuse_locally\('(\w+)'\)",
+        r"RefuseKey\([^()]*'(\w+)'\)",
         r"RefusedRequestError\(\s*'(\w+)'",
     )
     found: set[str] = set()
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -10,7 +10,9 @@
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.forecasts import PrefillForecast
 from buckthornpond_core.journal import EventCode
-from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.key_times import KeyTimes
+from buckthornpond_core.keyed_attempts import KeyedAttempts
 from buckthornpond_core.limits import SlowStartLimit
 from buckthornpond_core.priorities import LengthPriority
 from buckthornpond_core.queueing import ShortestFirstOrder
@@ -23,7 +25,7 @@
 from buckthornpond_runtime.processes import StopSignal, drain, new_incarnation
 from buckthornpond_runtime.settings import load_settings
 from buckthornpond_runtime.tasks import Supervisor
-from buckthornpond_runtime.transports import PortTask
+from buckthornpond_runtime.transports import PortTask, ZmqContext
 
 from .tasks import AdmissionTask
 
@@ -56,6 +58,16 @@
     metrics = Metrics()
     incarnation = new_incarnation(settings.instance)
     configuration = Configuration()
+    home = FencingKeyHome(
+        instance=settings.instance,
+        configuration=configuration,
+        times=KeyTimes(clock.monotonic(), clock.utcnow()),
+        limits=KeyLimits(
+            fence_timeout=timedelta(milliseconds=settings.fence_timeout_ms),
+            max_replay_bytes=settings.max_replay_bytes,
+            replay_budget_bytes=settings.replay_budget_bytes,
+        ),
+    )
     admission = Admission(
         instance=settings.instance,
         incarnation=incarnation,
@@ -66,7 +78,13 @@
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
         order=ShortestFirstOrder(LengthPriority()),
-        keys=KeyRegister(clock.monotonic()),
+        keyed=KeyedAttempts(
+            incarnation=incarnation,
+            configuration=configuration,
+            home=home,
+            max_replay_bytes=settings.max_replay_bytes,
+            recorder=metrics,
+        ),
         recorder=metrics,
         forecast=PrefillForecast(),
     )
@@ -79,6 +97,7 @@
         started=clock.monotonic(),
         startup_peer_count=_STARTUP_PEER_COUNT,
     )
+    context: ZmqContext = zmq.Context()
     task = AdmissionTask(
         instance=settings.instance,
         admission=admission,
@@ -86,9 +105,12 @@
         clock=clock,
         exchange=assembly.exchange,
         max_frame_bytes=settings.max_frame_bytes,
+        context=context,
+        incarnation=incarnation,
+        metrics=metrics,
     )
     port = PortTask(
-        zmq.Context(),
+        context,
         settings.listen_address,
         task.mailbox,
         metrics,
@@ -100,6 +122,8 @@
         lambda: not admission.is_stopping,
     )
     metrics.add_gauge('held_attempts', lambda: admission.held_count)
+    metrics.add_gauge('held_keys', lambda: home.key_count)
+    metrics.add_gauge('replay_bytes', lambda: home.replay_bytes)
     metrics.add_gauge('reserved_tokens', lambda: admission.reserved_tokens)
     stop = StopSignal()
     supervisor = Supervisor()
--- /dev/null
+++ b/packages/agent/src/buckthornpond_agent/homes.py
@@ -0,0 +1,55 @@
+"""Links of an agent to other homes of keys."""
+
+from buckthornpond_core.effects import ToHome
+from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.tasks import Inbox
+from buckthornpond_runtime.transports import LinkTask, Received, ZmqContext
+
+
+class HomeLinks:
+    """Opens and feeds the tasks that own the links, when one is needed.
+
+    :param context: the process's ZeroMQ context.
+    :param incarnation: identity of this process.
+    :param inbox: mailbox of the task that owns the links.
+    :param metrics: counters of the process.
+    """
+
+    __slots__ = ('_context', '_inbox', '_incarnation', '_links', '_metrics')
+
+    def __init__(
+        self,
+        context: ZmqContext,
+        incarnation: str,
+        inbox: Inbox[Received],
+        metrics: Metrics,
+    ) -> None:
+        self._context = context
+        self._incarnation = incarnation
+        self._inbox = inbox
+        self._metrics = metrics
+        self._links: dict[str, LinkTask] = {}
+
+    def send(self, effect: ToHome) -> None:
+        """Hand a message to the link of a home; its sender asks again.
+
+        :param effect: the home's address and the message.
+        """
+        link = self._links.get(effect.address)
+        if link is None:
+            link = self._open(effect.address)
+        if not link.mailbox.offer(effect.message):
+            self._metrics.count('undelivered_messages', 'home')
+
+    def _open(self, address: str) -> LinkTask:
+        link = LinkTask(
+            self._context,
+            identity=self._incarnation,
+            instance=address,
+            address=address,
+            inbox=self._inbox,
+            metrics=self._metrics,
+        )
+        self._links[address] = link
+        link.start()
+        return link
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -23,16 +23,19 @@
     CancelCall,
     GrantCall,
     StartCall,
+    ToHome,
     ToPeer,
     WireMessage,
 )
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.documents import DocumentExchange
+from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
-from buckthornpond_runtime.transports import Received
+from buckthornpond_runtime.transports import Received, ZmqContext
 
 from .bodies import with_priority
 from .calls import CallTask
+from .homes import HomeLinks
 
 _TICK_SECONDS = 0.05
 
@@ -50,6 +53,9 @@
     :param clock: source of time.
     :param exchange: takes and hands out documents.
     :param max_frame_bytes: the most bytes of one chunk.
+    :param context: the process's ZeroMQ context.
+    :param incarnation: identity of this process.
+    :param metrics: counters of the process.
     """
 
     __slots__ = (
@@ -58,6 +64,7 @@
         '_clock',
         '_configuration',
         '_exchange',
+        '_homes',
         '_instance',
         '_max_frame_bytes',
         'mailbox',
@@ -73,6 +80,9 @@
         clock: Clock,
         exchange: DocumentExchange,
         max_frame_bytes: int,
+        context: ZmqContext,
+        incarnation: str,
+        metrics: Metrics,
     ) -> None:
         self.mailbox: Mailbox[AdmissionMessage] = Mailbox()
         self.port: Mailbox[ToPeer] = Mailbox()
@@ -82,6 +92,7 @@
         self._clock = clock
         self._exchange = exchange
         self._max_frame_bytes = max_frame_bytes
+        self._homes = HomeLinks(context, incarnation, self.mailbox, metrics)
         self._calls: dict[str, CallTask] = {}
 
     def run(self) -> None:
@@ -137,7 +148,7 @@
     def _follow(self, is_accepted: bool) -> list[AgentEffect]:
         if not is_accepted:
             return []
-        self._admission.follow_configuration()
+        self._admission.follow_configuration(self._clock.monotonic())
         hint = self._admission.hint()
         return [ToPeer(peer, hint) for peer in self._exchange.peers]
 
@@ -145,6 +156,8 @@
         for effect in effects:
             if isinstance(effect, ToPeer):
                 self.port.send(effect)
+            elif isinstance(effect, ToHome):
+                self._homes.send(effect)
             elif isinstance(effect, StartCall):
                 self._start_call(effect)
             else:
--- a/packages/core/src/buckthornpond_core/_generated/events.py
+++ b/packages/core/src/buckthornpond_core/_generated/events.py
@@ -32,6 +32,13 @@
     output_tokens: Annotated[int, Meta(ge=0)]
     time_limit_ms: Annotated[int, Meta(ge=0)]
     body: bytes
+    deadline_wall_ms: Annotated[
+        int,
+        Meta(
+            description='Deadline on the wall clock in milliseconds since 1970, set for requests with a key.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class Consumed(Struct):
--- a/packages/core/src/buckthornpond_core/_generated/inventory.py
+++ b/packages/core/src/buckthornpond_core/_generated/inventory.py
@@ -74,6 +74,16 @@
     target: Target
 
 
+class FormerInstance(StrictRecord):
+    """
+    An instance, or an earlier address of one, that left services and may still run.
+    """
+
+    name: Annotated[str, Meta(pattern='^[a-z0-9][a-z0-9-]*$')]
+    agent_address: Annotated[str, Meta(pattern='^[0-9.]+:[0-9]+$')]
+    services: Annotated[list[str], Meta(description='Services that it left.')]
+
+
 class Service(StrictRecord):
     """
     A model or a plain service, with the instances that serve it.
@@ -99,6 +109,27 @@
             description='Version that the engines are ordered to load; empty for none.'
         ),
     ] = ''
+    clock_skew_ms: Annotated[
+        int,
+        Meta(
+            description='Largest difference between the wall clocks of callers and instances.',
+            ge=0,
+            le=600000,
+        ),
+    ] = 2000
+    joining_instances: Annotated[
+        list[str],
+        Meta(
+            description='Instances that joined lately; keys that they take over are fenced at those they came from.'
+        ),
+    ] = field(default_factory=list)
+    settle_ms: Annotated[
+        int,
+        Meta(
+            description='Longest time for which a process may act on an inventory that was replaced.',
+            ge=0,
+        ),
+    ] = 7200000
 
 
 class Organisation(StrictRecord):
@@ -121,6 +152,10 @@
     instances: list[Instance]
     services: list[Service]
     organisations: list[Organisation]
+    former_instances: Annotated[
+        list[FormerInstance],
+        Meta(description='Instances that left services and may still run.'),
+    ] = field(default_factory=list)
 
 
 class Rules(StrictRecord):
--- a/packages/core/src/buckthornpond_core/_generated/messages.py
+++ b/packages/core/src/buckthornpond_core/_generated/messages.py
@@ -123,6 +123,13 @@
     credit_bytes: Annotated[int, Meta(ge=0)]
     configuration: ConfigurationVersion
     body: bytes
+    deadline_wall_ms: Annotated[
+        int,
+        Meta(
+            description='Deadline on the wall clock in milliseconds since 1970, set for requests with a key.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class Accepted(Struct):
@@ -197,6 +204,9 @@
     """
 
     attempt_id: str
+    agent_incarnation: Annotated[
+        str, Meta(description='Incarnation that the attempt was addressed to.')
+    ]
     service: str
     idempotency_key: str
 
@@ -216,8 +226,12 @@
     """
 
     service: str
+    organisation: str
     idempotency_key: str
     configuration: ConfigurationVersion
+    retention_ms: Annotated[
+        int, Meta(description='How long the key stays barred.', ge=0)
+    ]
 
 
 class FenceReply(Struct):
@@ -226,9 +240,11 @@
     """
 
     service: str
+    organisation: str
     idempotency_key: str
     state: KeyState
     agent_incarnation: str
+    configuration: ConfigurationVersion
 
 
 class DocumentName(StrEnum):
--- a/packages/core/src/buckthornpond_core/_generated/settings.py
+++ b/packages/core/src/buckthornpond_core/_generated/settings.py
@@ -131,3 +131,26 @@
     max_queued_count: Annotated[int, Meta(ge=0, le=100000)] = 128
     max_frame_bytes: Annotated[int, Meta(ge=1024, le=1048576)] = 16384
     drain_timeout_ms: Annotated[int, Meta(ge=0, le=3600000)] = 60000
+    fence_timeout_ms: Annotated[
+        int,
+        Meta(
+            description='Longest wait for the earlier homes of an idempotency key.',
+            ge=10,
+            le=60000,
+        ),
+    ] = 1000
+    max_replay_bytes: Annotated[
+        int,
+        Meta(
+            description='Largest answer that is kept for repeated idempotency keys.',
+            ge=0,
+            le=1048576,
+        ),
+    ] = 16384
+    replay_budget_bytes: Annotated[
+        int,
+        Meta(
+            description='Bytes of all answers that are kept for repeated idempotency keys.',
+            ge=0,
+        ),
+    ] = 4194304
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -1,16 +1,17 @@
 """Decisions of an agent: admission, order, keys and the end of attempts."""
 
-from collections import OrderedDict
 from datetime import timedelta
 
 from ._generated.events import CallChunk, CallEnded, CallStarted
-from ._generated.inventory import Service, Target
+from ._generated.inventory import Target
 from ._generated.messages import (
     Accepted,
     Attempt,
     Cancel,
     Chunk,
     Credit,
+    FenceKey,
+    FenceReply,
     Final,
     Heartbeat,
     Hint,
@@ -32,17 +33,17 @@
     ToPeer,
     WireMessage,
 )
+from .fates import AttemptFates
 from .forecasts import Forecast, NoForecast
 from .journal import EventCode
-from .keys import KeyRegister
+from .keyed_attempts import KeyedAttempts, KeyStep
 from .ledger import Ledger
 from .limits import TargetLimit
-from .placement import join_key, rank_homes
 from .queueing import AdmissionOrder, QueuedAttempt, TargetLoad
 from .types import Recorder
 
 _QUEUE_RETRY_AFTER_MS = 200
-_FENCE_CAPACITY = 100_000
+_DETACHED_CREDIT_BYTES = 1 << 24
 
 
 class AgentLimits:
@@ -70,6 +71,7 @@
     __slots__ = (
         'chunk_count',
         'is_cancelled',
+        'is_detached',
         'is_prefilling',
         'peer',
         'queued',
@@ -81,6 +83,16 @@
         self.chunk_count = 0
         self.is_cancelled = False
         self.is_prefilling = True
+        self.is_detached = False
+
+    def outlives_caller(self, now: timedelta) -> bool:
+        """Tell whether the call goes on for callers that repeat its key."""
+        attempt = self.queued.attempt
+        return (
+            bool(attempt.idempotency_key)
+            and not attempt.is_idempotent
+            and self.queued.deadline > now
+        )
 
 
 class Admission:
@@ -92,11 +104,11 @@
 
     __slots__ = (
         '_configuration',
-        '_fenced',
+        '_fates',
         '_forecast',
         '_incarnation',
         '_instance',
-        '_keys',
+        '_keyed',
         '_ledger',
         '_limit',
         '_limits',
@@ -118,7 +130,7 @@
         limits: AgentLimits,
         limit: TargetLimit,
         order: AdmissionOrder,
-        keys: KeyRegister,
+        keyed: KeyedAttempts,
         recorder: Recorder,
         forecast: Forecast | None = None,
     ) -> None:
@@ -128,21 +140,22 @@
         self._limits = limits
         self._limit = limit
         self._order = order
-        self._keys = keys
+        self._keyed = keyed
         self._recorder = recorder
         self._forecast = forecast or NoForecast()
         self._target = Target(address='0.0.0.0:0')
         self._ledger = Ledger()
         self._queue: dict[str, tuple[str, QueuedAttempt]] = {}
         self._running: dict[str, _Running] = {}
-        self._fenced: OrderedDict[str, None] = OrderedDict()
+        self._fates = AttemptFates()
         self._peers: dict[str, timedelta] = {}
         self.is_stopping = False
 
     @property
     def held_count(self) -> int:
         """Return the number of attempts that wait or run."""
-        return len(self._queue) + len(self._running)
+        held_count = len(self._queue) + len(self._running)
+        return held_count + self._keyed.waiting_count
 
     @property
     def reserved_tokens(self) -> int:
@@ -158,8 +171,12 @@
             return TargetPhase.draining
         return TargetPhase.cold if self._limit.is_cold else TargetPhase.warm
 
-    def follow_configuration(self) -> None:
-        """Take up the bounds that the inventory gives the target."""
+    def follow_configuration(self, now: timedelta) -> None:
+        """Take up the documents in force.
+
+        :param now: time on the monotonic clock.
+        """
+        self._keyed.follow_configuration(now)
         instance = self._configuration.instances.get(self._instance)
         if instance is not None:
             self._target = instance.target
@@ -174,12 +191,15 @@
         message: WireMessage,
         now: timedelta,
     ) -> list[AgentEffect]:
-        """Take a message from an entry.
+        """Take a message from an entry or another agent.
 
-        :param peer: incarnation of the entry.
+        :param peer: incarnation of the sender, or address of an agent that
+            answers.
         :param message: what it sent.
         :param now: time of receipt on the monotonic clock.
         """
+        if isinstance(message, FenceKey | FenceReply):
+            return self._follow(self._keyed.receive(peer, message, now), now)
         self._peers[peer] = now
         if isinstance(message, Heartbeat):
             return [ToPeer(peer, self.hint())]
@@ -190,7 +210,7 @@
         if isinstance(message, Cancel):
             return self._cancel(message.attempt_id, now)
         if isinstance(message, Query):
-            return [ToPeer(peer, self._answer_query(message))]
+            return [ToPeer(peer, self._answer_query(message, now))]
         self._recorder.count('unexpected_messages', type(message).__name__)
         return []
 
@@ -207,6 +227,7 @@
         running = self._running.get(message.attempt_id)
         if running is None:
             return []
+        self._keyed.record_call(message, now)
         if isinstance(message, CallStarted):
             started = Started(
                 attempt_id=message.attempt_id,
@@ -233,17 +254,14 @@
         :param now: time on the monotonic clock.
         """
         effects: list[AgentEffect] = []
-        self._keys.expire(now)
-        oldest = now - self._limits.peer_timeout
-        dead = {peer for peer, seen in self._peers.items() if seen < oldest}
-        for peer in dead:
-            self._peers.pop(peer)
-            self._recorder.log(EventCode.entry_silent, entry=peer)
+        self._fates.expire(now)
+        dead = self._drop_dead(now)
+        effects.extend(self._follow(self._keyed.tick(dead, now), now))
         for attempt_id, (peer, queued) in list(self._queue.items()):
             if peer in dead:
-                self._queue.pop(attempt_id)
-            elif queued.deadline <= now:
-                self._queue.pop(attempt_id)
+                self._drop_queued(attempt_id)
+            elif queued.is_due(now):
+                self._drop_queued(attempt_id)
                 refused = self._refuse(attempt_id, 'deadline_exceeded')
                 effects.append(ToPeer(peer, refused))
         for attempt_id, running in list(self._running.items()):
@@ -267,6 +285,14 @@
             configuration=self._configuration.version,
         )
 
+    def _drop_dead(self, now: timedelta) -> set[str]:
+        oldest = now - self._limits.peer_timeout
+        dead = {peer for peer, seen in self._peers.items() if seen < oldest}
+        for peer in dead:
+            self._peers.pop(peer)
+            self._recorder.log(EventCode.entry_silent, entry=peer)
+        return dead
+
     def _admit(
         self,
         peer: str,
@@ -283,15 +309,25 @@
             refused.retry_after_ms = excess
             return [ToPeer(peer, refused)]
         service = self._configuration.services[attempt.service]
-        if attempt.idempotency_key:
-            refusal = self._claim_key(attempt, service, now)
-            if refusal is not None:
-                return [ToPeer(peer, refusal)]
         deadline = now + timedelta(milliseconds=attempt.remaining_ms)
         queued = QueuedAttempt(attempt, now, deadline)
-        self._queue[attempt.attempt_id] = (peer, queued)
-        accepted = Accepted(attempt_id=attempt.attempt_id)
-        return [ToPeer(peer, accepted), *self._start_waiting(now)]
+        if attempt.idempotency_key:
+            step = self._keyed.admit(peer, queued, service, now)
+            return self._follow(step, now)
+        return [*self._enqueue(peer, queued), *self._start_waiting(now)]
+
+    def _follow(self, step: KeyStep, now: timedelta) -> list[AgentEffect]:
+        effects = step.effects
+        for peer, queued in step.ready:
+            effects.extend(self._enqueue(peer, queued))
+        if step.ready:
+            effects.extend(self._start_waiting(now))
+        return effects
+
+    def _enqueue(self, peer: str, queued: QueuedAttempt) -> list[AgentEffect]:
+        attempt_id = queued.attempt.attempt_id
+        self._queue[attempt_id] = peer, queued
+        return [ToPeer(peer, Accepted(attempt_id=attempt_id))]
 
     def _find_refusal(self, attempt: Attempt) -> str:
         total_tokens = attempt.prompt_tokens + attempt.output_tokens
@@ -301,7 +337,7 @@
                 'stale_incarnation',
                 attempt.agent_incarnation != self._incarnation,
             ),
-            ('attempt_fenced', attempt.attempt_id in self._fenced),
+            ('attempt_fenced', self._fates.is_known(attempt.attempt_id)),
             ('attempt_repeated', self._is_held(attempt.attempt_id)),
             ('agent_leaving', self.is_stopping),
             ('target_draining', self.phase is TargetPhase.draining),
@@ -328,23 +364,11 @@
         return expected // timedelta(milliseconds=1)
 
     def _is_held(self, attempt_id: str) -> bool:
-        return attempt_id in self._queue or attempt_id in self._running
-
-    def _claim_key(
-        self,
-        attempt: Attempt,
-        service: Service,
-        now: timedelta,
-    ) -> Refused | None:
-        key = join_key(service.name, attempt.idempotency_key)
-        if rank_homes(key, service.instances)[0] != self._instance:
-            return self._refuse_unknown(attempt.attempt_id, 'wrong_home')
-        window = timedelta(milliseconds=service.retry_window_ms)
-        state = self._keys.find(key, window, now)
-        if state is None:
-            self._keys.record(key, KeyState.running, window, now)
-            return None
-        return self._refuse_unknown(attempt.attempt_id, f'key_{state}')
+        return (
+            attempt_id in self._queue
+            or attempt_id in self._running
+            or self._keyed.is_waiting(attempt_id)
+        )
 
     def _refuse(self, attempt_id: str, reason: str) -> Refused:
         self._recorder.count('refusals', reason)
@@ -366,24 +390,38 @@
         return [GrantCall(credit.attempt_id, credit.credit_bytes)]
 
     def _cancel(self, attempt_id: str, now: timedelta) -> list[AgentEffect]:
-        waiting = self._queue.pop(attempt_id, None)
-        if waiting is not None:
-            self._settle_key(waiting[1].attempt, KeyState.fenced, now)
+        if attempt_id in self._queue or self._keyed.is_waiting(attempt_id):
+            self._drop_queued(attempt_id)
             return []
         running = self._running.get(attempt_id)
         if running is None or running.is_cancelled:
             return []
+        if running.outlives_caller(now):
+            return self._detach(running)
         running.is_cancelled = True
         return [CancelCall(attempt_id)]
 
-    def _answer_query(self, query: Query) -> QueryReply:
+    def _detach(self, running: _Running) -> list[AgentEffect]:
+        if running.is_detached:
+            return []
+        running.is_detached = True
+        attempt_id = running.queued.attempt.attempt_id
+        return [GrantCall(attempt_id, _DETACHED_CREDIT_BYTES)]
+
+    def _drop_queued(self, attempt_id: str) -> None:
+        self._queue.pop(attempt_id, None)
+        self._keyed.withdraw(attempt_id)
+
+    def _answer_query(self, query: Query, now: timedelta) -> QueryReply:
         attempt_id = query.attempt_id
-        state = KeyState.running
-        if not self._is_held(attempt_id):
-            state = KeyState.fenced
-            self._fenced[attempt_id] = None
-            if len(self._fenced) > _FENCE_CAPACITY:
-                self._fenced.popitem(last=False)
+        if query.agent_incarnation != self._incarnation:
+            # An earlier incarnation may have run it.
+            return QueryReply(attempt_id=attempt_id, state=KeyState.unknown)
+        if attempt_id in self._running:
+            return QueryReply(attempt_id=attempt_id, state=KeyState.running)
+        if self._is_held(attempt_id):
+            self._drop_queued(attempt_id)
+        state = self._fates.fence(attempt_id, now)
         return QueryReply(attempt_id=attempt_id, state=state)
 
     def _tell(
@@ -391,7 +429,7 @@
         running: _Running,
         message: WireMessage,
     ) -> list[AgentEffect]:
-        if running.is_cancelled:
+        if running.is_cancelled or running.is_detached:
             return []
         return [ToPeer(running.peer, message)]
 
@@ -401,22 +439,21 @@
         ended: CallEnded,
         now: timedelta,
     ) -> list[AgentEffect]:
-        attempt = running.queued.attempt
         self._running.pop(ended.attempt_id)
         self._forecast.record_end(
             ended.attempt_id,
-            0 if ended.error else attempt.output_tokens,
+            0 if ended.error else running.queued.attempt.output_tokens,
             now,
         )
         tokens = self._ledger.release(ended.attempt_id)
         effects: list[AgentEffect] = []
+        self._fates.record_end(running.queued, ended)
         if ended.error:
-            state = KeyState.unknown if ended.is_sent else KeyState.fenced
-            self._settle_key(attempt, state, now)
-            effects.extend(self._tell(running, self._report_failure(ended)))
+            effects.extend(
+                self._tell(running, self._report_failure(running, ended))
+            )
         else:
             self._limit.record_success(tokens)
-            self._settle_key(attempt, KeyState.done, now)
             final = Final(
                 attempt_id=ended.attempt_id,
                 chunk_count=running.chunk_count,
@@ -425,26 +462,11 @@
         effects.extend(self._start_waiting(now))
         return effects
 
-    def _report_failure(self, ended: CallEnded) -> Refused:
-        if ended.is_sent:
+    def _report_failure(self, running: _Running, ended: CallEnded) -> Refused:
+        if ended.is_sent or running.queued.attempt.idempotency_key:
             return self._refuse_unknown(ended.attempt_id, ended.error)
         return self._refuse(ended.attempt_id, ended.error)
 
-    def _settle_key(
-        self,
-        attempt: Attempt,
-        state: KeyState,
-        now: timedelta,
-    ) -> None:
-        if not attempt.idempotency_key:
-            return
-        service = self._configuration.services.get(attempt.service)
-        if service is None:
-            return
-        window = timedelta(milliseconds=service.retry_window_ms)
-        key = join_key(attempt.service, attempt.idempotency_key)
-        self._keys.record(key, state, window, now)
-
     def _start_waiting(self, now: timedelta) -> list[AgentEffect]:
         effects: list[AgentEffect] = []
         while self._queue and self._has_slot():
--- a/packages/core/src/buckthornpond_core/configuration.py
+++ b/packages/core/src/buckthornpond_core/configuration.py
@@ -52,9 +52,25 @@
             for name in service.instances
             if name not in known
         )
+    problems.extend(_find_serving_former(inventory))
     return problems
 
 
+def _find_serving_former(inventory: Inventory) -> list[str]:
+    addresses = {each.name: each.agent_address for each in inventory.instances}
+    serving = {
+        (service.name, addresses.get(name))
+        for service in inventory.services
+        for name in service.instances
+    }
+    return [
+        f'former_instances.{each.name}.agent_address: still serves {service!r}'
+        for each in inventory.former_instances
+        for service in each.services
+        if (service, each.agent_address) in serving
+    ]
+
+
 def find_rules_problems(rules: Rules) -> list[str]:
     """Return every repeated name of a rules document.
 
@@ -214,6 +230,22 @@
             or instance.availability_zone in self._draining_zones
         )
 
+    def find_home_instances(self, service: Service) -> list[str]:
+        """Return the instances among which a service's keys are spread.
+
+        Only versioned documents count, so that processes with the same
+        versions agree.
+
+        :param service: a service of the inventory in force.
+        """
+        return [
+            name
+            for name in service.instances
+            if name not in self._draining_instances
+            and self.instances[name].availability_zone
+            not in self._draining_zones
+        ]
+
     def is_behind(self, version: ConfigurationVersion) -> bool:
         """Tell whether a peer has a newer document than this process.
 
--- a/packages/core/src/buckthornpond_core/effects.py
+++ b/packages/core/src/buckthornpond_core/effects.py
@@ -59,6 +59,19 @@
         self.message = message
 
 
+class ToHome:
+    """Send a message to the agent at an address.
+
+    :param address: IP number and port of the agent.
+    """
+
+    __slots__ = ('address', 'message')
+
+    def __init__(self, address: str, message: FenceKey) -> None:
+        self.address = address
+        self.message = message
+
+
 class ToCaller:
     """Hand part of an answer to the task that serves a caller."""
 
@@ -124,4 +137,4 @@
 
 
 RouterEffect: TypeAlias = ToPeer | ToCaller
-AgentEffect: TypeAlias = ToPeer | StartCall | GrantCall | CancelCall
+AgentEffect: TypeAlias = ToPeer | ToHome | StartCall | GrantCall | CancelCall
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/key_homes.py
@@ -0,0 +1,354 @@
+"""Home of idempotency keys that fences each earlier home."""
+
+from datetime import datetime, timedelta
+
+from ._generated.messages import (
+    ConfigurationVersion,
+    FenceKey,
+    FenceReply,
+    KeyState,
+)
+from .claims import (
+    AskHomes,
+    KeyClaim,
+    KeyVerdict,
+    RefuseKey,
+    ReplayKey,
+    RunKey,
+)
+from .configuration import Configuration
+from .homes import Home, HomeDirectory
+from .key_times import Barrier, KeyTimes
+from .keys import KeyRecord, KeyRegister, RecordedAnswer
+from .placement import find_home, join_key
+
+
+class KeyLimits:
+    """Bounds of a home of keys.
+
+    :param fence_timeout: longest wait for earlier homes.
+    :param max_replay_bytes: largest answer that is kept.
+    :param replay_budget_bytes: the most bytes of all answers kept.
+    """
+
+    __slots__ = ('fence_timeout', 'max_replay_bytes', 'replay_budget_bytes')
+
+    def __init__(
+        self,
+        *,
+        fence_timeout: timedelta,
+        max_replay_bytes: int,
+        replay_budget_bytes: int,
+    ) -> None:
+        self.fence_timeout = fence_timeout
+        self.max_replay_bytes = max_replay_bytes
+        self.replay_budget_bytes = replay_budget_bytes
+
+
+class _PendingClaim:
+    """A claim that waits for answers of earlier homes."""
+
+    __slots__ = ('answered', 'claim', 'deadline', 'waiting')
+
+    def __init__(self, claim: KeyClaim, deadline: timedelta) -> None:
+        self.claim = claim
+        self.deadline = deadline
+        self.answered: set[str] = set()
+        self.waiting: list[str] = []
+
+
+class FencingKeyHome:
+    """Runs a key at most once across restarts and moves of its home.
+
+    A key runs here when this instance is its home, when it cannot predate
+    this incarnation, and when each earlier home has barred it or cannot
+    have run it.
+
+    :param instance: the agent's instance.
+    :param configuration: what is in force.
+    :param times: clocks, started with the incarnation.
+    :param limits: bounds on time and memory.
+    """
+
+    __slots__ = (
+        '_configuration',
+        '_directory',
+        '_fence_timeout',
+        '_instance',
+        '_pending',
+        '_register',
+        '_start',
+        '_times',
+    )
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        configuration: Configuration,
+        times: KeyTimes,
+        limits: KeyLimits,
+    ) -> None:
+        self._instance = instance
+        self._configuration = configuration
+        self._times = times
+        self._fence_timeout = limits.fence_timeout
+        self._register = KeyRegister(
+            max_replay_bytes=limits.max_replay_bytes,
+            replay_budget_bytes=limits.replay_budget_bytes,
+        )
+        self._start = times.barrier()
+        self._directory = HomeDirectory(instance, configuration)
+        self._pending: dict[str, _PendingClaim] = {}
+
+    @property
+    def key_count(self) -> int:
+        """Return the number of keys held."""
+        return len(self._register)
+
+    @property
+    def replay_bytes(self) -> int:
+        """Return the bytes of the answers kept."""
+        return self._register.replay_bytes
+
+    def find_state(self, key: str) -> KeyState | None:
+        """Return what is recorded of a key.
+
+        :param key: what :func:`join_key` returned.
+        """
+        record = self._register.find(key)
+        return None if record is None else record.state
+
+    def follow_configuration(self, now: timedelta) -> None:
+        """Take up the documents in force."""
+        self._times.observe(now)
+        self._directory.follow_configuration(self._times.barrier())
+
+    def claim(self, claim: KeyClaim, now: timedelta) -> KeyVerdict:
+        """Decide on an attempt."""
+        self._times.observe(now)
+        if not self._is_home(claim):
+            return RefuseKey(claim, 'wrong_home')
+        if self._is_overdue(claim):
+            return RefuseKey(claim, 'deadline_exceeded')
+        if claim.key in self._pending:
+            return RefuseKey(claim, 'key_running')
+        record = self._register.find(claim.key)
+        if record is not None:
+            return _repeat(claim, record)
+        created = self._trust_creation(claim)
+        if created is not None and self._is_expired(claim, created):
+            return RefuseKey(claim, 'key_expired')
+        if not self._is_past(claim, self._start):
+            return RefuseKey(claim, 'key_unknown')
+        pending = _PendingClaim(claim, now + self._fence_timeout)
+        return self._advance(pending)
+
+    def withdraw(self, claim: KeyClaim) -> None:
+        """Drop the claim of an attempt that has not run and never will."""
+        pending = self._pending.get(claim.key)
+        if pending is not None:
+            if pending.claim.attempt_id == claim.attempt_id:
+                self._pending.pop(claim.key)
+            return
+        self._register.forget(claim.key)
+
+    def finish(
+        self,
+        claim: KeyClaim,
+        state: KeyState,
+        answer: RecordedAnswer | None,
+        now: timedelta,
+    ) -> None:
+        """Record how a run ended."""
+        self._times.observe(now)
+        record = self._register.record(
+            claim.key,
+            state,
+            expires=self._times.now + claim.retention,
+            digest=claim.digest,
+        )
+        if answer is not None:
+            self._register.keep_answer(record, answer)
+
+    def fence(
+        self,
+        request: FenceKey,
+        now: timedelta,
+    ) -> tuple[KeyState, list[KeyVerdict]]:
+        """Bar a key for another home, and refuse an own claim that waits."""
+        self._times.observe(now)
+        key = join_key(
+            request.service,
+            request.organisation,
+            request.idempotency_key,
+        )
+        pending = self._pending.get(key)
+        if pending is not None and self._is_newer(request):
+            return KeyState.running, []
+        record = self._register.find(key)
+        if record is not None:
+            return record.state, []
+        if not self._is_past_start(request):
+            return KeyState.unknown, []
+        self._register.record(
+            key,
+            KeyState.fenced,
+            expires=now + timedelta(milliseconds=request.retention_ms),
+        )
+        if pending is None:
+            return KeyState.fenced, []
+        self._pending.pop(key)
+        return KeyState.fenced, [RefuseKey(pending.claim, 'key_fenced')]
+
+    def take_reply(
+        self,
+        address: str,
+        reply: FenceReply,
+        now: timedelta,
+    ) -> list[KeyVerdict]:
+        """Take an earlier home's answer."""
+        self._times.observe(now)
+        self._directory.acknowledge(
+            address,
+            reply.configuration,
+            self._times.barrier(),
+        )
+        key = join_key(
+            reply.service,
+            reply.organisation,
+            reply.idempotency_key,
+        )
+        pending = self._pending.get(key)
+        if pending is None or address not in pending.waiting:
+            return []
+        if now >= pending.deadline or self._is_overdue(pending.claim):
+            self._pending.pop(key)
+            return [RefuseKey(pending.claim, 'home_unreachable')]
+        if reply.state is not KeyState.fenced:
+            self._pending.pop(key)
+            return [RefuseKey(pending.claim, f'key_{reply.state}')]
+        pending.answered.add(address)
+        pending.waiting.remove(address)
+        if pending.waiting:
+            return []
+        self._pending.pop(key)
+        if not self._is_home(pending.claim):
+            return [RefuseKey(pending.claim, 'wrong_home')]
+        return [self._advance(pending)]
+
+    def tick(self, now: timedelta) -> list[KeyVerdict]:
+        """Expire records, ask again, and refuse claims that waited too long."""
+        self._times.observe(now)
+        self._register.expire(now)
+        verdicts: list[KeyVerdict] = []
+        for key, pending in list(self._pending.items()):
+            if now >= pending.deadline:
+                self._pending.pop(key)
+                verdicts.append(RefuseKey(pending.claim, 'home_unreachable'))
+            else:
+                verdicts.append(self._ask(pending))
+        return verdicts
+
+    def _advance(self, pending: _PendingClaim) -> KeyVerdict:
+        """Run the key, or ask the earlier homes that have not answered."""
+        claim = pending.claim
+        pending.waiting = []
+        for home in self._find_doubtful(claim):
+            if self._directory.find_retirement(home) is not None:
+                return RefuseKey(claim, 'key_unknown')
+            if home.address not in pending.answered:
+                pending.waiting.append(home.address)
+        if pending.waiting:
+            self._pending[claim.key] = pending
+            return self._ask(pending)
+        self._register.record(
+            claim.key,
+            KeyState.running,
+            expires=self._times.now + claim.retention,
+            digest=claim.digest,
+        )
+        return RunKey(claim)
+
+    def _ask(self, pending: _PendingClaim) -> AskHomes:
+        claim = pending.claim
+        message = FenceKey(
+            service=claim.service.name,
+            organisation=claim.organisation,
+            idempotency_key=claim.idempotency_key,
+            configuration=self._configuration.version,
+            retention_ms=claim.retention // timedelta(milliseconds=1),
+        )
+        return AskHomes(claim, list(pending.waiting), message)
+
+    def _find_doubtful(self, claim: KeyClaim) -> list[Home]:
+        earlier = self._directory.find_earlier(
+            claim.service,
+            claim.key,
+            self._times.now,
+        )
+        return [home for home in earlier if not self._is_excluded(claim, home)]
+
+    def _is_excluded(self, claim: KeyClaim, home: Home) -> bool:
+        barriers = (
+            self._directory.find_retirement(home),
+            self._directory.find_acknowledgement(claim.service, home),
+        )
+        return any(
+            barrier is not None and self._is_past(claim, barrier)
+            for barrier in barriers
+        )
+
+    def _is_home(self, claim: KeyClaim) -> bool:
+        service = self._configuration.services.get(claim.service.name)
+        if service is None or self._instance not in service.instances:
+            return False
+        names = self._configuration.find_home_instances(service)
+        return bool(names) and find_home(claim.key, names) == self._instance
+
+    def _is_newer(self, request: FenceKey) -> bool:
+        return _rank_version(self._configuration.version) > _rank_version(
+            request.configuration,
+        )
+
+    def _trust_creation(self, claim: KeyClaim) -> datetime | None:
+        return self._times.trust_creation(claim.idempotency_key, claim.skew)
+
+    def _is_expired(self, claim: KeyClaim, created: datetime) -> bool:
+        return created + claim.window + claim.skew < self._times.wall
+
+    def _is_overdue(self, claim: KeyClaim) -> bool:
+        return self._times.is_overdue(claim.deadline_wall_ms, claim.skew)
+
+    def _is_past(self, claim: KeyClaim, barrier: Barrier) -> bool:
+        return self._times.is_past(
+            barrier,
+            self._trust_creation(claim),
+            retention=claim.retention,
+            skew=claim.skew,
+        )
+
+    def _is_past_start(self, request: FenceKey) -> bool:
+        service = self._configuration.services.get(request.service)
+        if service is None:
+            retention = timedelta(milliseconds=request.retention_ms)
+            return self._times.now - self._start.moment >= retention
+        claim = KeyClaim(
+            '',
+            service,
+            request.organisation,
+            request.idempotency_key,
+        )
+        return self._is_past(claim, self._start)
+
+
+def _rank_version(version: ConfigurationVersion) -> tuple[int, int]:
+    return version.inventory_version, version.rules_version
+
+
+def _repeat(claim: KeyClaim, record: KeyRecord) -> KeyVerdict:
+    if record.digest and record.digest != claim.digest:
+        return RefuseKey(claim, 'key_reused')
+    if record.answer is not None:
+        return ReplayKey(claim, record.answer)
+    return RefuseKey(claim, f'key_{record.state}')
--- a/packages/core/src/buckthornpond_core/keys.py
+++ b/packages/core/src/buckthornpond_core/keys.py
@@ -5,77 +5,137 @@
 
 from ._generated.messages import KeyState
 
+_RUNNING_RETENTION = timedelta(minutes=1)
 
-class _KeyRecord:
-    __slots__ = ('expires', 'state')
 
-    def __init__(self, state: KeyState, expires: timedelta) -> None:
+class RecordedAnswer:
+    """Answer of a target, kept for callers that repeat a key.
+
+    :param status_code: HTTP status.
+    :param content_type: media type of the body.
+    :param body: whole body.
+    """
+
+    __slots__ = ('body', 'content_type', 'status_code')
+
+    def __init__(
+        self, status_code: int, content_type: str, body: bytes
+    ) -> None:
+        self.status_code = status_code
+        self.content_type = content_type
+        self.body = body
+
+
+class KeyRecord:
+    """What a home knows of one key.
+
+    :param state: whether it runs, ran or is barred.
+    :param digest: digest of the request that used it first.
+    :param expires: when the retry window ends, on the monotonic clock.
+    """
+
+    __slots__ = ('answer', 'digest', 'expires', 'state')
+
+    def __init__(
+        self,
+        state: KeyState,
+        digest: int,
+        expires: timedelta,
+    ) -> None:
         self.state = state
+        self.digest = digest
         self.expires = expires
+        self.answer: RecordedAnswer | None = None
 
 
 class KeyRegister:
-    """What one incarnation of an agent knows of idempotency keys.
-
-    A key that may predate this incarnation is unknown until the retry
-    window has passed since the start.
+    """Records of idempotency keys of one incarnation of an agent.
 
-    :param started: start of the incarnation on the monotonic clock.
+    :param max_replay_bytes: largest body that is kept.
+    :param replay_budget_bytes: the most bytes of all bodies.
     """
 
-    __slots__ = ('_records', '_started')
+    __slots__ = (
+        '_max_replay_bytes',
+        '_records',
+        '_replay_budget_bytes',
+        'replay_bytes',
+    )
 
-    def __init__(self, started: timedelta) -> None:
-        self._started = started
-        self._records: OrderedDict[str, _KeyRecord] = OrderedDict()
+    def __init__(
+        self,
+        *,
+        max_replay_bytes: int,
+        replay_budget_bytes: int,
+    ) -> None:
+        self._records: OrderedDict[str, KeyRecord] = OrderedDict()
+        self._max_replay_bytes = max_replay_bytes
+        self._replay_budget_bytes = replay_budget_bytes
+        self.replay_bytes = 0
 
     def __len__(self) -> int:
         """Return the number of keys held."""
         return len(self._records)
 
-    def find(
-        self,
-        key: str,
-        window: timedelta,
-        now: timedelta,
-    ) -> KeyState | None:
-        """Return the state of a key, or nothing for one that never ran.
+    def find(self, key: str) -> KeyRecord | None:
+        """Return the record of a key, or nothing.
 
         :param key: service and idempotency key.
-        :param window: how long callers may retry a key.
-        :param now: time on the monotonic clock.
         """
-        record = self._records.get(key)
-        if record is not None:
-            return record.state
-        if now - self._started < window:
-            return KeyState.unknown
-        return None
+        return self._records.get(key)
 
     def record(
         self,
         key: str,
         state: KeyState,
-        window: timedelta,
-        now: timedelta,
-    ) -> None:
-        """Set the state of a key for one more retry window.
+        *,
+        expires: timedelta,
+        digest: int = 0,
+    ) -> KeyRecord:
+        """Set the state of a key.
 
         :param key: service and idempotency key.
         :param state: its new state.
-        :param window: how long callers may retry a key.
-        :param now: time on the monotonic clock.
+        :param expires: when the retry window ends, on the monotonic clock.
+        :param digest: digest of the request that uses it.
+        """
+        self.forget(key)
+        record = KeyRecord(state, digest, expires)
+        self._records[key] = record
+        return record
+
+    def keep_answer(self, record: KeyRecord, answer: RecordedAnswer) -> None:
+        """Keep an answer unless it is too large or the budget is spent.
+
+        :param record: the record of the key.
+        :param answer: what the target answered.
+        """
+        length_bytes = len(answer.body)
+        free_bytes = self._replay_budget_bytes - self.replay_bytes
+        if length_bytes <= min(self._max_replay_bytes, free_bytes):
+            record.answer = answer
+            self.replay_bytes += length_bytes
+
+    def forget(self, key: str) -> None:
+        """Drop the record of a key that did not run.
+
+        :param key: service and idempotency key.
         """
-        self._records[key] = _KeyRecord(state, now + window)
-        self._records.move_to_end(key)
+        record = self._records.pop(key, None)
+        if record is not None and record.answer is not None:
+            self.replay_bytes -= len(record.answer.body)
 
     def expire(self, now: timedelta) -> None:
-        """Forget keys whose retry window has passed.
+        """Drop keys whose retry window has passed.
 
         :param now: time on the monotonic clock.
         """
         while self._records:
             key, record = next(iter(self._records.items()))
-            if record.state is KeyState.running or record.expires > now:
-                return
-            self._records.pop(key)
+            if record.expires > now:
+                break
+            if record.state is KeyState.running:
+                self._records.move_to_end(key)
+                record.expires = now + _RUNNING_RETENTION
+            else:
+                self.forget(key)
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -180,13 +180,14 @@
     return view.backlog_tokens
 
 
-def join_key(service: str, idempotency_key: str) -> str:
-    """Return the key of a request, unique over all services.
+def join_key(service: str, organisation: str, idempotency_key: str) -> str:
+    """Return the key of a request, unique over services and organisations.
 
     :param service: name of the service, which holds no slash.
+    :param organisation: name of the caller's organisation, without one too.
     :param idempotency_key: what the caller sent.
     """
-    return f'{service}/{idempotency_key}'
+    return f'{service}/{organisation}/{idempotency_key}'
 
 
 def rank_homes(key: str, instances: Sequence[str]) -> list[str]:
@@ -197,6 +198,28 @@
     """
 
     def rank(name: str) -> tuple[int, str]:
-        return xxh3_64_intdigest(f'{key}/{name}'.encode()), name
+        return rank_home(key, name)
 
     return sorted(instances, key=rank, reverse=True)
+
+
+def find_home(key: str, instances: Sequence[str]) -> str:
+    """Return the instance that runs a key.
+
+    :param key: what :func:`join_key` returned.
+    :param instances: names among which keys are spread, never empty.
+    """
+
+    def rank(name: str) -> tuple[int, str]:
+        return rank_home(key, name)
+
+    return max(instances, key=rank)
+
+
+def rank_home(key: str, instance: str) -> tuple[int, str]:
+    """Return the rank of an instance among the homes of a key.
+
+    :param key: what :func:`join_key` returned.
+    :param instance: name of the instance.
+    """
+    return xxh3_64_intdigest(f'{key}/{instance}'.encode()), instance
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -14,7 +14,10 @@
     Final,
     Heartbeat,
     Hint,
+    KeyState,
     Outcome,
+    Query,
+    QueryReply,
     Refused,
     Started,
 )
@@ -28,6 +31,17 @@
 _RETRY_BASE_MS = 20
 _RETRY_CAP_MS = 500
 _OVERLOAD_RETRY_AFTER_MS = 1000
+_QUERY_MARGIN_MS = 250
+_KEY_REASONS = frozenset(
+    (
+        'key_done',
+        'key_expired',
+        'key_fenced',
+        'key_reused',
+        'key_running',
+        'key_unknown',
+    ),
+)
 
 
 class RouterLimits:
@@ -64,10 +78,12 @@
     """State of one held request."""
 
     __slots__ = (
+        'agent_incarnation',
         'attempt_count',
         'attempt_id',
         'deadline',
         'instance',
+        'is_fate_asked',
         'is_proven_not_run',
         'is_started',
         'next_sequence',
@@ -81,7 +97,9 @@
         self.deadline = deadline
         self.attempt_count = 0
         self.attempt_id = ''
+        self.agent_incarnation = ''
         self.instance = ''
+        self.is_fate_asked = False
         self.is_proven_not_run = True
         self.is_started = False
         self.next_sequence = 0
@@ -90,11 +108,32 @@
 
     @property
     def outcome(self) -> Outcome:
-        """Return what is proven of the request's execution."""
+        """Return what is proven of the request's execution.
+
+        Of a key nothing is proven here: an earlier request may have run it.
+        """
+        if self.submission.idempotency_key:
+            return Outcome.outcome_unknown
         if self.is_proven_not_run and not self.attempt_id:
             return Outcome.not_run
         return Outcome.outcome_unknown
 
+    @property
+    def needs_fate(self) -> bool:
+        """Tell whether only the agent can say if the request may run again."""
+        return not (
+            self.submission.is_idempotent
+            or self.submission.idempotency_key
+            or self.is_started
+        )
+
+    @property
+    def query_time(self) -> timedelta:
+        """Return when the fate of an attempt in flight has to be asked."""
+        time_limit = timedelta(milliseconds=self.submission.time_limit_ms)
+        margin = timedelta(milliseconds=_QUERY_MARGIN_MS)
+        return self.deadline - min(margin, time_limit / 4)
+
     @property
     def total_tokens(self) -> int:
         """Return the tokens that the request may hold at an engine."""
@@ -103,6 +142,8 @@
     def forget_attempt(self) -> None:
         """End the current attempt."""
         self.attempt_id = ''
+        self.agent_incarnation = ''
+        self.is_fate_asked = False
         self.instance = ''
 
 
@@ -203,6 +244,8 @@
             return []
         if isinstance(message, Refused):
             return self._take_refusal(instance, message, now)
+        if isinstance(message, QueryReply):
+            return self._take_fate(instance, message, now)
         if isinstance(message, Started | Chunk | Final):
             return self._take_answer(instance, message, now)
         return []
@@ -236,7 +279,9 @@
         return self._drop(request, 'caller_gone')
 
     def lose_agent(self, instance: str, now: timedelta) -> list[RouterEffect]:
-        """Fail over every request that the lost agent held.
+        """Fail over the requests that the lost agent held.
+
+        A request that may not run twice waits until the agent can be asked.
 
         :param instance: instance of the agent that fell silent.
         :param now: time on the monotonic clock.
@@ -247,7 +292,10 @@
             view.last_heard = None
         effects: list[RouterEffect] = []
         for request in self._held_by(instance):
-            effects.extend(self._take_loss(request, 'agent_lost', now))
+            if request.needs_fate and request.is_proven_not_run:
+                request.is_fate_asked = False
+            else:
+                effects.extend(self._take_loss(request, 'agent_lost', now))
         return effects
 
     def tick(self, now: timedelta) -> list[RouterEffect]:
@@ -302,6 +350,8 @@
     ) -> list[RouterEffect]:
         if now >= request.deadline:
             return self._fail(request, 'deadline_exceeded')
+        if request.attempt_id and now >= request.query_time:
+            return _ask_fate(request, self._agents.get(request.instance))
         if request.retry_at is None or now < request.retry_at:
             return []
         request.retry_at = None
@@ -341,9 +391,13 @@
         if request.submission.idempotency_key:
             home_key = join_key(
                 service.name,
+                request.submission.organisation,
                 request.submission.idempotency_key,
             )
-            names = rank_homes(home_key, service.instances)[:1]
+            names = rank_homes(
+                home_key,
+                self._configuration.find_home_instances(service),
+            )[:1]
         for name in names:
             view = self._agents.get(name)
             if view is None or not view.is_open or name in request.tried:
@@ -391,6 +445,7 @@
             f'{self._incarnation}/{submission.request_number}'
             f'/{request.attempt_count}'
         )
+        request.agent_incarnation = view.incarnation
         request.next_sequence = 0
         request.tried.add(view.instance)
         view.pending_tokens += request.total_tokens
@@ -410,6 +465,7 @@
             is_stream=submission.is_stream,
             prompt_tokens=submission.prompt_tokens,
             output_tokens=submission.output_tokens,
+            deadline_wall_ms=submission.deadline_wall_ms,
             remaining_ms=max(0, remaining // timedelta(milliseconds=1)),
             credit_bytes=self._limits.stream_window_bytes,
             configuration=self._configuration.version,
@@ -424,11 +480,13 @@
         now: timedelta,
     ) -> list[RouterEffect]:
         effects: list[RouterEffect] = []
-        is_restarted = view.incarnation not in {'', hint.agent_incarnation}
+        is_back = view.hint is None
         view.update(hint, now)
-        if is_restarted:
-            for request in self._held_by(view.instance):
+        for request in self._held_by(view.instance):
+            if request.agent_incarnation != hint.agent_incarnation:
                 effects.extend(self._take_loss(request, 'agent_restarted', now))
+            elif is_back:
+                effects.extend(_ask_fate(request, view))
         return effects
 
     def _find(self, instance: str, attempt_id: str) -> _Request | None:
@@ -455,6 +513,24 @@
             request.is_proven_not_run = False
         return self._retry(request, refused.reason, now)
 
+    def _take_fate(
+        self,
+        instance: str,
+        reply: QueryReply,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        request = self._find(instance, reply.attempt_id)
+        if request is None or reply.state is KeyState.running:
+            return []
+        self._attempts.pop(request.attempt_id)
+        request.forget_attempt()
+        if reply.state is KeyState.fenced:
+            if now >= request.query_time:
+                return self._fail(request, 'deadline_exceeded')
+            return self._retry(request, 'agent_lost', now)
+        request.is_proven_not_run = False
+        return self._fail(request, 'answer_lost')
+
     def _take_loss(
         self,
         request: _Request,
@@ -477,7 +553,7 @@
             or request.submission.is_idempotent
             or bool(request.submission.idempotency_key)
         )
-        if request.is_started or not may_run_again:
+        if request.is_started or not may_run_again or reason in _KEY_REASONS:
             return self._fail(request, reason)
         if request.attempt_count >= self._limits.max_attempts:
             return self._fail(request, reason)
@@ -502,26 +578,19 @@
             request.is_started = True
             # No retry can follow, so that the body is not needed again.
             request.submission.body = b''
-            return [self._answer(request, message)]
+            return [_answer(request, message)]
         if not request.is_started:
             return self._fail(request, 'chunk_lost')
         if isinstance(message, Chunk):
             if message.sequence_number != request.next_sequence:
                 return self._fail(request, 'chunk_lost')
             request.next_sequence += 1
-            return [self._answer(request, message)]
+            return [_answer(request, message)]
         if message.chunk_count != request.next_sequence:
             return self._fail(request, 'chunk_lost')
         self._forget(request)
         self._recorder.count('requests', 'completed')
-        return [self._answer(request, message)]
-
-    def _answer(
-        self,
-        request: _Request,
-        message: AnswerMessage,
-    ) -> ToCaller:
-        return ToCaller(request.submission.request_number, message)
+        return [_answer(request, message)]
 
     def _refuse(self, request: _Request, reason: str) -> ToCaller:
         self._recorder.count('refusals', reason)
@@ -531,7 +600,7 @@
             outcome=request.outcome,
             retry_after_ms=_OVERLOAD_RETRY_AFTER_MS,
         )
-        return self._answer(request, refused)
+        return _answer(request, refused)
 
     def _fail(self, request: _Request, reason: str) -> list[RouterEffect]:
         refusal = self._refuse(request, reason)
@@ -548,3 +617,25 @@
     def _forget(self, request: _Request) -> None:
         self._attempts.pop(request.attempt_id, None)
         self._requests.pop(request.submission.request_number, None)
+
+
+def _answer(request: _Request, message: AnswerMessage) -> ToCaller:
+    return ToCaller(request.submission.request_number, message)
+
+
+def _ask_fate(
+    request: _Request,
+    view: AgentView | None,
+) -> list[RouterEffect]:
+    """Ask whether an attempt runs, and bar it if it does not."""
+    is_reachable = view is not None and view.hint is not None
+    if request.is_fate_asked or not request.needs_fate or not is_reachable:
+        return []
+    request.is_fate_asked = True
+    query = Query(
+        attempt_id=request.attempt_id,
+        agent_incarnation=request.agent_incarnation,
+        service=request.submission.service,
+        idempotency_key=request.submission.idempotency_key,
+    )
+    return [ToPeer(request.instance, query)]
--- a/packages/entry/src/buckthornpond_entry/front.py
+++ b/packages/entry/src/buckthornpond_entry/front.py
@@ -44,6 +44,7 @@
         HTTPStatus.METHOD_NOT_ALLOWED: 'method_not_allowed',
     },
 )
+_MS_PER_SECOND = 1000
 _IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
@@ -122,6 +123,14 @@
             )
         return read_time_limit(request, found.time_limit_ms)
 
+    def deadline_wall_ms(self, time_limit_ms: int) -> int:
+        """Return the deadline of a new request in milliseconds since 1970.
+
+        :param time_limit_ms: the request's time limit.
+        """
+        wall_seconds = self.clock.utcnow().timestamp()
+        return int(wall_seconds * _MS_PER_SECOND) + time_limit_ms
+
     def read_body(self, request: falcon.Request) -> bytes:
         """Return the whole body, for which memory is reserved first.
 
@@ -172,7 +181,7 @@
         if is_taken:
             self._write_answer(caller, exchange, response)
         else:
-            write_problem(response, refuse_locally('entry_full'))
+            write_problem(response, _refuse(request, 'entry_full'))
 
     def _write_answer(
         self,
@@ -234,6 +243,7 @@
         organisation = front.authorise(request)
         body = front.read_body(request)
         head = parse_completion(body, request.remote_addr)
+        time_limit_ms = front.time_limit_ms(request, head.model)
         submission = Submission(
             request_number=front.router.next_number(),
             organisation=organisation.name,
@@ -246,7 +256,8 @@
             is_stream=head.stream,
             prompt_tokens=count_prompt_tokens(head),
             output_tokens=head.max_tokens,
-            time_limit_ms=front.time_limit_ms(request, head.model),
+            time_limit_ms=time_limit_ms,
+            deadline_wall_ms=front.deadline_wall_ms(time_limit_ms),
             body=body,
         )
         front.serve(submission, request, response)
@@ -296,6 +307,7 @@
         organisation = front.authorise(req)
         path = read_raw_path(find_exchange(req).raw_path, req.remote_addr)
         body = front.read_body(req)
+        time_limit_ms = front.time_limit_ms(req, service)
         submission = Submission(
             request_number=front.router.next_number(),
             organisation=organisation.name,
@@ -308,7 +320,8 @@
             is_stream=False,
             prompt_tokens=0,
             output_tokens=0,
-            time_limit_ms=front.time_limit_ms(req, service),
+            time_limit_ms=time_limit_ms,
+            deadline_wall_ms=front.deadline_wall_ms(time_limit_ms),
             body=body,
         )
         front.serve(submission, req, resp)
@@ -323,13 +336,21 @@
     return exchange
 
 
+def _refuse(request: falcon.Request, reason: str) -> Refused:
+    refused = refuse_locally(reason)
+    if request.get_header('Idempotency-Key'):
+        # An earlier request may have run the key.
+        refused.outcome = Outcome.outcome_unknown
+    return refused
+
+
 def _write_refusal(
     request: falcon.Request,
     response: falcon.Response,
     error: RefusedRequestError,
     params: dict[str, Any],
 ) -> None:
-    write_problem(response, refuse_locally(error.reason), error.message)
+    write_problem(response, _refuse(request, error.reason), error.message)
 
 
 def _write_http_error(
@@ -339,7 +360,7 @@
     params: dict[str, Any],
 ) -> None:
     reason = _HTTP_REASONS.get(error.status_code, 'invalid_request')
-    write_problem(response, refuse_locally(reason), error.title or '')
+    write_problem(response, _refuse(request, reason), error.title or '')
     allowed = dict(error.headers or {}).get('Allow')
     if allowed:
         response.set_header('Allow', allowed)
--- a/packages/entry/src/buckthornpond_entry/links.py
+++ b/packages/entry/src/buckthornpond_entry/links.py
@@ -76,14 +76,16 @@
                 )
         return closed
 
-    def send(self, effect: ToPeer) -> None:
-        """Hand a message to the link of its peer.
+    def send(self, effect: ToPeer) -> bool:
+        """Hand a message to the link of its peer and tell if it took it.
 
         :param effect: the peer and the message.
         """
         link = self._links.get(effect.peer)
-        if link is None or not link.mailbox.offer(effect.message):
-            self._metrics.count('undelivered_messages', 'agent')
+        if link is not None and link.mailbox.offer(effect.message):
+            return True
+        self._metrics.count('undelivered_messages', 'agent')
+        return False
 
     def _open(self, name: str, address: str, identity: str) -> LinkTask:
         link = LinkTask(
--- a/packages/entry/src/buckthornpond_entry/tasks.py
+++ b/packages/entry/src/buckthornpond_entry/tasks.py
@@ -11,6 +11,7 @@
     Submission,
 )
 from buckthornpond_core._generated.messages import (
+    Attempt,
     Document,
     DocumentRequest,
     Hint,
@@ -24,7 +25,7 @@
 from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
-from buckthornpond_runtime.transports import Received
+from buckthornpond_runtime.transports import Received, refuse_attempt
 
 from .links import LinkPool
 
@@ -194,12 +195,19 @@
     def _apply(self, effects: list[RouterEffect]) -> None:
         for effect in effects:
             if isinstance(effect, ToPeer):
-                self._links.send(effect)
+                self._send(effect)
                 continue
             mailbox = self._callers.get(effect.request_number)
             if mailbox is not None:
                 mailbox.offer(effect.message)
 
+    def _send(self, effect: ToPeer) -> None:
+        is_taken = self._links.send(effect)
+        if not is_taken and isinstance(effect.message, Attempt):
+            refused = refuse_attempt(effect.message)
+            now = self._clock.monotonic()
+            self._apply(self._router.receive(effect.peer, refused, now))
+
 
 def refuse_locally(reason: str) -> Refused:
     """Return the refusal of a request that never reached the router.
--- a/packages/runtime/src/buckthornpond_runtime/transports.py
+++ b/packages/runtime/src/buckthornpond_runtime/transports.py
@@ -213,15 +213,20 @@
             except zmq.ZMQError:
                 self._metrics.count('undelivered_messages', 'agent')
                 if isinstance(message, Attempt):
-                    self._inbox.send(self._refuse(message))
+                    refused = refuse_attempt(message)
+                    self._inbox.send(Received(self._instance, refused))
                 continue
             _count_bytes(self._metrics, 'sent', frames)
 
-    def _refuse(self, attempt: Attempt) -> Received:
-        refused = Refused(
-            attempt_id=attempt.attempt_id,
-            reason='agent_unreachable',
-            outcome=Outcome.not_run,
-            retry_after_ms=0,
-        )
-        return Received(self._instance, refused)
+
+def refuse_attempt(attempt: Attempt) -> Refused:
+    """Return the refusal of an attempt that never left this process.
+
+    :param attempt: the attempt.
+    """
+    return Refused(
+        attempt_id=attempt.attempt_id,
+        reason='agent_unreachable',
+        outcome=Outcome.not_run,
+        retry_after_ms=0,
+    )
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from functools import partial
 from typing import TypeAlias
 
@@ -21,7 +21,9 @@
     ToCaller,
     ToPeer,
 )
-from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.key_times import KeyTimes
+from buckthornpond_core.keyed_attempts import KeyedAttempts
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
 
@@ -34,6 +36,7 @@
 
 _TICK_SECONDS = 0.05
 _HEARTBEAT_SECONDS = 0.5
+_WALL = datetime.fromtimestamp(0, UTC)
 _PEER_TIMEOUT = timedelta(seconds=2)
 _WARM_UP_SECONDS = 1.0
 _SETTLE_SECONDS = 130.0
@@ -361,13 +364,36 @@
             limit=limit,
             order=self._policies.order(),
             forecast=self._policies.forecast(),
-            keys=KeyRegister(timedelta()),
+            keyed=self._make_keyed(name, configuration),
             recorder=self.recorder,
         )
-        admission.follow_configuration()
+        admission.follow_configuration(timedelta(seconds=self.now))
         engine = EngineModel(costs, is_warm=is_warm)
         return _Agent(admission, configuration, engine)
 
+    def _make_keyed(
+        self,
+        name: str,
+        configuration: Configuration,
+    ) -> KeyedAttempts:
+        home = FencingKeyHome(
+            instance=name,
+            configuration=configuration,
+            times=KeyTimes(timedelta(seconds=self.now), _WALL),
+            limits=KeyLimits(
+                fence_timeout=timedelta(seconds=1),
+                max_replay_bytes=0,
+                replay_budget_bytes=0,
+            ),
+        )
+        return KeyedAttempts(
+            incarnation=name,
+            configuration=configuration,
+            home=home,
+            max_replay_bytes=0,
+            recorder=self.recorder,
+        )
+
     def _make_configuration(self) -> Configuration:
         configuration = Configuration()
         configuration.accept_inventory(self._inventory, b'{}')
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -403,6 +403,8 @@
                     'kind': 'plain',
                     'instances': [each.name for each in self.plains],
                     'retry_window_ms': self._retry_window_ms,
+                    # One machine has one clock.
+                    'clock_skew_ms': 0,
                 },
             ],
             'organisations': [
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,6 +12,7 @@
 _ROOT = Path(__file__).resolve().parent.parent
 _WORKERS = 4
 _RED_PREFIX = 'test: '
+_COUNT_PREFIX = 'count: '
 
 
 class FeatureResult:
@@ -98,6 +99,15 @@
     ]
 
 
+def _show(result: FeatureResult) -> None:
+    if result.failed:
+        print(result.output)
+        return
+    for line in result.output.splitlines():
+        if line.startswith(_COUNT_PREFIX):
+            print(line)
+
+
 def main() -> int:
     """Run the features named on the command line, or all."""
     known_red = read_known_red()
@@ -107,8 +117,7 @@
     passed = [name for result in results for name in result.passed]
     failed = [name for result in results for name in result.failed]
     for result in results:
-        if result.failed:
-            print(result.output)
+        _show(result)
     red = [name for name in failed if name in known_red]
     unexpected = [name for name in failed if name not in known_red]
     for name in red:
