Stop each process by plan without cutting a request

Cause: the stop flag of an agent was set from outside its task; at the second signal or the drain timeout an agent left its attempts without a word, and the callers learnt only at their deadline. A request that a leaving or draining agent refused was charged to the retry budget, so that a planned stop under load could end in retry_budget_exhausted. An attempt whose time had passed in the queue was started until the next tick, with its full time as the bound. The body of a running attempt was kept to its end, and the bodies in an agent's queue had no bound in bytes.

Change: BeginStop and EndAll are messages to the admission task. On the first signal every entry gets a hint with the phase leaving; a request refused by plan is placed again outside the retry budget, and that agent gets no new work before its next hint. EndAll refuses queued attempts as not run and running ones as of unknown outcome. Deadlines are checked right before a call starts, and the call gets what is left of the time. Bodies count against body_budget_bytes of the agent until the target has answered.

--- /dev/null
+++ b/features/steps/planned_stops_steps.py
@@ -0,0 +1,210 @@
+"""Steps that stop processes by plan."""
+
+import json
+import signal
+from datetime import timedelta
+from functools import partial
+from typing import Any
+
+from behave import given, then, when
+from gevent import joinall, sleep, spawn
+
+from buckthornpond_core.exceptions import TargetError
+from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_standins.callers import call_completion
+from buckthornpond_standins.fleets import (
+    CREDENTIAL,
+    Fleet,
+    call_json,
+    call_text,
+    wait_until,
+)
+
+_EXIT_SECONDS = 30
+
+
+@given('a fleet for stops with {engines:d} engines and {entries:d} entries')
+def start_fleet(context: Any, engines: int, entries: int) -> None:
+    """Start a fleet whose entries give the balancer little notice."""
+    context.fleet = Fleet(
+        engine_count=engines,
+        entry_count=entries,
+        engine_arguments=['--time-scale', '0.5'],
+        entry_settings={'notice_period_ms': 1000},
+    )
+    context.fleet.__enter__()
+    context.callers = []
+
+
+@given('the engine runs one request at a time')
+def limit_concurrency(context: Any) -> None:
+    """Publish an inventory with one place at the engine."""
+    inventory = context.fleet.inventory
+    inventory['instances'][0]['target']['concurrency_count'] = 1
+    inventory['version'] += 1
+    context.fleet.publish()
+    address = context.fleet.engines[0].administration_address
+    line = 'accepted_documents_total{reason="inventory"} 2'
+    wait_until(lambda: line in call_text(address, 'GET', '/metrics'))
+
+
+@when('{count:d} callers stream answers through every entry')
+def stream_answers(context: Any, count: int) -> None:
+    """Start callers in turn."""
+    addresses = context.fleet.entry_addresses
+    context.callers = [
+        spawn(
+            call_completion,
+            addresses[number % len(addresses)],
+            CREDENTIAL,
+            kind=f'caller-{number}',
+            prompt_tokens=1000,
+            output_tokens=100,
+        )
+        for number in range(count)
+    ]
+
+
+@when(
+    '{count:d} callers want whole answers within {limit:d} ms, the first one running',
+)
+def want_whole_answers(context: Any, count: int, limit: int) -> None:
+    """Start callers one after the other."""
+    engine = context.fleet.engines[0].target_address
+    agent = context.fleet.engines[0].administration_address
+    for number in range(count):
+        context.callers.append(spawn(_call_whole, context, limit))
+        held = f'held_attempts {number + 1}\n'
+        _wait_cooperatively(partial(_shows, agent, held))
+    _wait_cooperatively(
+        lambda: call_json(engine, 'GET', '/load')['running_count'] == 1,
+    )
+
+
+def _shows(address: str, line: str) -> bool:
+    return line in call_text(address, 'GET', '/metrics')
+
+
+def _call_whole(context: Any, limit_ms: int) -> dict[str, Any]:
+    body = {'model': 'model-a', 'prompt': 'x' * 400, 'max_tokens': 100_000}
+    headers = {
+        'authorization': f'Bearer {CREDENTIAL}',
+        'x-request-timeout-ms': str(limit_ms),
+    }
+    call = HttpCall(context.fleet.entry_addresses[0], timedelta(seconds=90))
+    try:
+        call.send('POST', '/v1/completions', json.dumps(body).encode(), headers)
+        return json.loads(call.read_block(1 << 20))
+    except TargetError as error:
+        return {'code': error.step, 'outcome': 'lost'}
+    finally:
+        call.close()
+
+
+def _wait_cooperatively(check: Any) -> None:
+    """Wait without stopping the callers of this process."""
+    for _attempt in range(600):
+        try:
+            if check():
+                return
+        except (TargetError, ValueError):
+            pass
+        sleep(0.05)
+    raise TimeoutError('nothing after 30 s')
+
+
+@when(
+    'the agent of the first engine gets {count:d} stop signal while it streams'
+)
+@when(
+    'the agent of the first engine gets {count:d} stop signals while it streams'
+)
+def stop_agent(context: Any, count: int) -> None:
+    """Signal the agent once its engine has work."""
+    engine = context.fleet.engines[0]
+    _wait_cooperatively(
+        lambda: call_json(engine.target_address, 'GET', '/load')[
+            'running_count'
+        ],
+    )
+    context.stopped = engine.agent
+    _send_signals(context.stopped, count)
+
+
+@when('the first entry gets {count:d} stop signal while it streams')
+@when('the first entry gets {count:d} stop signals while it streams')
+def stop_entry(context: Any, count: int) -> None:
+    """Signal the entry once it holds requests."""
+    address = context.fleet.entry_administration_addresses[0]
+    _wait_cooperatively(
+        lambda: (
+            'held_requests 0\n' not in call_text(address, 'GET', '/metrics')
+        ),
+    )
+    context.stopped = context.fleet.entries[0]
+    _send_signals(context.stopped, count)
+
+
+def _send_signals(process: Any, count: int) -> None:
+    for _number in range(count):
+        process.signal(signal.SIGTERM)
+        sleep(0.2)
+
+
+@then('that process ends with exit code {code:d}')
+def check_exit(context: Any, code: int) -> None:
+    """Wait for the end of the process."""
+    joinall(context.callers)
+    assert context.stopped.wait(_EXIT_SECONDS) == code
+
+
+@then('no caller was cut')
+def check_not_cut(context: Any) -> None:
+    """Check every answer."""
+    joinall(context.callers)
+    bad = [
+        f'{found.kind} {found.outcome} {found.code} {found.word_count}'
+        for found in (caller.value for caller in context.callers)
+        if found.outcome != 'complete'
+    ]
+    assert not bad, bad
+
+
+@then('its health check fails while it still answers a new caller')
+def check_notice(context: Any) -> None:
+    """Ask the stopping entry for its health and for an answer."""
+    address = context.fleet.entry_administration_addresses[0]
+    assert call_text(address, 'GET', '/readyz') == 'not ready\n'
+    found = call_completion(
+        context.fleet.entry_addresses[0],
+        CREDENTIAL,
+        kind='late',
+        prompt_tokens=10,
+        output_tokens=1,
+    )
+    assert found.outcome == 'complete', (found.outcome, found.code)
+
+
+@then(
+    'the running caller learns that the outcome is unknown and the queued one that it did not run',
+)
+def check_outcomes(context: Any) -> None:
+    """Read the refusals."""
+    outcomes = [caller.get()['outcome'] for caller in context.callers]
+    assert outcomes == ['outcome_unknown', 'not_run'], [
+        caller.value for caller in context.callers
+    ]
+
+
+@then('every caller was told that the entry is stopping')
+def check_told(context: Any) -> None:
+    """Read the refusals."""
+    codes = [caller.get()['code'] for caller in context.callers]
+    assert set(codes) == {'entry_stopping'}, codes
+
+
+@then('the engine executed {count:d} request')
+def check_executed(context: Any, count: int) -> None:
+    """Ask the engine what it ran."""
+    address = context.fleet.engines[0].target_address
+    assert call_json(address, 'GET', '/load')['executed_count'] == count
--- a/features/steps/target_faults_steps.py
+++ b/features/steps/target_faults_steps.py
@@ -210,6 +210,7 @@
     call = CallTask(
         _build_attempt(1000),
         '127.0.0.1:9',
+        timedelta(seconds=1),
         1024,
         context.reports.append,
     )
--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -30,6 +30,7 @@
 
     :param attempt: what to call for.
     :param address: IP number and port of the target.
+    :param time_limit: what is left of the attempt's time.
     :param max_frame_bytes: the most bytes of one chunk.
     :param report: hands news to the task that owns the admission.
     """
@@ -49,14 +50,14 @@
         self,
         attempt: Attempt,
         address: str,
+        time_limit: timedelta,
         max_frame_bytes: int,
         report: Callable[[CallMessage], None],
     ) -> None:
         self._attempt = attempt
         self._max_frame_bytes = max_frame_bytes
         self._report = report
-        timeout = timedelta(milliseconds=max(1, attempt.remaining_ms))
-        self._call = HttpCall(address, timeout)
+        self._call = HttpCall(address, time_limit)
         self._credit_bytes = attempt.credit_bytes
         self._has_credit = Event()
         self._has_credit.set()
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -27,7 +27,7 @@
 from buckthornpond_runtime.tasks import Supervisor
 from buckthornpond_runtime.transports import PortTask, ZmqContext
 
-from .tasks import AdmissionTask
+from .tasks import AdmissionTask, BeginStop, EndAll
 
 _STARTUP_PEER_COUNT = 2
 
@@ -74,6 +74,7 @@
         configuration=configuration,
         limits=AgentLimits(
             max_queued_count=settings.max_queued_count,
+            body_budget_bytes=settings.body_budget_bytes,
             peer_timeout=timedelta(milliseconds=settings.peer_timeout_ms),
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
@@ -124,6 +125,7 @@
     metrics.add_gauge('held_attempts', lambda: admission.held_count)
     metrics.add_gauge('held_keys', lambda: home.key_count)
     metrics.add_gauge('replay_bytes', lambda: home.replay_bytes)
+    metrics.add_gauge('held_body_bytes', lambda: admission.held_body_bytes)
     metrics.add_gauge('reserved_tokens', lambda: admission.reserved_tokens)
     stop = StopSignal()
     supervisor = Supervisor()
@@ -133,11 +135,11 @@
     supervisor.start('administration', administration.run)
     log_event(EventCode.process_started, incarnation=incarnation)
     stop.wait()
-    admission.is_stopping = True
+    task.mailbox.send(BeginStop())
     drain(
         stop,
         clock=clock,
         limit=timedelta(milliseconds=settings.drain_timeout_ms),
         held_count=lambda: admission.held_count,
-        end_all=lambda: None,
+        end_all=lambda: task.mailbox.send(EndAll()),
     )
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -20,6 +20,7 @@
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
     AgentEffect,
+    CallMessage,
     CancelCall,
     GrantCall,
     StartCall,
@@ -39,8 +40,27 @@
 
 _TICK_SECONDS = 0.05
 
+
+class BeginStop:
+    """Ask the admission task to refuse new attempts."""
+
+    __slots__ = ()
+
+
+class EndAll:
+    """Ask the admission task to refuse everything it holds."""
+
+    __slots__ = ()
+
+
 AdmissionMessage: TypeAlias = (
-    CallChunk | CallEnded | CallStarted | Received | ServiceRead
+    BeginStop
+    | CallChunk
+    | CallEnded
+    | CallStarted
+    | EndAll
+    | Received
+    | ServiceRead
 )
 
 
@@ -117,6 +137,10 @@
             return self._receive(message, now)
         if isinstance(message, ServiceRead):
             return self._follow(self._exchange.take_read(message, now))
+        if isinstance(message, BeginStop):
+            return self._admission.begin_stop()
+        if isinstance(message, EndAll):
+            return self._admission.end_all(now)
         if isinstance(message, CallEnded):
             self._calls.pop(message.attempt_id, None)
         return self._admission.update_call(message, now)
@@ -174,13 +198,13 @@
 
     def _start_call(self, effect: StartCall) -> None:
         attempt = effect.attempt
-        target = self._configuration.instances[self._instance].target
         service = self._configuration.services.get(attempt.service)
         if service is not None and service.kind is TargetKind.engine:
             attempt.body = with_priority(attempt.body, effect.priority)
         call = CallTask(
             attempt,
-            target.address,
+            effect.address,
+            effect.time_limit,
             self._max_frame_bytes,
             self.mailbox.send,
         )
--- a/packages/core/src/buckthornpond_core/_generated/settings.py
+++ b/packages/core/src/buckthornpond_core/_generated/settings.py
@@ -128,6 +128,7 @@
     heartbeat_interval_ms: Annotated[int, Meta(ge=20, le=10000)] = 500
     peer_timeout_ms: Annotated[int, Meta(ge=50, le=60000)] = 2000
     load_poll_interval_ms: Annotated[int, Meta(ge=20, le=60000)] = 1000
+    body_budget_bytes: Annotated[int, Meta(ge=1024)] = 134217728
     max_queued_count: Annotated[int, Meta(ge=0, le=100000)] = 128
     max_frame_bytes: Annotated[int, Meta(ge=1024, le=1048576)] = 16384
     drain_timeout_ms: Annotated[int, Meta(ge=0, le=3600000)] = 60000
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -50,18 +50,21 @@
     """Bounds of an agent.
 
     :param max_queued_count: attempts that may wait.
+    :param body_budget_bytes: bytes of requests held at once.
     :param peer_timeout: silence after which an entry counts as dead.
     """
 
-    __slots__ = ('max_queued_count', 'peer_timeout')
+    __slots__ = ('body_budget_bytes', 'max_queued_count', 'peer_timeout')
 
     def __init__(
         self,
         *,
         max_queued_count: int,
+        body_budget_bytes: int,
         peer_timeout: timedelta,
     ) -> None:
         self.max_queued_count = max_queued_count
+        self.body_budget_bytes = body_budget_bytes
         self.peer_timeout = peer_timeout
 
 
@@ -162,6 +165,14 @@
         """Return the tokens that the ledger holds."""
         return self._ledger.reserved_tokens
 
+    @property
+    def held_body_bytes(self) -> int:
+        """Return the bytes of the requests that wait or are being sent."""
+        held = [queued for _, queued in self._queue.values()]
+        held.extend(queued for _, queued in self._keyed.waiting)
+        held.extend(running.queued for running in self._running.values())
+        return sum(len(queued.attempt.body) for queued in held)
+
     @property
     def phase(self) -> TargetPhase:
         """Return the readiness that entries are told."""
@@ -214,6 +225,28 @@
         self._recorder.count('unexpected_messages', type(message).__name__)
         return []
 
+    def begin_stop(self) -> list[AgentEffect]:
+        """Refuse new attempts from now on and tell every entry."""
+        self.is_stopping = True
+        return [ToPeer(peer, self.hint()) for peer in self._peers]
+
+    def end_all(self, now: timedelta) -> list[AgentEffect]:
+        """End every attempt with an honest refusal.
+
+        :param now: time on the monotonic clock.
+        """
+        effects: list[AgentEffect] = []
+        for peer, queued in [*self._queue.values(), *self._keyed.waiting]:
+            attempt_id = queued.attempt.attempt_id
+            self._drop_queued(attempt_id)
+            refused = self._refuse(attempt_id, 'agent_leaving')
+            effects.append(ToPeer(peer, refused))
+        for attempt_id, running in list(self._running.items()):
+            refused = self._refuse_unknown(attempt_id, 'agent_stopped')
+            effects.extend(self._tell(running, refused))
+            effects.extend(self._cancel(attempt_id, now))
+        return effects
+
     def update_call(
         self,
         message: CallMessage,
@@ -229,6 +262,8 @@
             return []
         self._keyed.record_call(message, now)
         if isinstance(message, CallStarted):
+            # The target has the body, which is not needed again.
+            running.queued.attempt.body = b''
             started = Started(
                 attempt_id=message.attempt_id,
                 status_code=message.status_code,
@@ -261,9 +296,7 @@
             if peer in dead:
                 self._drop_queued(attempt_id)
             elif queued.is_due(now):
-                self._drop_queued(attempt_id)
-                refused = self._refuse(attempt_id, 'deadline_exceeded')
-                effects.append(ToPeer(peer, refused))
+                effects.append(self._expire(attempt_id, peer))
         for attempt_id, running in list(self._running.items()):
             if running.peer in dead or running.queued.deadline <= now:
                 effects.extend(self._cancel(attempt_id, now))
@@ -348,6 +381,7 @@
             ('prompt_too_large', total_tokens > self._target.memory_tokens),
             ('deadline_exceeded', attempt.remaining_ms <= 0),
             ('queue_full', len(self._queue) >= self._limits.max_queued_count),
+            ('agent_memory_full', self._overfills(attempt)),
         )
         return next((reason for reason, applies in checks if applies), '')
 
@@ -363,6 +397,10 @@
         )
         return expected // timedelta(milliseconds=1)
 
+    def _overfills(self, attempt: Attempt) -> bool:
+        held_bytes = self.held_body_bytes + len(attempt.body)
+        return held_bytes > self._limits.body_budget_bytes
+
     def _is_held(self, attempt_id: str) -> bool:
         return (
             attempt_id in self._queue
@@ -468,7 +506,8 @@
         return self._refuse(ended.attempt_id, ended.error)
 
     def _start_waiting(self, now: timedelta) -> list[AgentEffect]:
-        effects: list[AgentEffect] = []
+        # Checked again here, right before the target is called.
+        effects = self._end_overdue(now)
         while self._queue and self._has_slot():
             queued = self._order.choose(self._load(), now)
             if queued is None:
@@ -476,6 +515,18 @@
             effects.append(self._start(queued, now))
         return effects
 
+    def _end_overdue(self, now: timedelta) -> list[AgentEffect]:
+        effects: list[AgentEffect] = []
+        for attempt_id, (peer, queued) in list(self._queue.items()):
+            if queued.deadline <= now:
+                effects.append(self._expire(attempt_id, peer))
+        return effects
+
+    def _expire(self, attempt_id: str, peer: str) -> ToPeer:
+        self._drop_queued(attempt_id)
+        refused = self._refuse(attempt_id, 'deadline_exceeded')
+        return ToPeer(peer, refused)
+
     def _start(self, queued: QueuedAttempt, now: timedelta) -> StartCall:
         attempt = queued.attempt
         self._forecast.record_start(
@@ -486,7 +537,12 @@
         peer, _ = self._queue.pop(attempt.attempt_id)
         self._ledger.reserve(attempt.attempt_id, queued.total_tokens)
         self._running[attempt.attempt_id] = _Running(peer, queued)
-        return StartCall(attempt, self._order.priority(attempt))
+        return StartCall(
+            attempt,
+            self._target.address,
+            queued.deadline - now,
+            self._order.priority(attempt),
+        )
 
     def _load(self) -> TargetLoad:
         return TargetLoad(
--- a/packages/core/src/buckthornpond_core/effects.py
+++ b/packages/core/src/buckthornpond_core/effects.py
@@ -85,14 +85,24 @@
 class StartCall:
     """Call the target on behalf of an attempt.
 
-    :param attempt: what to call for.
+    :param attempt: the attempt.
+    :param address: IP number and port of the target.
+    :param time_limit: what is left of the attempt's time.
     :param priority: rank at an engine, the lowest being served first.
     """
 
-    __slots__ = ('attempt', 'priority')
+    __slots__ = ('address', 'attempt', 'priority', 'time_limit')
 
-    def __init__(self, attempt: Attempt, priority: int = 0) -> None:
+    def __init__(
+        self,
+        attempt: Attempt,
+        address: str,
+        time_limit: timedelta,
+        priority: int = 0,
+    ) -> None:
         self.attempt = attempt
+        self.address = address
+        self.time_limit = time_limit
         self.priority = priority
 
 
--- a/packages/core/src/buckthornpond_core/keyed_attempts.py
+++ b/packages/core/src/buckthornpond_core/keyed_attempts.py
@@ -135,10 +135,19 @@
         self._recorder = recorder
         self._attempts: dict[str, _KeyedAttempt] = {}
 
+    @property
+    def waiting(self) -> list[tuple[str, QueuedAttempt]]:
+        """Return the attempts that wait for their key, with their entries."""
+        return [
+            (each.peer, each.queued)
+            for each in self._attempts.values()
+            if not each.is_ready
+        ]
+
     @property
     def waiting_count(self) -> int:
         """Return the number of attempts that wait for their key."""
-        return sum(not each.is_ready for each in self._attempts.values())
+        return len(self.waiting)
 
     def is_waiting(self, attempt_id: str) -> bool:
         """Tell whether an attempt waits for its key.
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -60,6 +60,11 @@
             TargetPhase.warm,
         }
 
+    def close(self) -> None:
+        """Send no new work until the agent's next hint."""
+        if self.hint is not None:
+            self.hint.phase = TargetPhase.leaving
+
     def update(self, hint: Hint, now: timedelta) -> None:
         """Take a new hint from the agent.
 
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -32,7 +32,13 @@
     {
         'agent_leaving': RefusalKind(503, 'Instance leaving', may_retry=True),
         'agent_lost': RefusalKind(502, 'Instance lost', may_retry=True),
+        'agent_memory_full': RefusalKind(
+            503,
+            'Instance full',
+            may_retry=True,
+        ),
         'agent_restarted': RefusalKind(502, 'Instance lost', may_retry=True),
+        'agent_stopped': RefusalKind(502, 'Instance stopped', may_retry=True),
         'agent_unreachable': RefusalKind(
             503,
             'No instance reachable',
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -42,6 +42,15 @@
         'key_unknown',
     ),
 )
+# An agent that refuses for these takes no work by plan, so that the next
+# placement is not a retry that the budget has to bound.
+_PLANNED_REASONS = frozenset(
+    (
+        'agent_leaving',
+        'service_not_here',
+        'target_draining',
+    ),
+)
 
 
 class RouterLimits:
@@ -511,6 +520,12 @@
         request.forget_attempt()
         if refused.outcome is not Outcome.not_run:
             request.is_proven_not_run = False
+        elif refused.reason in _PLANNED_REASONS and not request.is_started:
+            if refused.reason != 'service_not_here':
+                self._agents[instance].close()
+            self._recorder.count('replacements', refused.reason)
+            request.retry_at = now
+            return self._advance(request, now)
         return self._retry(request, refused.reason, now)
 
     def _take_fate(
