Check generated histories of losses, restarts and freezes for leaks

Cause: nothing showed that every table of entry and agent is empty after any history, or that each caller gets one true ending.

After each history everything heals, and the check wants no request, attempt, reservation, body byte or call left, one ending for each caller, chunks in order, no "not run" for a request that ran, and no second run of a request that is not idempotent.

--- /dev/null
+++ b/features/steps/lossy_network.py
@@ -0,0 +1,614 @@
+"""Real decision classes joined by a network that loses messages.
+
+Time is a number that the harness advances; nothing here reads a clock.
+"""
+
+import hashlib
+import json
+import random
+from collections import deque
+from datetime import timedelta
+
+from msgspec import msgpack
+
+from buckthornpond_core._generated.events import (
+    CallChunk,
+    CallEnded,
+    CallStarted,
+    Submission,
+)
+from buckthornpond_core._generated.messages import (
+    Chunk,
+    Final,
+    Outcome,
+    Refused,
+    Started,
+)
+from buckthornpond_core.admission import Admission, AgentLimits
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.credits import charge_bytes
+from buckthornpond_core.effects import (
+    AgentEffect,
+    CancelCall,
+    GrantCall,
+    RouterEffect,
+    StartCall,
+    ToCaller,
+    ToPeer,
+    WireMessage,
+)
+from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.limits import SlowStartLimit
+from buckthornpond_core.placement import TwoChoicesPlacement
+from buckthornpond_core.queueing import ShortestFirstOrder
+from buckthornpond_core.retries import RetryBudget
+from buckthornpond_core.routing import Router, RouterLimits
+from buckthornpond_runtime.documents import parse_inventory
+
+PEER_TIMEOUT = timedelta(seconds=2)
+RETRY_WINDOW_MS = 10_000
+WINDOW_BYTES = 1024
+_Packet = tuple[int, int, bytes, type]
+_TICK = timedelta(milliseconds=100)
+_SETTLE_TICKS = 200
+_PAYLOAD = b'x' * 100
+
+
+class _Recorder:
+    """Drops counters and log events."""
+
+    __slots__ = ()
+
+    def count(self, name: str, reason: str) -> None:
+        """Ignore a counter."""
+
+    def log(self, code: object, **fields: object) -> None:
+        """Ignore an event."""
+
+
+class Caller:
+    """What one caller has received."""
+
+    __slots__ = (
+        'chunks',
+        'endings',
+        'entry',
+        'is_gone',
+        'submission',
+        'unread',
+    )
+
+    def __init__(self, entry: int, submission: Submission) -> None:
+        self.entry = entry
+        self.submission = submission
+        self.chunks: list[int] = []
+        self.endings: list[Final | Refused] = []
+        self.unread: deque[Chunk] = deque()
+        self.is_gone = False
+
+    @property
+    def body(self) -> str:
+        """Return the text that identifies the request at a target."""
+        return f'{self.entry}/{self.submission.request_number}'
+
+
+class _Call:
+    """A call that a target serves."""
+
+    __slots__ = ('attempt_id', 'body', 'credit_bytes', 'is_started')
+
+    def __init__(self, attempt_id: str, body: str, credit_bytes: int) -> None:
+        self.attempt_id = attempt_id
+        self.body = body
+        self.credit_bytes = credit_bytes
+        self.is_started = False
+
+
+def build_configuration(agent_count: int) -> Configuration:
+    """Return a configuration with a model and a plain service everywhere.
+
+    :param agent_count: instances to name.
+    """
+    names = [f'agent-{number}' for number in range(agent_count)]
+    document = {
+        'version': 1,
+        'availability_zones': ['zone-0'],
+        'instances': [
+            {
+                'name': name,
+                'availability_zone': 'zone-0',
+                'agent_address': '127.0.0.1:1',
+                'target': {
+                    'address': '127.0.0.1:2',
+                    'memory_tokens': 1000,
+                    'cold_tokens': 1000,
+                    'concurrency_count': 2,
+                },
+            }
+            for name in names
+        ],
+        'services': [
+            {'name': 'model', 'kind': 'engine', 'instances': names},
+            {
+                'name': 'lots',
+                'kind': 'plain',
+                'instances': names,
+                'retry_window_ms': RETRY_WINDOW_MS,
+            },
+        ],
+        'organisations': [
+            {
+                'name': 'gate',
+                'credential_sha256': hashlib.sha256(b'x').hexdigest(),
+            },
+        ],
+    }
+    content = json.dumps(document).encode()
+    configuration = Configuration()
+    configuration.accept_inventory(parse_inventory(content, 'test'), content)
+    return configuration
+
+
+def build_router(
+    incarnation: str,
+    configuration: Configuration,
+) -> Router:
+    """Return a router that knows the configured agents.
+
+    :param incarnation: the entry's incarnation.
+    :param configuration: what is in force.
+    """
+    router = Router(
+        incarnation=incarnation,
+        configuration=configuration,
+        limits=RouterLimits(
+            max_held_requests=100,
+            max_attempts=4,
+            stream_window_bytes=WINDOW_BYTES,
+            peer_timeout=PEER_TIMEOUT,
+        ),
+        placement=TwoChoicesPlacement(),
+        budget=RetryBudget(20, 100),
+        random=random.Random(1),
+        recorder=_Recorder(),
+    )
+    router.follow_configuration()
+    return router
+
+
+def build_admission(
+    instance: str,
+    incarnation: str,
+    configuration: Configuration,
+    now: timedelta,
+) -> Admission:
+    """Return the admission of one agent.
+
+    :param instance: the agent's instance.
+    :param incarnation: its incarnation.
+    :param configuration: what is in force.
+    :param now: time of its start.
+    """
+    admission = Admission(
+        instance=instance,
+        incarnation=incarnation,
+        configuration=configuration,
+        limits=AgentLimits(
+            max_queued_count=4,
+            body_budget_bytes=1000,
+            peer_timeout=PEER_TIMEOUT,
+        ),
+        limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
+        order=ShortestFirstOrder(),
+        keys=KeyRegister(now),
+        recorder=_Recorder(),
+    )
+    admission.follow_configuration()
+    return admission
+
+
+class Agent:
+    """One agent and its target."""
+
+    __slots__ = ('admission', 'calls', 'executions', 'instance')
+
+    def __init__(self, instance: str, admission: Admission) -> None:
+        self.instance = instance
+        self.admission = admission
+        self.calls: dict[str, _Call] = {}
+        self.executions: list[str] = []
+
+
+class LossyNetwork:
+    """Two entries and two agents; channels keep order and may lose.
+
+    :param entry_count: entries.
+    :param agent_count: agents.
+    """
+
+    def __init__(self, entry_count: int = 2, agent_count: int = 2) -> None:
+        # Keys of requests before the first agents' start are known.
+        self.now = timedelta(milliseconds=RETRY_WINDOW_MS)
+        self.configuration = build_configuration(agent_count)
+        self.routers: list[Router | None] = []
+        self.incarnations: list[str] = []
+        for number in range(entry_count):
+            incarnation = f'entry-{number}.0'
+            self.incarnations.append(incarnation)
+            self.routers.append(build_router(incarnation, self.configuration))
+        self.agents = [
+            self._build_agent(instance, 0, timedelta())
+            for instance in self.configuration.instances
+        ]
+        self.callers: list[Caller] = []
+        self.is_frozen = [False for _agent in self.agents]
+        self._restart_count = 0
+        self._requests: deque[_Packet] = deque()
+        self._replies: deque[_Packet] = deque()
+        self._exchange_heartbeats()
+
+    def submit(
+        self,
+        entry: int,
+        *,
+        is_keyed: bool,
+        is_idempotent: bool,
+        tokens: int,
+        time_limit_ms: int,
+    ) -> None:
+        """Send one caller's request to an entry that lives.
+
+        :param entry: number of the entry.
+        :param is_keyed: whether it carries an idempotency key.
+        :param is_idempotent: whether it may run twice.
+        :param tokens: tokens it may hold.
+        :param time_limit_ms: its time limit.
+        """
+        router = self.routers[entry]
+        if router is None:
+            return
+        number = len(self.callers) + 1
+        submission = Submission(
+            request_number=number,
+            organisation='gate',
+            service='model' if is_idempotent else 'lots',
+            method='POST',
+            path='/',
+            content_type='',
+            idempotency_key=f'key-{number}' if is_keyed else '',
+            is_idempotent=is_idempotent,
+            is_stream=True,
+            prompt_tokens=tokens,
+            output_tokens=0,
+            time_limit_ms=time_limit_ms,
+            body=f'{entry}/{number}'.encode(),
+        )
+        self.callers.append(Caller(entry, submission))
+        self._apply_router(entry, router.submit(submission, self.now))
+
+    def deliver(self, count: int) -> None:
+        """Deliver messages of both directions in order.
+
+        :param count: the most messages of each direction.
+        """
+        for packet in self._take_requests(count):
+            self._deliver_request(*packet)
+        for _number in range(min(count, len(self._replies))):
+            self._deliver_reply(*self._replies.popleft())
+
+    def cut(self, entry: int, agent: int) -> None:
+        """Lose what is in flight between an entry and an agent."""
+        for channel in (self._requests, self._replies):
+            kept = [each for each in channel if each[:2] != (entry, agent)]
+            channel.clear()
+            channel.extend(kept)
+
+    def advance(self, ticks: int) -> None:
+        """Let time pass; frozen agents do nothing meanwhile.
+
+        :param ticks: steps of 100 ms.
+        """
+        for _number in range(ticks):
+            self.now += _TICK
+            for entry, router in enumerate(self.routers):
+                if router is not None:
+                    self._apply_router(entry, router.tick(self.now))
+            for number, agent in enumerate(self.agents):
+                if not self.is_frozen[number]:
+                    effects = agent.admission.tick(self.now)
+                    self._apply_agent(number, effects)
+
+    def heartbeat(self) -> None:
+        """Send the heartbeats of every entry."""
+        for entry, router in enumerate(self.routers):
+            if router is not None:
+                self._apply_router(entry, router.heartbeat())
+
+    def serve(self, agent: int, step: int) -> None:
+        """Let a target go on with its first call.
+
+        :param agent: number of the agent.
+        :param step: 0 to answer, 1 to end, 2 to fail after, 3 before sending.
+        """
+        served = self.agents[agent]
+        call = next(iter(served.calls.values()), None)
+        if call is None or self.is_frozen[agent]:
+            return
+        if step == 0:
+            self._answer(agent, call)
+            return
+        error = '' if step == 1 and call.is_started else 'target_failed'
+        self._end_call(agent, call, error, is_sent=step != 3 or call.is_started)
+
+    def read(self, caller_number: int) -> None:
+        """Let a caller take one chunk.
+
+        :param caller_number: position of the caller.
+        """
+        if not self.callers:
+            return
+        caller = self.callers[caller_number % len(self.callers)]
+        router = self.routers[caller.entry]
+        if caller.unread and router is not None and not caller.is_gone:
+            charge = charge_bytes(caller.unread.popleft().payload)
+            number = caller.submission.request_number
+            self._apply_router(caller.entry, router.consume(number, charge))
+
+    def hang_up(self, caller_number: int) -> None:
+        """Let a caller go.
+
+        :param caller_number: position of the caller.
+        """
+        if not self.callers:
+            return
+        caller = self.callers[caller_number % len(self.callers)]
+        router = self.routers[caller.entry]
+        caller.is_gone = True
+        if router is not None:
+            number = caller.submission.request_number
+            self._apply_router(caller.entry, router.hang_up(number))
+
+    def restart_agent(self, agent: int) -> None:
+        """Replace an agent; its connections end with it.
+
+        :param agent: number of the agent.
+        """
+        for entry, _router in enumerate(self.routers):
+            self.cut(entry, agent)
+        self._restart_count += 1
+        old = self.agents[agent]
+        fresh = self._build_agent(
+            old.instance,
+            self._restart_count,
+            self.now,
+        )
+        fresh.executions = old.executions
+        self.agents[agent] = fresh
+        self.is_frozen[agent] = False
+
+    def begin_stop(self, agent: int) -> None:
+        """Let an agent refuse new attempts, as before a planned stop.
+
+        :param agent: number of the agent.
+        """
+        self._apply_agent(agent, self.agents[agent].admission.begin_stop())
+
+    def kill_entry(self, entry: int) -> None:
+        """End an entry, whose callers go with it.
+
+        :param entry: number of the entry.
+        """
+        if sum(router is not None for router in self.routers) < 2:
+            return
+        self.routers[entry] = None
+        for agent, _served in enumerate(self.agents):
+            self.cut(entry, agent)
+        for caller in self.callers:
+            caller.is_gone |= caller.entry == entry
+
+    def settle(self) -> None:
+        """Heal everything and let every deadline and window pass."""
+        self.is_frozen = [False for _agent in self.agents]
+        for _number in range(_SETTLE_TICKS):
+            self.heartbeat()
+            self.deliver(10_000)
+            for agent, _served in enumerate(self.agents):
+                self.serve(agent, 0)
+                self.serve(agent, 1)
+            for position, _caller in enumerate(self.callers):
+                self.read(position)
+            self.advance(1)
+        self.deliver(10_000)
+
+    def _deliver_request(
+        self,
+        entry: int,
+        agent: int,
+        encoded: bytes,
+        kind: type,
+    ) -> None:
+        message = msgpack.decode(encoded, type=kind)
+        effects = self.agents[agent].admission.receive(
+            self.incarnations[entry],
+            message,
+            self.now,
+        )
+        self._apply_agent(agent, effects)
+
+    def _deliver_reply(
+        self,
+        entry: int,
+        agent: int,
+        encoded: bytes,
+        kind: type,
+    ) -> None:
+        router = self.routers[entry]
+        if router is None:
+            return
+        message = msgpack.decode(encoded, type=kind)
+        instance = self.agents[agent].instance
+        effects = router.receive(instance, message, self.now)
+        self._apply_router(entry, effects)
+
+    def _take_requests(self, count: int) -> list[_Packet]:
+        """Return messages whose agent reads, and leave those of frozen ones."""
+        taken: list[_Packet] = []
+        kept: deque[_Packet] = deque()
+        for packet in self._requests:
+            is_read = len(taken) < count and not self.is_frozen[packet[1]]
+            (taken if is_read else kept).append(packet)
+        self._requests = kept
+        return taken
+
+    def _build_agent(
+        self,
+        instance: str,
+        number: int,
+        started: timedelta,
+    ) -> Agent:
+        admission = build_admission(
+            instance,
+            f'{instance}.{number}',
+            self.configuration,
+            started,
+        )
+        return Agent(instance, admission)
+
+    def _exchange_heartbeats(self) -> None:
+        self.heartbeat()
+        self.deliver(100)
+
+    def _answer(self, agent: int, call: _Call) -> None:
+        report: CallStarted | CallChunk
+        if call.is_started and call.credit_bytes > 0:
+            call.credit_bytes -= charge_bytes(_PAYLOAD)
+            report = CallChunk(attempt_id=call.attempt_id, payload=_PAYLOAD)
+        elif not call.is_started:
+            call.is_started = True
+            report = CallStarted(
+                attempt_id=call.attempt_id,
+                status_code=200,
+                content_type='text/event-stream',
+            )
+        else:
+            return
+        effects = self.agents[agent].admission.update_call(report, self.now)
+        self._apply_agent(agent, effects)
+
+    def _end_call(
+        self,
+        agent: int,
+        call: _Call,
+        error: str,
+        *,
+        is_sent: bool,
+    ) -> None:
+        served = self.agents[agent]
+        served.calls.pop(call.attempt_id)
+        if not is_sent:
+            served.executions.remove(call.body)
+        ended = CallEnded(
+            attempt_id=call.attempt_id,
+            error=error,
+            is_sent=is_sent,
+        )
+        self._apply_agent(agent, served.admission.update_call(ended, self.now))
+
+    def _apply_agent(self, agent: int, effects: list[AgentEffect]) -> None:
+        served = self.agents[agent]
+        for effect in effects:
+            if isinstance(effect, ToPeer):
+                entry = self.incarnations.index(effect.peer)
+                self._replies.append((entry, agent, *_encode(effect.message)))
+            elif isinstance(effect, StartCall):
+                attempt = effect.attempt
+                body = attempt.body.decode()
+                served.executions.append(body)
+                served.calls[attempt.attempt_id] = _Call(
+                    attempt.attempt_id,
+                    body,
+                    attempt.credit_bytes,
+                )
+            elif isinstance(effect, GrantCall):
+                served.calls[
+                    effect.attempt_id
+                ].credit_bytes += effect.credit_bytes
+            elif isinstance(effect, CancelCall):
+                call = served.calls[effect.attempt_id]
+                self._end_call(agent, call, 'cancelled', is_sent=True)
+
+    def _apply_router(self, entry: int, effects: list[RouterEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, ToCaller):
+                self._take(effect)
+                continue
+            agent = int(effect.peer.rsplit('-', 1)[1])
+            self._requests.append((entry, agent, *_encode(effect.message)))
+
+    def _take(self, effect: ToCaller) -> None:
+        caller = self.callers[effect.request_number - 1]
+        message = effect.message
+        if isinstance(message, Chunk):
+            caller.chunks.append(message.sequence_number)
+            caller.unread.append(message)
+        elif not isinstance(message, Started):
+            caller.endings.append(message)
+
+
+def _encode(message: WireMessage) -> tuple[bytes, type]:
+    return msgpack.encode(message), type(message)
+
+
+def find_leaks(network: LossyNetwork) -> list[str]:
+    """Return what is still held after everything has settled.
+
+    :param network: a settled network.
+    """
+    leaks = [
+        f'entry {entry} holds {router.held_count} requests'
+        for entry, router in enumerate(network.routers)
+        if router is not None and router.held_count
+    ]
+    for agent in network.agents:
+        held = (
+            agent.admission.held_count,
+            agent.admission.reserved_tokens,
+            agent.admission.held_body_bytes,
+            len(agent.calls),
+        )
+        if any(held):
+            leaks.append(f'{agent.instance} holds {held}')
+    return leaks
+
+
+def find_faults(network: LossyNetwork) -> list[str]:
+    """Return every caller that was told something wrong.
+
+    :param network: a settled network.
+    """
+    faults: list[str] = []
+    executions = [body for agent in network.agents for body in agent.executions]
+    for caller in network.callers:
+        run_count = executions.count(caller.body)
+        if caller.submission.is_idempotent is False and run_count > 1:
+            faults.append(f'{caller.body} ran {run_count} times')
+        if caller.is_gone:
+            continue
+        if len(caller.endings) != 1:
+            faults.append(f'{caller.body} got {len(caller.endings)} endings')
+            continue
+        faults.extend(_check_ending(caller, run_count))
+    return faults
+
+
+def _check_ending(caller: Caller, run_count: int) -> list[str]:
+    ending = caller.endings[0]
+    if caller.chunks != list(range(len(caller.chunks))):
+        return [f'{caller.body} got chunks {caller.chunks}']
+    if isinstance(ending, Final):
+        if ending.chunk_count == len(caller.chunks):
+            return []
+        return [f'{caller.body} was cut and told that it is whole']
+    if ending.outcome is Outcome.not_run and run_count:
+        return [f'{caller.body} ran and was told that it did not']
+    return []
