--- a/features/steps/lossy_network.py
+++ b/features/steps/lossy_network.py
@@ -37,9 +37,11 @@
     ToPeer,
     WireMessage,
 )
+from buckthornpond_core.forecasts import PrefillForecast
 from buckthornpond_core.keys import KeyRegister
 from buckthornpond_core.limits import SlowStartLimit
-from buckthornpond_core.placement import TwoChoicesPlacement
+from buckthornpond_core.placement import FittingPlacement
+from buckthornpond_core.priorities import LengthPriority
 from buckthornpond_core.queueing import ShortestFirstOrder
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
@@ -167,7 +169,7 @@
             stream_window_bytes=WINDOW_BYTES,
             peer_timeout=PEER_TIMEOUT,
         ),
-        placement=TwoChoicesPlacement(),
+        placement=FittingPlacement(),
         budget=RetryBudget(20, 100),
         random=random.Random(1),
         recorder=_Recorder(),
@@ -199,9 +201,10 @@
             peer_timeout=PEER_TIMEOUT,
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
-        order=ShortestFirstOrder(),
+        order=ShortestFirstOrder(LengthPriority()),
         keys=KeyRegister(now),
         recorder=_Recorder(),
+        forecast=PrefillForecast(),
     )
     admission.follow_configuration()
     return admission
@@ -479,19 +482,17 @@
         self.deliver(100)
 
     def _answer(self, agent: int, call: _Call) -> None:
-        report: CallStarted | CallChunk
-        if call.is_started and call.credit_bytes > 0:
+        report: CallStarted | CallChunk = CallStarted(
+            attempt_id=call.attempt_id,
+            status_code=200,
+            content_type='text/event-stream',
+        )
+        if call.is_started:
+            if call.credit_bytes <= 0:
+                return
             call.credit_bytes -= charge_bytes(_PAYLOAD)
             report = CallChunk(attempt_id=call.attempt_id, payload=_PAYLOAD)
-        elif not call.is_started:
-            call.is_started = True
-            report = CallStarted(
-                attempt_id=call.attempt_id,
-                status_code=200,
-                content_type='text/event-stream',
-            )
-        else:
-            return
+        call.is_started = True
         effects = self.agents[agent].admission.update_call(report, self.now)
         self._apply_agent(agent, effects)
 
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -20,7 +20,6 @@
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
     AgentEffect,
-    CallMessage,
     CancelCall,
     GrantCall,
     StartCall,
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -38,6 +38,7 @@
 _HEARTBEAT_SECONDS = 0.5
 _WALL = datetime.fromtimestamp(0, UTC)
 _PEER_TIMEOUT = timedelta(seconds=2)
+_BODY_BUDGET_BYTES = 2**27
 _WARM_UP_SECONDS = 1.0
 _SETTLE_SECONDS = 130.0
 
@@ -359,6 +360,7 @@
             configuration=configuration,
             limits=AgentLimits(
                 max_queued_count=128,
+                body_budget_bytes=_BODY_BUDGET_BYTES,
                 peer_timeout=_PEER_TIMEOUT,
             ),
             limit=limit,
