--- a/features/steps/lossy_network.py
+++ b/features/steps/lossy_network.py
@@ -7,7 +7,7 @@
 import json
 import random
 from collections import deque
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 from msgspec import msgpack
 
@@ -38,7 +38,9 @@
     WireMessage,
 )
 from buckthornpond_core.forecasts import PrefillForecast
-from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.key_times import KeyTimes
+from buckthornpond_core.keyed_attempts import KeyedAttempts
 from buckthornpond_core.limits import SlowStartLimit
 from buckthornpond_core.placement import FittingPlacement
 from buckthornpond_core.priorities import LengthPriority
@@ -51,6 +53,7 @@
 RETRY_WINDOW_MS = 10_000
 WINDOW_BYTES = 1024
 _Packet = tuple[int, int, bytes, type]
+_WALL = datetime.fromtimestamp(0, UTC)
 _TICK = timedelta(milliseconds=100)
 _SETTLE_TICKS = 200
 _PAYLOAD = b'x' * 100
@@ -202,11 +205,26 @@
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
         order=ShortestFirstOrder(LengthPriority()),
-        keys=KeyRegister(now),
+        keyed=KeyedAttempts(
+            incarnation=incarnation,
+            configuration=configuration,
+            home=FencingKeyHome(
+                instance=instance,
+                configuration=configuration,
+                times=KeyTimes(now, _WALL + now),
+                limits=KeyLimits(
+                    fence_timeout=timedelta(seconds=1),
+                    max_replay_bytes=1000,
+                    replay_budget_bytes=1000,
+                ),
+            ),
+            max_replay_bytes=1000,
+            recorder=_Recorder(),
+        ),
         recorder=_Recorder(),
         forecast=PrefillForecast(),
     )
-    admission.follow_configuration()
+    admission.follow_configuration(now)
     return admission
 
 
@@ -231,7 +249,7 @@
 
     def __init__(self, entry_count: int = 2, agent_count: int = 2) -> None:
         # Keys of requests before the first agents' start are known.
-        self.now = timedelta(milliseconds=RETRY_WINDOW_MS)
+        self.now = timedelta(milliseconds=2 * RETRY_WINDOW_MS)
         self.configuration = build_configuration(agent_count)
         self.routers: list[Router | None] = []
         self.incarnations: list[str] = []
@@ -271,6 +289,7 @@
         if router is None:
             return
         number = len(self.callers) + 1
+        deadline = self.now + timedelta(milliseconds=time_limit_ms)
         submission = Submission(
             request_number=number,
             organisation='gate',
@@ -284,6 +303,7 @@
             prompt_tokens=tokens,
             output_tokens=0,
             time_limit_ms=time_limit_ms,
+            deadline_wall_ms=deadline // timedelta(milliseconds=1),
             body=f'{entry}/{number}'.encode(),
         )
         self.callers.append(Caller(entry, submission))
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -39,11 +39,12 @@
 from .keyed_attempts import KeyedAttempts, KeyStep
 from .ledger import Ledger
 from .limits import TargetLimit
-from .queueing import AdmissionOrder, QueuedAttempt, TargetLoad
+from .queueing import REFUSAL_MARGIN, AdmissionOrder, QueuedAttempt, TargetLoad
 from .types import Recorder
 
 _QUEUE_RETRY_AFTER_MS = 200
 _DETACHED_CREDIT_BYTES = 1 << 24
+_BODY_BUDGET_BYTES = 134_217_728
 
 
 class AgentLimits:
@@ -60,8 +61,8 @@
         self,
         *,
         max_queued_count: int,
-        body_budget_bytes: int,
         peer_timeout: timedelta,
+        body_budget_bytes: int = _BODY_BUDGET_BYTES,
     ) -> None:
         self.max_queued_count = max_queued_count
         self.body_budget_bytes = body_budget_bytes
@@ -236,7 +237,8 @@
         :param now: time on the monotonic clock.
         """
         effects: list[AgentEffect] = []
-        for peer, queued in [*self._queue.values(), *self._keyed.waiting]:
+        waiting = [*self._queue.values(), *self._keyed.waiting]
+        for peer, queued in waiting:
             attempt_id = queued.attempt.attempt_id
             self._drop_queued(attempt_id)
             refused = self._refuse(attempt_id, 'agent_leaving')
@@ -292,11 +294,10 @@
         self._fates.expire(now)
         dead = self._drop_dead(now)
         effects.extend(self._follow(self._keyed.tick(dead, now), now))
-        for attempt_id, (peer, queued) in list(self._queue.items()):
+        for attempt_id, (peer, _) in list(self._queue.items()):
             if peer in dead:
                 self._drop_queued(attempt_id)
-            elif queued.is_due(now):
-                effects.append(self._expire(attempt_id, peer))
+        effects.extend(self._end_overdue(now + REFUSAL_MARGIN))
         for attempt_id, running in list(self._running.items()):
             if running.peer in dead or running.queued.deadline <= now:
                 effects.extend(self._cancel(attempt_id, now))
@@ -344,26 +345,25 @@
         service = self._configuration.services[attempt.service]
         deadline = now + timedelta(milliseconds=attempt.remaining_ms)
         queued = QueuedAttempt(attempt, now, deadline)
+        step = KeyStep()
+        step.ready.append((peer, queued))
         if attempt.idempotency_key:
             step = self._keyed.admit(peer, queued, service, now)
-            return self._follow(step, now)
-        return [*self._enqueue(peer, queued), *self._start_waiting(now)]
+        return self._follow(step, now)
 
     def _follow(self, step: KeyStep, now: timedelta) -> list[AgentEffect]:
         effects = step.effects
         for peer, queued in step.ready:
-            effects.extend(self._enqueue(peer, queued))
+            attempt_id = queued.attempt.attempt_id
+            self._queue[attempt_id] = peer, queued
+            effects.append(ToPeer(peer, Accepted(attempt_id=attempt_id)))
         if step.ready:
             effects.extend(self._start_waiting(now))
         return effects
 
-    def _enqueue(self, peer: str, queued: QueuedAttempt) -> list[AgentEffect]:
-        attempt_id = queued.attempt.attempt_id
-        self._queue[attempt_id] = peer, queued
-        return [ToPeer(peer, Accepted(attempt_id=attempt_id))]
-
     def _find_refusal(self, attempt: Attempt) -> str:
         total_tokens = attempt.prompt_tokens + attempt.output_tokens
+        held_bytes = self.held_body_bytes + len(attempt.body)
         service = self._configuration.services.get(attempt.service)
         checks = (
             (
@@ -381,7 +381,7 @@
             ('prompt_too_large', total_tokens > self._target.memory_tokens),
             ('deadline_exceeded', attempt.remaining_ms <= 0),
             ('queue_full', len(self._queue) >= self._limits.max_queued_count),
-            ('agent_memory_full', self._overfills(attempt)),
+            ('agent_memory_full', held_bytes > self._limits.body_budget_bytes),
         )
         return next((reason for reason, applies in checks if applies), '')
 
@@ -397,10 +397,6 @@
         )
         return expected // timedelta(milliseconds=1)
 
-    def _overfills(self, attempt: Attempt) -> bool:
-        held_bytes = self.held_body_bytes + len(attempt.body)
-        return held_bytes > self._limits.body_budget_bytes
-
     def _is_held(self, attempt_id: str) -> bool:
         return (
             attempt_id in self._queue
@@ -508,7 +504,9 @@
     def _start_waiting(self, now: timedelta) -> list[AgentEffect]:
         # Checked again here, right before the target is called.
         effects = self._end_overdue(now)
-        while self._queue and self._has_slot():
+        while self._queue:
+            if len(self._running) >= self._target.concurrency_count:
+                break
             queued = self._order.choose(self._load(), now)
             if queued is None:
                 break
@@ -519,14 +517,11 @@
         effects: list[AgentEffect] = []
         for attempt_id, (peer, queued) in list(self._queue.items()):
             if queued.deadline <= now:
-                effects.append(self._expire(attempt_id, peer))
+                self._drop_queued(attempt_id)
+                refused = self._refuse(attempt_id, 'deadline_exceeded')
+                effects.append(ToPeer(peer, refused))
         return effects
 
-    def _expire(self, attempt_id: str, peer: str) -> ToPeer:
-        self._drop_queued(attempt_id)
-        refused = self._refuse(attempt_id, 'deadline_exceeded')
-        return ToPeer(peer, refused)
-
     def _start(self, queued: QueuedAttempt, now: timedelta) -> StartCall:
         attempt = queued.attempt
         self._forecast.record_start(
@@ -555,6 +550,3 @@
             free_tokens=self._limit.limit_tokens - self.reserved_tokens,
             is_idle=not self._running,
         )
-
-    def _has_slot(self) -> bool:
-        return len(self._running) < self._target.concurrency_count
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -8,7 +8,7 @@
 from .priorities import EnginePriority, EqualPriority
 
 _REFUSAL_MARGIN_MS = 50
-_REFUSAL_MARGIN = timedelta(milliseconds=_REFUSAL_MARGIN_MS)
+REFUSAL_MARGIN = timedelta(milliseconds=_REFUSAL_MARGIN_MS)
 
 
 class QueuedAttempt:
@@ -36,13 +36,6 @@
         """Return the tokens that the attempt may hold at the target."""
         return self.attempt.prompt_tokens + self.attempt.output_tokens
 
-    def is_due(self, now: timedelta) -> bool:
-        """Tell whether a refusal can just reach the entry in time.
-
-        :param now: time on the monotonic clock.
-        """
-        return now >= self.deadline - _REFUSAL_MARGIN
-
 
 class TargetLoad:
     """What an admission order sees of its target.
