Hold a cold target to what it bears, and notice one that turns cold

Cause: on an idle cold target a prompt of any size was let in; the limit grew before the target was warm; an unannounced cold target kept its whole limit. Change: an attempt always fits the limit. The inventory names warm_up_tokens, the completed tokens before which the limit stays at cold_tokens. A cold target refuses (target_cold, not run) what is larger than its limit or would wait behind as much again; entries do not send it there. A broken call halves the limit; a refused connection, a prefill at less than half its usual speed and the engine's own report, which a task of the agent now polls, start it over (event 310). Refusals that correct a placement cost no retry budget. Whole fleets in tests start with engines that bear everything unless a test says otherwise. A prompt larger than cold_tokens waits for a warm target or is refused, also when the whole fleet is cold.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -25,6 +25,7 @@
 from buckthornpond_runtime.tasks import Supervisor
 from buckthornpond_runtime.transports import PortTask
 
+from .reports import ReportTask
 from .tasks import AdmissionTask
 
 _STARTUP_PEER_COUNT = 2
@@ -94,6 +95,12 @@
         metrics,
     )
     task.port = port.mailbox
+    reports = ReportTask(
+        timedelta(milliseconds=settings.load_poll_interval_ms),
+        task.mailbox.send,
+        metrics,
+    )
+    task.reports = reports.mailbox
     administration = AdministrationTask(
         settings.administration_address,
         metrics,
@@ -105,6 +112,7 @@
     supervisor = Supervisor()
     supervisor.start('admission', task.run)
     supervisor.start('port', port.run)
+    supervisor.start('reports', reports.run)
     assembly.start(supervisor, task.mailbox.send)
     supervisor.start('administration', administration.run)
     log_event(EventCode.process_started, incarnation=incarnation)
--- /dev/null
+++ b/packages/agent/src/buckthornpond_agent/reports.py
@@ -0,0 +1,82 @@
+"""Reader of the engine's own load report."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from buckthornpond_core._generated.platform import LoadReport
+from buckthornpond_core.exceptions import BuckthornpondError
+from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.tasks import Mailbox
+
+_OK = 200
+_MAX_REPORT_BYTES = 65_536
+_TIMEOUT = timedelta(seconds=2)
+
+
+class PollEngine:
+    """Ask the report task to poll another address.
+
+    :param address: IP number and port of the engine, empty for none.
+    """
+
+    __slots__ = ('address',)
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+
+class ReportTask:
+    """Owns the connection on which the engine reports its load.
+
+    :param interval: time between two reports.
+    :param post: hands a report to the task that owns the admission.
+    :param metrics: counters of the process.
+    """
+
+    __slots__ = ('_address', '_interval', '_metrics', '_post', 'mailbox')
+
+    def __init__(
+        self,
+        interval: timedelta,
+        post: Callable[[LoadReport], None],
+        metrics: Metrics,
+    ) -> None:
+        self.mailbox: Mailbox[PollEngine] = Mailbox()
+        self._address = ''
+        self._interval = interval
+        self._post = post
+        self._metrics = metrics
+
+    def run(self) -> None:
+        """Poll until the process ends."""
+        while True:
+            message = self.mailbox.receive(self._interval.total_seconds())
+            if message is not None:
+                self._address = message.address
+            if self._address:
+                self._poll()
+
+    def _poll(self) -> None:
+        call = HttpCall(self._address, _TIMEOUT)
+        try:
+            report = _read_report(call)
+        except (BuckthornpondError, msgspec.MsgspecError) as error:
+            self._metrics.count('report_errors', type(error).__name__)
+            return
+        finally:
+            call.close()
+        if report is None:
+            self._metrics.count('report_errors', 'status')
+        else:
+            self._post(report)
+
+
+def _read_report(call: HttpCall) -> LoadReport | None:
+    call.send('GET', '/load', b'', {})
+    if call.response.status_code != _OK:
+        return None
+    content = call.read_block(_MAX_REPORT_BYTES)
+    return msgspec.json.decode(content, type=LoadReport)
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -16,6 +16,7 @@
     DocumentRequest,
     Heartbeat,
 )
+from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.admission import Admission
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
@@ -33,11 +34,12 @@
 
 from .bodies import with_priority
 from .calls import CallTask
+from .reports import PollEngine
 
 _TICK_SECONDS = 0.05
 
 AdmissionMessage: TypeAlias = (
-    CallChunk | CallEnded | CallStarted | Received | ServiceRead
+    CallChunk | CallEnded | CallStarted | LoadReport | Received | ServiceRead
 )
 
 
@@ -62,6 +64,7 @@
         '_max_frame_bytes',
         'mailbox',
         'port',
+        'reports',
     )
 
     def __init__(
@@ -76,6 +79,7 @@
     ) -> None:
         self.mailbox: Mailbox[AdmissionMessage] = Mailbox()
         self.port: Mailbox[ToPeer] = Mailbox()
+        self.reports: Mailbox[PollEngine] = Mailbox()
         self._instance = instance
         self._admission = admission
         self._configuration = configuration
@@ -106,6 +110,9 @@
             return self._receive(message, now)
         if isinstance(message, ServiceRead):
             return self._follow(self._exchange.take_read(message, now))
+        if isinstance(message, LoadReport):
+            self._admission.update_load(message)
+            return []
         if isinstance(message, CallEnded):
             self._calls.pop(message.attempt_id, None)
         return self._admission.update_call(message, now)
@@ -138,9 +145,19 @@
         if not is_accepted:
             return []
         self._admission.follow_configuration()
+        self.reports.offer(PollEngine(self._find_engine()))
         hint = self._admission.hint()
         return [ToPeer(peer, hint) for peer in self._exchange.peers]
 
+    def _find_engine(self) -> str:
+        instance = self._configuration.instances.get(self._instance)
+        is_engine = any(
+            service.kind is TargetKind.engine
+            and self._instance in service.instances
+            for service in self._configuration.services.values()
+        )
+        return instance.target.address if instance and is_engine else ''
+
     def _apply(self, effects: list[AgentEffect]) -> None:
         for effect in effects:
             if isinstance(effect, ToPeer):
--- a/packages/core/src/buckthornpond_core/_generated/inventory.py
+++ b/packages/core/src/buckthornpond_core/_generated/inventory.py
@@ -55,6 +55,13 @@
             ge=1,
         ),
     ] = 40000
+    warm_up_tokens: Annotated[
+        int,
+        Meta(
+            description='Tokens that the target completes before it bears more than cold_tokens.',
+            ge=0,
+        ),
+    ] = 200000
     checks_fencing: Annotated[
         bool,
         Meta(
--- a/packages/core/src/buckthornpond_core/_generated/platform.py
+++ b/packages/core/src/buckthornpond_core/_generated/platform.py
@@ -49,3 +49,9 @@
     running_count: Annotated[int, Meta(ge=0)]
     held_tokens: Annotated[int, Meta(ge=0)]
     incarnation: str
+    is_warm: Annotated[
+        bool,
+        Meta(
+            description='False while the engine does not bear its whole memory.'
+        ),
+    ] = True
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -22,6 +22,7 @@
     Started,
     TargetPhase,
 )
+from ._generated.platform import LoadReport
 from .configuration import Configuration
 from .effects import (
     AgentEffect,
@@ -104,6 +105,7 @@
         '_peers',
         '_queue',
         '_recorder',
+        '_report',
         '_running',
         '_target',
         'is_stopping',
@@ -130,6 +132,7 @@
         self._order = order
         self._keys = keys
         self._recorder = recorder
+        self._report: LoadReport | None = None
         self._forecast = forecast or NoForecast()
         self._target = Target(address='0.0.0.0:0')
         self._ledger = Ledger()
@@ -166,6 +169,7 @@
             self._limit.resize(
                 instance.target.cold_tokens,
                 instance.target.memory_tokens,
+                instance.target.warm_up_tokens,
             )
 
     def receive(
@@ -224,9 +228,26 @@
             if running.is_prefilling:
                 running.is_prefilling = False
                 self._forecast.record_first_token(message.attempt_id, now)
+                if self._forecast.take_slowdown():
+                    self._fall_back('slow prefill')
             return self._tell(running, chunk)
         return self._end_call(running, message, now)
 
+    def update_load(self, report: LoadReport) -> None:
+        """Take the engine's own report, which lags.
+
+        :param report: what it says of itself.
+        """
+        previous = self._report
+        self._report = report
+        self._limit.record_report(is_warm=report.is_warm)
+        if previous is None:
+            return
+        if previous.incarnation != report.incarnation:
+            self._fall_back('engine restarted')
+        elif previous.is_warm and not report.is_warm:
+            self._fall_back('engine report')
+
     def tick(self, now: timedelta) -> list[AgentEffect]:
         """End overdue attempts and those of dead entries, start others.
 
@@ -310,11 +331,19 @@
                 service is None or self._instance not in service.instances,
             ),
             ('prompt_too_large', total_tokens > self._target.memory_tokens),
+            ('target_cold', self._is_too_cold(total_tokens)),
             ('deadline_exceeded', attempt.remaining_ms <= 0),
             ('queue_full', len(self._queue) >= self._limits.max_queued_count),
         )
         return next((reason for reason, applies in checks if applies), '')
 
+    def _is_too_cold(self, total_tokens: int) -> bool:
+        if not self._limit.is_cold:
+            return False
+        limit_tokens = self._limit.limit_tokens
+        waiting = sum(queued.total_tokens for _, queued in self._queue.values())
+        return waiting + total_tokens > limit_tokens
+
     def _predict(self, attempt: Attempt, now: timedelta) -> int:
         waiting = [
             queued.attempt.prompt_tokens for _, queued in self._queue.values()
@@ -411,6 +440,7 @@
         tokens = self._ledger.release(ended.attempt_id)
         effects: list[AgentEffect] = []
         if ended.error:
+            self._learn_failure(running, ended)
             state = KeyState.unknown if ended.is_sent else KeyState.fenced
             self._settle_key(attempt, state, now)
             effects.extend(self._tell(running, self._report_failure(ended)))
@@ -425,6 +455,19 @@
         effects.extend(self._start_waiting(now))
         return effects
 
+    def _learn_failure(self, running: _Running, ended: CallEnded) -> None:
+        if running.is_cancelled:
+            return
+        if ended.is_sent:
+            self._limit.record_failure()
+        else:
+            self._fall_back('connection refused')
+
+    def _fall_back(self, sign: str) -> None:
+        if not self._limit.is_cold:
+            self._recorder.log(EventCode.target_cold, sign=sign)
+        self._limit.record_cold()
+
     def _report_failure(self, ended: CallEnded) -> Refused:
         if ended.is_sent:
             return self._refuse_unknown(ended.attempt_id, ended.error)
@@ -475,7 +518,6 @@
                 if running.is_prefilling
             ],
             free_tokens=self._limit.limit_tokens - self.reserved_tokens,
-            is_idle=not self._running,
         )
 
     def _has_slot(self) -> bool:
--- a/packages/core/src/buckthornpond_core/averages.py
+++ b/packages/core/src/buckthornpond_core/averages.py
@@ -3,6 +3,8 @@
 import math
 from datetime import timedelta
 
+_SETTLED = 5
+
 
 class DecayingRatio:
     """Mean amount a second over the last seconds that were measured.
@@ -23,6 +25,11 @@
         """Return the mean a second, or nought before the first sample."""
         return self._amount / self._seconds if self._seconds else 0.0
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether samples of a fifth of the memory's time are in."""
+        return self._seconds * _SETTLED >= self._memory.total_seconds()
+
     def add(self, amount: float, duration: timedelta) -> None:
         """Add a sample.
 
--- a/packages/core/src/buckthornpond_core/forecasts.py
+++ b/packages/core/src/buckthornpond_core/forecasts.py
@@ -13,7 +13,9 @@
 from .averages import DecayingRate, DecayingRatio
 
 _ARRIVAL_MEMORY_SECONDS = 10
-_SPEED_MEMORY = timedelta(seconds=5)
+_SPEED_MEMORY = timedelta(seconds=2)
+_USUAL_MEMORY = timedelta(minutes=1)
+_SLOW_SHARE = 0.5
 _ARRIVAL_MEMORY = timedelta(seconds=_ARRIVAL_MEMORY_SECONDS)
 _CLASSES_PER_OCTAVE = 4
 _CLASS_COUNT = 24 * _CLASSES_PER_OCTAVE
@@ -42,6 +44,9 @@
     ) -> None:
         """Note that a call ended, whatever its state."""
 
+    def take_slowdown(self) -> bool:
+        """Tell once that prefill has become much slower than before."""
+
     def predict(
         self,
         prompt_tokens: int,
@@ -82,6 +87,10 @@
     ) -> None:
         """Ignore the end."""
 
+    def take_slowdown(self) -> bool:
+        """Return that there is none."""
+        return False
+
     def predict(
         self,
         prompt_tokens: int,
@@ -120,12 +129,14 @@
         '_prefill_speed',
         '_prefills',
         '_updated',
+        '_usual_speed',
     )
 
     def __init__(self) -> None:
         self._prefills: dict[str, _Prefill] = {}
         self._decoding: dict[str, timedelta] = {}
         self._prefill_speed = DecayingRatio(_SPEED_MEMORY)
+        self._usual_speed = DecayingRatio(_USUAL_MEMORY)
         self._decode_speed = DecayingRatio(_SPEED_MEMORY)
         self._arrivals = [
             DecayingRate(_ARRIVAL_MEMORY) for _ in range(_CLASS_COUNT)
@@ -168,10 +179,9 @@
         self._prefills.pop(attempt_id)
         self._decoding[attempt_id] = now
         if attempt_id == self._head and prefill.served_since is not None:
-            self._prefill_speed.add(
-                prefill.tokens,
-                now - prefill.served_since,
-            )
+            served = now - prefill.served_since
+            self._prefill_speed.add(prefill.tokens, served)
+            self._usual_speed.add(prefill.tokens, served)
         self._find_head(now)
 
     def record_end(
@@ -193,6 +203,15 @@
         self._prefills.pop(attempt_id, None)
         self._find_head(now)
 
+    def take_slowdown(self) -> bool:
+        """Tell once that prefill has become much slower than before."""
+        is_slow = self._usual_speed.is_settled and (
+            self._prefill_speed.mean < _SLOW_SHARE * self._usual_speed.mean
+        )
+        if is_slow:
+            self._usual_speed = DecayingRatio(_USUAL_MEMORY)
+        return is_slow
+
     def predict(
         self,
         prompt_tokens: int,
--- a/packages/core/src/buckthornpond_core/journal.py
+++ b/packages/core/src/buckthornpond_core/journal.py
@@ -18,6 +18,7 @@
     target_call_failed = 301
     entry_silent = 302
     malformed_entry_message = 303
+    target_cold = 310
     configuration_accepted = 401
     configuration_rejected = 402
     configuration_conflict = 403
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -7,6 +7,7 @@
 from xxhash import xxh3_64_intdigest
 
 from ._generated.events import Submission
+from ._generated.inventory import Target
 from ._generated.messages import Hint, TargetPhase
 from .types import RandomSource
 
@@ -60,6 +61,18 @@
             TargetPhase.warm,
         }
 
+    def bears(self, total_tokens: int, target: Target) -> bool:
+        """Tell whether the agent may take a request of that size.
+
+        :param total_tokens: tokens of the prompt and the answer.
+        :param target: bounds of its target.
+        """
+        if self.hint is None or not self.is_open:
+            return False
+        if self.hint.phase is TargetPhase.cold:
+            return total_tokens <= self.hint.limit_tokens
+        return total_tokens <= target.memory_tokens
+
     def update(self, hint: Hint, now: timedelta) -> None:
         """Take a new hint from the agent.
 
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -40,30 +40,26 @@
     :param waiting: attempts to choose from.
     :param prefilling: running attempts that have no first token yet.
     :param free_tokens: tokens that the target may still take.
-    :param is_idle: whether nothing runs.
     """
 
-    __slots__ = ('free_tokens', 'is_idle', 'prefilling', 'waiting')
+    __slots__ = ('free_tokens', 'prefilling', 'waiting')
 
     def __init__(
         self,
         waiting: Sequence[QueuedAttempt],
         prefilling: Sequence[QueuedAttempt],
         free_tokens: int,
-        *,
-        is_idle: bool,
     ) -> None:
         self.waiting = waiting
         self.prefilling = prefilling
         self.free_tokens = free_tokens
-        self.is_idle = is_idle
 
     def fits(self, queued: QueuedAttempt) -> bool:
         """Tell whether the target bears the attempt now.
 
         :param queued: a waiting attempt.
         """
-        return self.is_idle or queued.total_tokens <= self.free_tokens
+        return queued.total_tokens <= self.free_tokens
 
 
 class AdmissionOrder(Protocol):
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -64,6 +64,7 @@
         'retry_budget_exhausted': RefusalKind(503, 'Overload', may_retry=True),
         'service_not_here': RefusalKind(503, 'Service moved', may_retry=True),
         'stale_incarnation': RefusalKind(503, 'Instance lost', may_retry=True),
+        'target_cold': RefusalKind(503, 'Instance cold', may_retry=True),
         'target_connect_failed': RefusalKind(
             502,
             'Target unreachable',
--- a/packages/core/src/buckthornpond_core/retries.py
+++ b/packages/core/src/buckthornpond_core/retries.py
@@ -1,5 +1,17 @@
 """Budget that bounds retries to a share of first attempts."""
 
+# Refusals that correct a placement. They prove that nothing ran, and what
+# the entry learns with them keeps it from sending more.
+FREE_REASONS = frozenset(
+    (
+        'agent_leaving',
+        'service_not_here',
+        'stale_incarnation',
+        'target_cold',
+        'target_draining',
+    ),
+)
+
 
 class RetryBudget:
     """Token bucket filled by first attempts and emptied by retries.
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -22,7 +22,7 @@
 from .effects import AnswerMessage, RouterEffect, ToCaller, ToPeer, WireMessage
 from .journal import EventCode
 from .placement import AgentView, Placement, join_key, rank_homes
-from .retries import RetryBudget
+from .retries import FREE_REASONS, RetryBudget
 from .types import RandomSource, Recorder
 
 _RETRY_BASE_MS = 20
@@ -345,13 +345,11 @@
             )
             names = rank_homes(home_key, service.instances)[:1]
         for name in names:
-            view = self._agents.get(name)
-            if view is None or not view.is_open or name in request.tried:
-                continue
-            if self._configuration.is_draining(name):
+            if name in request.tried or self._configuration.is_draining(name):
                 continue
+            view = self._agents.get(name)
             target = self._configuration.instances[name].target
-            if request.total_tokens <= target.memory_tokens:
+            if view is not None and view.bears(request.total_tokens, target):
                 yield view
 
     def _place(
@@ -481,7 +479,8 @@
             return self._fail(request, reason)
         if request.attempt_count >= self._limits.max_attempts:
             return self._fail(request, reason)
-        if not self._budget.allow_retry():
+        is_free = reason in FREE_REASONS
+        if not is_free and not self._budget.allow_retry():
             self._recorder.count('retries_denied', reason)
             return self._fail(request, 'retry_budget_exhausted')
         self._recorder.count('retries', reason)
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -10,6 +10,7 @@
 
 from buckthornpond_core._generated.inventory import Rules
 from buckthornpond_core._generated.messages import Chunk, Final, Refused
+from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.admission import Admission, AgentLimits
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
@@ -34,6 +35,8 @@
 
 _TICK_SECONDS = 0.05
 _HEARTBEAT_SECONDS = 0.5
+# Lag of the engine's report and time between two of them.
+_REPORT_SECONDS = 1.0
 _PEER_TIMEOUT = timedelta(seconds=2)
 _WARM_UP_SECONDS = 1.0
 _SETTLE_SECONDS = 130.0
@@ -200,6 +203,7 @@
             self._tick_router(entry, 0)
         for name in self.agents:
             self._tick_agent(name)
+            self._poll_report(name)
 
     def _tick_router(self, entry: str, count: int) -> None:
         router = self._entries[entry]
@@ -221,6 +225,24 @@
             partial(self._tick_agent, name),
         )
 
+    def _poll_report(self, name: str) -> None:
+        agent = self.agents[name]
+        report = agent.engine.report()
+        self.schedule(
+            self.now + _REPORT_SECONDS,
+            partial(self._deliver_report, agent, name, report),
+        )
+
+    def _deliver_report(
+        self,
+        agent: _Agent,
+        name: str,
+        report: LoadReport,
+    ) -> None:
+        if agent.is_up and self.agents[name] is agent:
+            agent.admission.update_load(report)
+        self._poll_report(name)
+
     def _clock(self) -> timedelta:
         return timedelta(seconds=self.now + _WARM_UP_SECONDS)
 
@@ -346,10 +368,10 @@
 
     def _make_agent(self, name: str, *, is_warm: bool) -> _Agent:
         configuration = self._make_configuration()
-        costs = self._costs
-        limit = self._policies.limit(costs.cold_tokens, costs.memory_tokens)
+        target = configuration.instances[name].target
+        limit = self._policies.limit(target)
         if is_warm:
-            limit.record_success(costs.memory_tokens)
+            limit.record_success(target.warm_up_tokens + target.memory_tokens)
         admission = Admission(
             instance=name,
             incarnation=f'{name}.{next(self._incarnations)}',
@@ -365,7 +387,7 @@
             recorder=self.recorder,
         )
         admission.follow_configuration()
-        engine = EngineModel(costs, is_warm=is_warm)
+        engine = EngineModel(self._costs, is_warm=is_warm)
         return _Agent(admission, configuration, engine)
 
     def _make_configuration(self) -> Configuration:
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -31,9 +31,10 @@
 @main.command()
 @click.argument('address')
 @click.option('--time-scale', default=1.0, help='Factor on all times.')
-def engine(address: str, time_scale: float) -> None:
+@click.option('--cold-tokens', default=60_000, help='Borne when cold.')
+def engine(address: str, time_scale: float, cold_tokens: int) -> None:
     """Run a model engine at ADDRESS."""
-    costs = EngineCosts(time_scale=time_scale)
+    costs = EngineCosts(time_scale=time_scale, cold_tokens=cold_tokens)
     stand_in = EngineStandIn(costs, secrets.token_hex(4))
     gevent.spawn(stand_in.run)
     StandInServer(address, stand_in).serve_forever()
--- a/packages/standins/src/buckthornpond_standins/engine.py
+++ b/packages/standins/src/buckthornpond_standins/engine.py
@@ -46,7 +46,7 @@
         memory_tokens: int = 600_000,
         cold_tokens: int = 60_000,
         warm_up_tokens: int = 200_000,
-        cold_speed: float = 0.5,
+        cold_speed: float = 0.25,
         time_scale: float = 1.0,
     ) -> None:
         self.prefill_tokens_per_second = prefill_tokens_per_second
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -23,6 +23,7 @@
 _PORTS = itertools.count(20_000)
 _POLL_SECONDS = 0.05
 _CALL_TIMEOUT = timedelta(seconds=5)
+_MEMORY_TOKENS = 600_000
 CREDENTIAL = 'demo-credential'
 
 
@@ -145,6 +146,7 @@
     :param plain_count: instances with a plain service.
     :param entry_count: entry processes.
     :param engine_arguments: further arguments of each engine.
+    :param cold_tokens: what each engine bears after a start, all by default.
     :param retry_window_ms: retry window of the plain service.
     :param entry_settings: settings of each entry that differ.
     :param agent_settings: settings of each agent that differ.
@@ -159,6 +161,7 @@
         entry_count: int = 2,
         engine_arguments: Iterable[str] = (),
         retry_window_ms: int = 1000,
+        cold_tokens: int = _MEMORY_TOKENS,
         entry_settings: dict[str, Any] | None = None,
         agent_settings: dict[str, Any] | None = None,
         platform_readers: Iterable[str] | None = None,
@@ -167,6 +170,7 @@
         self.folder = Path(self._folder.name)
         self._engine_arguments = list(engine_arguments)
         self._retry_window_ms = retry_window_ms
+        self._cold_tokens = cold_tokens
         self._entry_settings = entry_settings or {}
         self._agent_settings = agent_settings or {}
         self._platform_readers = platform_readers
@@ -294,6 +298,7 @@
                     'buckthornpond_standins',
                     'engine',
                     instance.target_address,
+                    f'--cold-tokens={self._cold_tokens}',
                     *self._engine_arguments,
                 ],
             )
@@ -388,7 +393,10 @@
                     'name': instance.name,
                     'availability_zone': instance.zone,
                     'agent_address': instance.agent_address,
-                    'target': {'address': instance.target_address},
+                    'target': {
+                        'address': instance.target_address,
+                        'cold_tokens': self._cold_tokens,
+                    },
                 }
                 for instance in self.instances
             ],
--- a/packages/standins/src/buckthornpond_standins/mix_inventories.py
+++ b/packages/standins/src/buckthornpond_standins/mix_inventories.py
@@ -30,6 +30,7 @@
                 address='127.0.0.1:1',
                 memory_tokens=costs.memory_tokens,
                 cold_tokens=costs.cold_tokens,
+                warm_up_tokens=costs.warm_up_tokens,
             ),
         )
         for number in range(mix.target_count)
--- a/packages/standins/src/buckthornpond_standins/models.py
+++ b/packages/standins/src/buckthornpond_standins/models.py
@@ -14,6 +14,7 @@
     CallStarted,
 )
 from buckthornpond_core._generated.messages import Attempt
+from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.effects import CallMessage
 
 from .engine import EngineCosts
@@ -70,6 +71,17 @@
         """Tell whether the engine bears its whole memory."""
         return self._completed_tokens >= self._costs.warm_up_tokens
 
+    def report(self) -> LoadReport:
+        """Return the engine's load report, without its lag."""
+        return LoadReport(
+            running_count=len(self._streams),
+            held_tokens=sum(
+                each.total_tokens for each in self._streams.values()
+            ),
+            incarnation='',
+            is_warm=self.is_warm,
+        )
+
     @property
     def next_event_seconds(self) -> float:
         """Return when the engine next sends something."""
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
+from buckthornpond_core._generated.inventory import Target
 from buckthornpond_core.forecasts import (
     Forecast,
     NoForecast,
@@ -31,7 +32,7 @@
     :param name: label in tables.
     :param placement: makes the placement of an entry.
     :param order: makes the admission order of an agent.
-    :param limit: makes the limit of a target from cold and whole memory.
+    :param limit: makes the limit of a target.
     :param forecast: makes the forecast of an agent.
     """
 
@@ -43,7 +44,7 @@
         *,
         placement: Callable[[], Placement],
         order: Callable[[], AdmissionOrder],
-        limit: Callable[[int, int], TargetLimit],
+        limit: Callable[[Target], TargetLimit],
         forecast: Callable[[], Forecast] = NoForecast,
     ) -> None:
         self.name = name
@@ -53,12 +54,16 @@
         self.forecast = forecast
 
 
-def _slow_start(cold_tokens: int, memory_tokens: int) -> TargetLimit:
-    return SlowStartLimit(cold_tokens, memory_tokens)
+def _slow_start(target: Target) -> TargetLimit:
+    return SlowStartLimit(
+        target.cold_tokens,
+        target.memory_tokens,
+        target.warm_up_tokens,
+    )
 
 
-def _fixed(cold_tokens: int, memory_tokens: int) -> TargetLimit:
-    return FixedLimit(memory_tokens)
+def _fixed(target: Target) -> TargetLimit:
+    return FixedLimit(target.memory_tokens)
 
 
 def _prioritised() -> AdmissionOrder:
@@ -115,6 +120,13 @@
         limit=_slow_start,
         forecast=PrefillForecast,
     ),
+    PolicySet(
+        'fitting-fixed-limit',
+        placement=FittingPlacement,
+        order=_prioritised,
+        limit=_fixed,
+        forecast=PrefillForecast,
+    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
