Refuse what waits at a drained agent and show that a drain cuts nothing

Cause: an agent refused new attempts while it was drained, but went on to start the ones that waited in its queue, for as long as the queue lasted.

Change: while the phase is draining nothing is started; what waits is refused as not run, so that the entry places it elsewhere, and what runs is finished. Tested for a drained zone, an instance that the platform lists as leaving, one that the list lacks, and a fleet in which one entry is frozen while the zone is drained.

--- /dev/null
+++ b/features/steps/drain_steps.py
@@ -0,0 +1,250 @@
+"""Steps that drain availability zones and take instances out."""
+
+import signal
+from datetime import timedelta
+from functools import partial
+from typing import Any
+
+import gevent
+from behave import given, then, when
+from spreading_model import QuietRecorder
+
+from buckthornpond_core._generated.events import CallEnded, CallStarted
+from buckthornpond_core._generated.inventory import (
+    Instance,
+    Inventory,
+    Rules,
+    Service,
+    Target,
+    TargetKind,
+)
+from buckthornpond_core._generated.messages import (
+    Accepted,
+    Attempt,
+    Final,
+    Outcome,
+    Refused,
+)
+from buckthornpond_core.admission import Admission, AgentLimits
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.effects import ToPeer
+from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.limits import FixedLimit
+from buckthornpond_core.queueing import FifoOrder
+from buckthornpond_standins.fleets import call_json, call_text, wait_until
+
+_NOW = timedelta(seconds=10)
+
+
+@given('an agent that runs one attempt and queues two')
+def make_agent(context: Any) -> None:
+    """Build the decisions of one agent with one slot."""
+    context.configuration = Configuration()
+    context.configuration.accept_inventory(_build_inventory(), b'1')
+    context.admission = Admission(
+        instance='engine-0',
+        incarnation='agent',
+        configuration=context.configuration,
+        limits=AgentLimits(
+            max_queued_count=10,
+            peer_timeout=timedelta(hours=1),
+        ),
+        limit=FixedLimit(1000),
+        order=FifoOrder(),
+        keys=KeyRegister(timedelta(0)),
+        recorder=QuietRecorder(),
+    )
+    context.admission.follow_configuration()
+    for number in range(3):
+        _send(context, f'attempt-{number}')
+    assert context.admission.held_count == 3
+
+
+def _build_inventory() -> Inventory:
+    target = Target(
+        address='127.0.0.1:2',
+        memory_tokens=1000,
+        concurrency_count=1,
+    )
+    return Inventory(
+        version=1,
+        availability_zones=['zone-0'],
+        instances=[
+            Instance(
+                name='engine-0',
+                availability_zone='zone-0',
+                agent_address='127.0.0.1:1',
+                target=target,
+            ),
+        ],
+        services=[
+            Service(
+                name='model',
+                kind=TargetKind.engine,
+                instances=['engine-0'],
+            ),
+        ],
+        organisations=[],
+    )
+
+
+def _send(context: Any, attempt_id: str) -> list[Any]:
+    attempt = Attempt(
+        attempt_id=attempt_id,
+        entry_incarnation='entry',
+        agent_incarnation='agent',
+        organisation='gate',
+        service='model',
+        method='POST',
+        path='/v1/completions',
+        content_type='application/json',
+        idempotency_key='',
+        is_idempotent=True,
+        is_stream=True,
+        prompt_tokens=10,
+        output_tokens=10,
+        remaining_ms=60_000,
+        credit_bytes=1000,
+        configuration=context.configuration.version,
+        body=b'',
+    )
+    effects = context.admission.receive('entry', attempt, _NOW)
+    return _messages(effects)
+
+
+def _messages(effects: list[Any]) -> list[Any]:
+    return [each.message for each in effects if isinstance(each, ToPeer)]
+
+
+@when('its availability zone is drained')
+def drain_zone(context: Any) -> None:
+    """Accept rules that drain the zone."""
+    rules = Rules(version=1, draining_availability_zones=['zone-0'])
+    _follow_rules(context, rules)
+
+
+@when('its availability zone is no longer drained')
+def return_zone(context: Any) -> None:
+    """Accept rules that drain nothing."""
+    _follow_rules(context, Rules(version=2))
+
+
+def _follow_rules(context: Any, rules: Rules) -> None:
+    context.configuration.accept_rules(rules, f'{rules.version}'.encode())
+    _tick(context)
+
+
+def _tick(context: Any) -> None:
+    context.admission.follow_configuration()
+    context.messages = _messages(context.admission.tick(_NOW))
+
+
+@when('the platform lists its instance as leaving')
+def list_leaving(context: Any) -> None:
+    """Accept a list with the instance."""
+    context.configuration.accept_leaving(['engine-0'], 1, b'["engine-0"]')
+    _tick(context)
+
+
+@when('the platform lists no instance at all')
+def list_nothing(context: Any) -> None:
+    """Accept an empty list."""
+    context.configuration.accept_leaving([], 1, b'[]')
+    _tick(context)
+
+
+@then('the queued attempts are refused as not run for {reason}')
+def check_queue_refused(context: Any, reason: str) -> None:
+    """Check both refusals."""
+    found = [
+        (each.attempt_id, each.reason, each.outcome)
+        for each in context.messages
+        if isinstance(each, Refused)
+    ]
+    assert found == [
+        ('attempt-1', reason, Outcome.not_run),
+        ('attempt-2', reason, Outcome.not_run),
+    ], found
+    assert context.admission.held_count == 1
+
+
+@then('the running attempt ends with its whole answer')
+def check_running(context: Any) -> None:
+    """End the call and look for the last message."""
+    started = CallStarted(
+        attempt_id='attempt-0',
+        status_code=200,
+        content_type='text/event-stream',
+    )
+    ended = CallEnded(attempt_id='attempt-0', error='', is_sent=True)
+    context.admission.update_call(started, _NOW)
+    found = _messages(context.admission.update_call(ended, _NOW))
+    assert isinstance(found[0], Final), found
+
+
+@then('a new attempt is refused as not run for {reason}')
+def check_refused(context: Any, reason: str) -> None:
+    """Send one more attempt."""
+    found = _send(context, 'attempt-9')[0]
+    assert isinstance(found, Refused), found
+    assert (found.reason, found.outcome) == (reason, Outcome.not_run)
+
+
+@then('a new attempt is accepted')
+def check_accepted(context: Any) -> None:
+    """Send one more attempt."""
+    found = _send(context, 'attempt-10')
+    assert isinstance(found[0], Accepted), found
+
+
+@when('{zone} is drained while {name} is frozen')
+def drain_unheard(context: Any, zone: str, name: str) -> None:
+    """Stop an entry, drain the zone everywhere else, and let it go on."""
+    fleet = context.fleet
+    gevent.joinall(context.greenlets)
+    frozen = next(each for each in fleet.entries if each.name == name)
+    frozen.signal(signal.SIGSTOP)
+    fleet.rules = {
+        'version': 2,
+        'draining_availability_zones': [zone],
+    }
+    fleet.publish()
+    for process, address in fleet.administered:
+        if process is not frozen:
+            wait_until(partial(_has_rules, address, 2))
+    context.drained = next(each for each in fleet.engines if each.zone == zone)
+    context.started_count = _count_started(context)
+    frozen.signal(signal.SIGCONT)
+
+
+@when('{zone} is returned')
+def return_to_fleet(context: Any, zone: str) -> None:
+    """Publish rules that drain nothing."""
+    context.fleet.rules = {'version': 3}
+    context.fleet.publish()
+    for _, address in context.fleet.administered:
+        wait_until(partial(_has_rules, address, 3))
+    context.fleet.wait_ready()
+
+
+def _has_rules(address: str, version: int) -> bool:
+    text = call_text(address, 'GET', '/metrics')
+    return f'buckthornpond_rules_version {version}' in text
+
+
+def _count_started(context: Any) -> int:
+    load = call_json(context.drained.target_address, 'GET', '/load')
+    return load['executed_count']
+
+
+@then('{name} has started nothing since it was drained')
+def check_nothing_started(context: Any, name: str) -> None:
+    """Ask the engine."""
+    assert context.drained.name == name
+    assert _count_started(context) == context.started_count
+
+
+@then('{name} has started something since it was returned')
+def check_something_started(context: Any, name: str) -> None:
+    """Ask the engine."""
+    assert _count_started(context) > context.started_count, name
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -445,7 +445,21 @@
         key = join_key(attempt.service, attempt.idempotency_key)
         self._keys.record(key, state, window, now)
 
+    def _refuse_waiting(
+        self,
+        reason: str,
+        now: timedelta,
+    ) -> list[AgentEffect]:
+        effects: list[AgentEffect] = []
+        for attempt_id, (peer, _) in list(self._queue.items()):
+            effects.extend(self._cancel(attempt_id, now))
+            effects.append(ToPeer(peer, self._refuse(attempt_id, reason)))
+        return effects
+
     def _start_waiting(self, now: timedelta) -> list[AgentEffect]:
+        if self.phase is TargetPhase.draining:
+            # What has not started is new work for the target.
+            return self._refuse_waiting('target_draining', now)
         effects: list[AgentEffect] = []
         while self._queue and self._has_slot():
             queued = self._order.choose(self._load(), now)
