Order targets with fencing numbers that rise without a store

Cause: operators change a model's version in the inventory, and nothing ordered the engines to load it.

Change: a service may name a model_version. The agent, which holds its listening address exclusively, compares it with what its engine reports and orders what differs (core/orders.py). A fencing number starts at the wall clock of the process's start and above the highest one that the target tells. A fresh agent waits until no order of its predecessor can be under way; one that was paused gives no order before it hears an entry again. The stand-in engine takes orders and checks numbers or ignores them.

A pause between the check and the send is not covered at a target that ignores numbers, except by the next look.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -25,6 +25,7 @@
 from buckthornpond_runtime.tasks import Supervisor
 from buckthornpond_runtime.transports import PortTask
 
+from .orders import build_orders
 from .tasks import AdmissionTask
 
 _STARTUP_PEER_COUNT = 2
@@ -94,6 +95,8 @@
         metrics,
     )
     task.port = port.mailbox
+    orders = build_orders(settings, clock, metrics)
+    task.orders = orders.mailbox
     administration = AdministrationTask(
         settings.administration_address,
         metrics,
@@ -105,6 +108,7 @@
     supervisor = Supervisor()
     supervisor.start('admission', task.run)
     supervisor.start('port', port.run)
+    supervisor.start('orders', orders.run)
     assembly.start(supervisor, task.mailbox.send)
     supervisor.start('administration', administration.run)
     log_event(EventCode.process_started, incarnation=incarnation)
--- /dev/null
+++ b/packages/agent/src/buckthornpond_agent/orders.py
@@ -0,0 +1,146 @@
+"""Task that orders the target."""
+
+from datetime import timedelta
+from typing import TypeAlias
+
+import msgspec
+
+from buckthornpond_core._generated.events import OrderWish, PeerHeard
+from buckthornpond_core._generated.platform import Order, OrderReport
+from buckthornpond_core._generated.settings import AgentSettings
+from buckthornpond_core.exceptions import TargetError
+from buckthornpond_core.journal import EventCode
+from buckthornpond_core.orders import (
+    EpochNumbers,
+    OrderLimits,
+    OrderPlanner,
+)
+from buckthornpond_core.types import Clock
+from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.tasks import Mailbox
+
+_ORDER_TIMEOUT = timedelta(seconds=2)
+_PAUSE_MARGIN = timedelta(seconds=1)
+_CONFIRMATION = timedelta(seconds=1)
+_PATH = '/v1/orders'
+_MAX_REPORT_BYTES = 65_536
+_OK = 200
+
+OrderMessage: TypeAlias = OrderWish | PeerHeard
+
+
+def build_orders(
+    settings: AgentSettings,
+    clock: Clock,
+    metrics: Metrics,
+) -> 'OrderTask':
+    """Return the task that orders the target, with its decisions.
+
+    :param settings: settings of the process.
+    :param clock: source of time.
+    :param metrics: counters of the process.
+    """
+    interval = timedelta(milliseconds=settings.load_poll_interval_ms)
+    planner = OrderPlanner(
+        EpochNumbers(clock.utcnow()),
+        OrderLimits(
+            pause=interval + 2 * _ORDER_TIMEOUT + _PAUSE_MARGIN,
+            confirmation=_CONFIRMATION,
+            lifetime=2 * _ORDER_TIMEOUT,
+        ),
+        clock.monotonic(),
+        metrics,
+    )
+    return OrderTask(
+        planner=planner,
+        clock=clock,
+        interval=interval,
+        metrics=metrics,
+    )
+
+
+class OrderTask:
+    """Owns the connection for orders to the target.
+
+    :param planner: the decisions.
+    :param clock: source of time.
+    :param interval: time between two looks at the target.
+    :param metrics: counters of the process.
+    """
+
+    __slots__ = ('_clock', '_interval', '_metrics', '_planner', 'mailbox')
+
+    def __init__(
+        self,
+        *,
+        planner: OrderPlanner,
+        clock: Clock,
+        interval: timedelta,
+        metrics: Metrics,
+    ) -> None:
+        self.mailbox: Mailbox[OrderMessage] = Mailbox()
+        self._planner = planner
+        self._clock = clock
+        self._interval = interval
+        self._metrics = metrics
+
+    def run(self) -> None:
+        """Serve the mailbox and look at the target until the process ends."""
+        next_look = self._clock.monotonic()
+        while True:
+            remaining = next_look - self._clock.monotonic()
+            message = self.mailbox.receive(max(0, remaining.total_seconds()))
+            now = self._clock.monotonic()
+            if isinstance(message, OrderWish):
+                self._planner.wish = message
+            elif isinstance(message, PeerHeard):
+                self._planner.confirm(now)
+            if now >= next_look:
+                self._look()
+                next_look = self._clock.monotonic() + self._interval
+
+    def _look(self) -> None:
+        self._planner.tick(self._clock.monotonic())
+        if not self._planner.may_ask():
+            return
+        try:
+            self._reconcile()
+        except (TargetError, msgspec.MsgspecError) as error:
+            self._metrics.count('failed_orders', type(error).__name__)
+            self._metrics.log(EventCode.order_failed, error=str(error))
+
+    def _reconcile(self) -> None:
+        content = self._call('GET', b'')
+        report = msgspec.json.decode(content, type=OrderReport)
+        order = self._planner.plan(report, self._clock.monotonic())
+        if order is not None:
+            self._give(order)
+
+    def _give(self, order: Order) -> None:
+        self._call('POST', msgspec.json.encode(order))
+        self._metrics.log(
+            EventCode.order_given,
+            kind=order.kind,
+            fencing_number=order.fencing_number,
+            model_version=order.model_version,
+        )
+
+    def _call(self, method: str, body: bytes) -> bytes:
+        wish = self._planner.wish
+        address = wish.target_address if wish else ''
+        call = HttpCall(address, _ORDER_TIMEOUT)
+        try:
+            call.send(method, _PATH, body, {'content-type': 'application/json'})
+            status_code = call.response.status_code
+            content = call.read_block(_MAX_REPORT_BYTES)
+        finally:
+            call.close()
+        if status_code != _OK:
+            raise TargetError(
+                f'status {status_code}',
+                step='order target',
+                peer=address,
+                is_sent=True,
+            )
+        return content
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -7,6 +7,7 @@
     CallChunk,
     CallEnded,
     CallStarted,
+    PeerHeard,
     ServiceRead,
 )
 from buckthornpond_core._generated.inventory import TargetKind
@@ -26,6 +27,7 @@
     ToPeer,
     WireMessage,
 )
+from buckthornpond_core.orders import find_wish
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.tasks import Mailbox
@@ -33,6 +35,7 @@
 
 from .bodies import with_priority
 from .calls import CallTask
+from .orders import OrderMessage
 
 _TICK_SECONDS = 0.05
 
@@ -61,6 +64,7 @@
         '_instance',
         '_max_frame_bytes',
         'mailbox',
+        'orders',
         'port',
     )
 
@@ -76,6 +80,7 @@
     ) -> None:
         self.mailbox: Mailbox[AdmissionMessage] = Mailbox()
         self.port: Mailbox[ToPeer] = Mailbox()
+        self.orders: Mailbox[OrderMessage] = Mailbox()
         self._instance = instance
         self._admission = admission
         self._configuration = configuration
@@ -121,6 +126,8 @@
             return self._follow(self._exchange.take(message, peer))
         if isinstance(message, DocumentRequest):
             return list(self._exchange.answer(peer, message, now))
+        if isinstance(message, Heartbeat):
+            self.orders.offer(PeerHeard(entry=peer))
         effects: list[AgentEffect] = []
         if isinstance(message, Heartbeat) or self._is_behind(message):
             effects.extend(
@@ -138,6 +145,7 @@
         if not is_accepted:
             return []
         self._admission.follow_configuration()
+        self.orders.send(find_wish(self._configuration, self._instance))
         hint = self._admission.hint()
         return [ToPeer(peer, hint) for peer in self._exchange.peers]
 
--- a/packages/core/src/buckthornpond_core/_generated/events.py
+++ b/packages/core/src/buckthornpond_core/_generated/events.py
@@ -102,3 +102,20 @@
     is_reached: bool
     version: Annotated[int, Meta(ge=0)]
     content: Annotated[bytes, Meta(description='Empty when nothing is newer.')]
+
+
+class OrderWish(Struct):
+    """
+    What the configuration in force wants of the target; no version means no orders.
+    """
+
+    target_address: str
+    model_version: str
+
+
+class PeerHeard(Struct):
+    """
+    An entry sent a heartbeat, which confirms the versions in force.
+    """
+
+    entry: str
--- a/packages/core/src/buckthornpond_core/_generated/platform.py
+++ b/packages/core/src/buckthornpond_core/_generated/platform.py
@@ -49,3 +49,30 @@
     running_count: Annotated[int, Meta(ge=0)]
     held_tokens: Annotated[int, Meta(ge=0)]
     incarnation: str
+
+
+class OrderKind(StrEnum):
+    """
+    What an order makes a target do.
+    """
+
+    load_model = 'load_model'
+
+
+class Order(Struct):
+    """
+    An order to a target with its fencing number.
+    """
+
+    kind: OrderKind
+    fencing_number: Annotated[int, Meta(ge=1)]
+    model_version: str
+
+
+class OrderReport(Struct):
+    """
+    What a target tells of its orders; a target that checks no numbers leaves them out.
+    """
+
+    model_version: str
+    highest_fencing_number: Annotated[int, Meta(ge=0)] = 0
--- a/packages/core/src/buckthornpond_core/journal.py
+++ b/packages/core/src/buckthornpond_core/journal.py
@@ -18,6 +18,9 @@
     target_call_failed = 301
     entry_silent = 302
     malformed_entry_message = 303
+    orders_suspended = 311
+    order_given = 312
+    order_failed = 313
     configuration_accepted = 401
     configuration_rejected = 402
     configuration_conflict = 403
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -31,10 +31,15 @@
 @main.command()
 @click.argument('address')
 @click.option('--time-scale', default=1.0, help='Factor on all times.')
-def engine(address: str, time_scale: float) -> None:
+@click.option('--ignore-fencing', is_flag=True, help='Take any order.')
+def engine(address: str, time_scale: float, ignore_fencing: bool) -> None:
     """Run a model engine at ADDRESS."""
     costs = EngineCosts(time_scale=time_scale)
-    stand_in = EngineStandIn(costs, secrets.token_hex(4))
+    stand_in = EngineStandIn(
+        costs,
+        secrets.token_hex(4),
+        is_checking_fencing=not ignore_fencing,
+    )
     gevent.spawn(stand_in.run)
     StandInServer(address, stand_in).serve_forever()
 
--- a/packages/standins/src/buckthornpond_standins/engine.py
+++ b/packages/standins/src/buckthornpond_standins/engine.py
@@ -13,6 +13,7 @@
 import msgspec
 from gevent.event import Event
 
+from .orders import OrderBook
 from .servers import Environ, StartResponse, read_body, reply
 
 
@@ -100,12 +101,14 @@
 
     :param costs: its speed and memory.
     :param incarnation: changes with each start.
+    :param is_checking_fencing: whether it refuses an old fencing number.
     """
 
     __slots__ = (
         '_costs',
         '_identifiers',
         '_incarnation',
+        '_orders',
         '_streams',
         '_wakeup',
         'completed_count',
@@ -115,8 +118,15 @@
         'peak_tokens',
     )
 
-    def __init__(self, costs: EngineCosts, incarnation: str) -> None:
+    def __init__(
+        self,
+        costs: EngineCosts,
+        incarnation: str,
+        *,
+        is_checking_fencing: bool = True,
+    ) -> None:
         self._costs = costs
+        self._orders = OrderBook(is_checking=is_checking_fencing)
         self._incarnation = incarnation
         self._identifiers = itertools.count(1)
         self._streams: dict[int, _Stream] = {}
@@ -136,6 +146,8 @@
         path = environ['PATH_INFO']
         if path in {'/v1/completions', '/v1/chat/completions'}:
             return self._serve_completion(environ, start_response)
+        if path == '/v1/orders':
+            return self._orders.serve(environ, start_response)
         if path == '/load':
             return reply(start_response, '200 OK', self._render_load())
         if path == '/reset':
