--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -27,6 +27,7 @@
 from buckthornpond_runtime.tasks import Supervisor
 from buckthornpond_runtime.transports import PortTask, ZmqContext
 
+from .orders import build_orders
 from .reports import ReportTask
 from .tasks import AdmissionTask
 
@@ -123,6 +124,8 @@
         metrics,
     )
     task.reports = reports.mailbox
+    orders = build_orders(settings, clock, metrics)
+    task.orders = orders.mailbox
     administration = AdministrationTask(
         settings.administration_address,
         metrics,
@@ -137,6 +140,7 @@
     supervisor.start('admission', task.run)
     supervisor.start('port', port.run)
     supervisor.start('reports', reports.run)
+    supervisor.start('orders', orders.run)
     assembly.start(supervisor, task.mailbox.send)
     supervisor.start('administration', administration.run)
     log_event(EventCode.process_started, incarnation=incarnation)
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -7,6 +7,7 @@
     CallChunk,
     CallEnded,
     CallStarted,
+    PeerHeard,
     ServiceRead,
 )
 from buckthornpond_core._generated.inventory import TargetKind
@@ -28,6 +29,7 @@
     ToPeer,
     WireMessage,
 )
+from buckthornpond_core.orders import find_wish
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.metrics import Metrics
@@ -37,6 +39,7 @@
 from .bodies import with_priority
 from .calls import CallTask
 from .homes import HomeLinks
+from .orders import OrderMessage
 from .reports import PollEngine
 
 _TICK_SECONDS = 0.05
@@ -70,6 +73,7 @@
         '_instance',
         '_max_frame_bytes',
         'mailbox',
+        'orders',
         'port',
         'reports',
     )
@@ -90,6 +94,7 @@
         self.mailbox: Mailbox[AdmissionMessage] = Mailbox()
         self.port: Mailbox[ToPeer] = Mailbox()
         self.reports: Mailbox[PollEngine] = Mailbox()
+        self.orders: Mailbox[OrderMessage] = Mailbox()
         self._instance = instance
         self._admission = admission
         self._configuration = configuration
@@ -139,6 +144,8 @@
             return self._follow(self._exchange.take(message, peer))
         if isinstance(message, DocumentRequest):
             return list(self._exchange.answer(peer, message, now))
+        if isinstance(message, Heartbeat):
+            self.orders.offer(PeerHeard(entry=peer))
         effects: list[AgentEffect] = []
         if isinstance(message, Heartbeat) or self._is_behind(message):
             effects.extend(
@@ -157,6 +164,7 @@
             return []
         self._admission.follow_configuration(self._clock.monotonic())
         self.reports.offer(PollEngine(self._find_engine()))
+        self.orders.send(find_wish(self._configuration, self._instance))
         hint = self._admission.hint()
         return [ToPeer(peer, hint) for peer in self._exchange.peers]
 
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -32,10 +32,20 @@
 @click.argument('address')
 @click.option('--time-scale', default=1.0, help='Factor on all times.')
 @click.option('--cold-tokens', default=60_000, help='Borne when cold.')
-def engine(address: str, time_scale: float, cold_tokens: int) -> None:
+@click.option('--ignore-fencing', is_flag=True, help='Take any order.')
+def engine(
+    address: str,
+    time_scale: float,
+    cold_tokens: int,
+    ignore_fencing: bool,
+) -> None:
     """Run a model engine at ADDRESS."""
     costs = EngineCosts(time_scale=time_scale, cold_tokens=cold_tokens)
-    stand_in = EngineStandIn(costs, secrets.token_hex(4))
+    stand_in = EngineStandIn(
+        costs,
+        secrets.token_hex(4),
+        is_checking_fencing=not ignore_fencing,
+    )
     gevent.spawn(stand_in.run)
     StandInServer(address, stand_in).serve_forever()
 
