--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -27,6 +27,8 @@
 from buckthornpond_runtime.tasks import Supervisor
 from buckthornpond_runtime.transports import PortTask, ZmqContext
 
+from .orders import build_orders
+from .reports import ReportTask
 from .tasks import AdmissionTask, BeginStop, EndAll
 
 _STARTUP_PEER_COUNT = 2
@@ -117,6 +119,14 @@
         metrics,
     )
     task.port = port.mailbox
+    reports = ReportTask(
+        timedelta(milliseconds=settings.load_poll_interval_ms),
+        task.mailbox.send,
+        metrics,
+    )
+    task.reports = reports.mailbox
+    orders = build_orders(settings, clock, metrics)
+    task.orders = orders.mailbox
     administration = AdministrationTask(
         settings.administration_address,
         metrics,
@@ -131,6 +141,8 @@
     supervisor = Supervisor()
     supervisor.start('admission', task.run)
     supervisor.start('port', port.run)
+    supervisor.start('reports', reports.run)
+    supervisor.start('orders', orders.run)
     assembly.start(supervisor, task.mailbox.send)
     supervisor.start('administration', administration.run)
     log_event(EventCode.process_started, incarnation=incarnation)
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -7,6 +7,7 @@
     CallChunk,
     CallEnded,
     CallStarted,
+    PeerHeard,
     ServiceRead,
 )
 from buckthornpond_core._generated.inventory import TargetKind
@@ -16,6 +17,7 @@
     DocumentRequest,
     Heartbeat,
 )
+from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.admission import Admission
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
@@ -27,6 +29,7 @@
     ToPeer,
     WireMessage,
 )
+from buckthornpond_core.orders import find_wish
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.metrics import Metrics
@@ -36,6 +39,8 @@
 from .bodies import with_priority
 from .calls import CallTask
 from .homes import HomeLinks
+from .orders import OrderMessage
+from .reports import PollEngine
 
 _TICK_SECONDS = 0.05
 
@@ -58,6 +63,7 @@
     | CallEnded
     | CallStarted
     | EndAll
+    | LoadReport
     | Received
     | ServiceRead
 )
@@ -87,7 +93,9 @@
         '_instance',
         '_max_frame_bytes',
         'mailbox',
+        'orders',
         'port',
+        'reports',
     )
 
     def __init__(
@@ -105,6 +113,8 @@
     ) -> None:
         self.mailbox: Mailbox[AdmissionMessage] = Mailbox()
         self.port: Mailbox[ToPeer] = Mailbox()
+        self.reports: Mailbox[PollEngine] = Mailbox()
+        self.orders: Mailbox[OrderMessage] = Mailbox()
         self._instance = instance
         self._admission = admission
         self._configuration = configuration
@@ -136,6 +146,9 @@
             return self._receive(message, now)
         if isinstance(message, ServiceRead):
             return self._follow(self._exchange.take_read(message, now))
+        if isinstance(message, LoadReport):
+            self._admission.update_load(message)
+            return []
         if isinstance(message, BeginStop):
             return self._admission.begin_stop()
         if isinstance(message, EndAll):
@@ -155,6 +168,8 @@
             return self._follow(self._exchange.take(message, peer))
         if isinstance(message, DocumentRequest):
             return list(self._exchange.answer(peer, message, now))
+        if isinstance(message, Heartbeat):
+            self.orders.offer(PeerHeard(entry=peer))
         effects: list[AgentEffect] = []
         if isinstance(message, Heartbeat) or self._is_behind(message):
             effects.extend(
@@ -172,9 +187,20 @@
         if not is_accepted:
             return []
         self._admission.follow_configuration(self._clock.monotonic())
+        self.reports.offer(PollEngine(self._find_engine()))
+        self.orders.send(find_wish(self._configuration, self._instance))
         hint = self._admission.hint()
         return [ToPeer(peer, hint) for peer in self._exchange.peers]
 
+    def _find_engine(self) -> str:
+        instance = self._configuration.instances.get(self._instance)
+        is_engine = any(
+            service.kind is TargetKind.engine
+            and self._instance in service.instances
+            for service in self._configuration.services.values()
+        )
+        return instance.target.address if instance and is_engine else ''
+
     def _apply(self, effects: list[AgentEffect]) -> None:
         for effect in effects:
             if isinstance(effect, ToPeer):
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -1,5 +1,6 @@
 """Decisions of an agent: admission, order, keys and the end of attempts."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from ._generated.events import CallChunk, CallEnded, CallStarted
@@ -23,6 +24,7 @@
     Started,
     TargetPhase,
 )
+from ._generated.platform import LoadReport
 from .configuration import Configuration
 from .effects import (
     AgentEffect,
@@ -120,6 +122,7 @@
         '_peers',
         '_queue',
         '_recorder',
+        '_report',
         '_running',
         '_target',
         'is_stopping',
@@ -146,6 +149,7 @@
         self._order = order
         self._keyed = keyed
         self._recorder = recorder
+        self._report: LoadReport | None = None
         self._forecast = forecast or NoForecast()
         self._target = Target(address='0.0.0.0:0')
         self._ledger = Ledger()
@@ -195,6 +199,7 @@
             self._limit.resize(
                 instance.target.cold_tokens,
                 instance.target.memory_tokens,
+                instance.target.warm_up_tokens,
             )
 
     def receive(
@@ -236,13 +241,10 @@
 
         :param now: time on the monotonic clock.
         """
-        effects: list[AgentEffect] = []
-        waiting = [*self._queue.values(), *self._keyed.waiting]
-        for peer, queued in waiting:
-            attempt_id = queued.attempt.attempt_id
-            self._drop_queued(attempt_id)
-            refused = self._refuse(attempt_id, 'agent_leaving')
-            effects.append(ToPeer(peer, refused))
+        effects = self._refuse_waiting(
+            'agent_leaving',
+            [*self._queue.values(), *self._keyed.waiting],
+        )
         for attempt_id, running in list(self._running.items()):
             refused = self._refuse_unknown(attempt_id, 'agent_stopped')
             effects.extend(self._tell(running, refused))
@@ -282,9 +284,26 @@
             if running.is_prefilling:
                 running.is_prefilling = False
                 self._forecast.record_first_token(message.attempt_id, now)
+                if self._forecast.take_slowdown():
+                    self._fall_back('slow prefill')
             return self._tell(running, chunk)
         return self._end_call(running, message, now)
 
+    def update_load(self, report: LoadReport) -> None:
+        """Take the engine's own report, which lags.
+
+        :param report: what it says of itself.
+        """
+        previous = self._report
+        self._report = report
+        self._limit.record_report(is_warm=report.is_warm)
+        if previous is None:
+            return
+        if previous.incarnation != report.incarnation:
+            self._fall_back('engine restarted')
+        elif previous.is_warm and not report.is_warm:
+            self._fall_back('engine report')
+
     def tick(self, now: timedelta) -> list[AgentEffect]:
         """End overdue attempts and those of dead entries, start others.
 
@@ -297,7 +316,8 @@
         for attempt_id, (peer, _) in list(self._queue.items()):
             if peer in dead:
                 self._drop_queued(attempt_id)
-        effects.extend(self._end_overdue(now + REFUSAL_MARGIN))
+        overdue = _find_overdue(self._queue.values(), now + REFUSAL_MARGIN)
+        effects.extend(self._refuse_waiting('deadline_exceeded', overdue))
         for attempt_id, running in list(self._running.items()):
             if running.peer in dead or running.queued.deadline <= now:
                 effects.extend(self._cancel(attempt_id, now))
@@ -379,12 +399,20 @@
                 service is None or self._instance not in service.instances,
             ),
             ('prompt_too_large', total_tokens > self._target.memory_tokens),
+            ('target_cold', self._is_too_cold(total_tokens)),
             ('deadline_exceeded', attempt.remaining_ms <= 0),
             ('queue_full', len(self._queue) >= self._limits.max_queued_count),
             ('agent_memory_full', held_bytes > self._limits.body_budget_bytes),
         )
         return next((reason for reason, applies in checks if applies), '')
 
+    def _is_too_cold(self, total_tokens: int) -> bool:
+        if not self._limit.is_cold:
+            return False
+        limit_tokens = self._limit.limit_tokens
+        waiting = sum(queued.total_tokens for _, queued in self._queue.values())
+        return waiting + total_tokens > limit_tokens
+
     def _predict(self, attempt: Attempt, now: timedelta) -> int:
         waiting = [
             queued.attempt.prompt_tokens for _, queued in self._queue.values()
@@ -483,6 +511,7 @@
         effects: list[AgentEffect] = []
         self._fates.record_end(running.queued, ended)
         if ended.error:
+            self._learn_failure(running, ended)
             effects.extend(
                 self._tell(running, self._report_failure(running, ended))
             )
@@ -496,14 +525,48 @@
         effects.extend(self._start_waiting(now))
         return effects
 
+    def _learn_failure(self, running: _Running, ended: CallEnded) -> None:
+        if running.is_cancelled:
+            return
+        if ended.is_sent:
+            self._limit.record_failure()
+        else:
+            self._fall_back('connection refused')
+
+    def _fall_back(self, sign: str) -> None:
+        if not self._limit.is_cold:
+            self._recorder.log(EventCode.target_cold, sign=sign)
+        self._limit.record_cold()
+
     def _report_failure(self, running: _Running, ended: CallEnded) -> Refused:
         if ended.is_sent or running.queued.attempt.idempotency_key:
             return self._refuse_unknown(ended.attempt_id, ended.error)
         return self._refuse(ended.attempt_id, ended.error)
 
+    def _refuse_waiting(
+        self,
+        reason: str,
+        waiting: Iterable[tuple[str, QueuedAttempt]],
+    ) -> list[AgentEffect]:
+        effects: list[AgentEffect] = []
+        for peer, queued in list(waiting):
+            attempt_id = queued.attempt.attempt_id
+            self._drop_queued(attempt_id)
+            effects.append(ToPeer(peer, self._refuse(attempt_id, reason)))
+        return effects
+
     def _start_waiting(self, now: timedelta) -> list[AgentEffect]:
+        if self.phase is TargetPhase.draining:
+            # What has not started is new work for the target.
+            return self._refuse_waiting(
+                'target_draining',
+                self._queue.values(),
+            )
         # Checked again here, right before the target is called.
-        effects = self._end_overdue(now)
+        effects = self._refuse_waiting(
+            'deadline_exceeded',
+            _find_overdue(self._queue.values(), now),
+        )
         while self._queue:
             if len(self._running) >= self._target.concurrency_count:
                 break
@@ -513,15 +576,6 @@
             effects.append(self._start(queued, now))
         return effects
 
-    def _end_overdue(self, now: timedelta) -> list[AgentEffect]:
-        effects: list[AgentEffect] = []
-        for attempt_id, (peer, queued) in list(self._queue.items()):
-            if queued.deadline <= now:
-                self._drop_queued(attempt_id)
-                refused = self._refuse(attempt_id, 'deadline_exceeded')
-                effects.append(ToPeer(peer, refused))
-        return effects
-
     def _start(self, queued: QueuedAttempt, now: timedelta) -> StartCall:
         attempt = queued.attempt
         self._forecast.record_start(
@@ -548,5 +602,13 @@
                 if running.is_prefilling
             ],
             free_tokens=self._limit.limit_tokens - self.reserved_tokens,
-            is_idle=not self._running,
         )
+
+
+def _find_overdue(
+    waiting: Iterable[tuple[str, QueuedAttempt]],
+    now: timedelta,
+) -> list[tuple[str, QueuedAttempt]]:
+    return [
+        (peer, queued) for peer, queued in waiting if queued.deadline <= now
+    ]
