Return credits by the quarter of a window

Cause: each chunk that left for a caller sent a Credit to the agent, which doubled the messages of a stream. Change: a meter collects what the caller took and returns it once it is a quarter of the window; a feature drives small and large windows.

--- a/features/costs.feature
+++ b/features/costs.feature
@@ -29,3 +29,15 @@
     And no whole event waits
     When 40 events of 100 bytes arrive for frames of 1024 bytes
     Then no frame is longer than 1024 bytes and all 40 events come in order
+
+  Scenario Outline: credits return in few messages and never stall a stream
+    Given an answer of <chunks> chunks of <bytes> bytes and a window of <window> bytes
+    When the caller takes chunks as the window lets them out
+    Then the whole answer left and at most <most> messages returned credits
+
+    Examples:
+      | chunks | bytes | window | most |
+      | 1000   | 40    | 65536  | 6    |
+      | 1000   | 40    | 1024   | 500  |
+      | 50     | 16384 | 65536  | 50   |
+      | 50     | 16384 | 1024   | 50   |
--- a/features/steps/costs_steps.py
+++ b/features/steps/costs_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from buckthornpond_core.credits import CreditMeter, charge_bytes
 from buckthornpond_runtime.responses import (
     HttpResponse,
     MalformedResponseError,
@@ -133,3 +134,38 @@
     assert len(context.frames) < count
     found = re.findall(rb'data: (\d+)x', b''.join(context.frames))
     assert [int(number) for number in found] == list(range(count)), found
+
+
+@given(
+    'an answer of {chunks:d} chunks of {length:d} bytes and a window of {window:d} bytes'
+)
+def plan_answer(context: Any, chunks: int, length: int, window: int) -> None:
+    """Note the shape of the answer."""
+    context.chunk_count = chunks
+    context.payload = bytes(length)
+    context.window = window
+
+
+@when('the caller takes chunks as the window lets them out')
+def take_chunks(context: Any) -> None:
+    """Send while credit is there, as an agent does, and return credits."""
+    meter = CreditMeter(context.window)
+    credit = context.window
+    context.sent_count = 0
+    context.return_count = 0
+    while credit > 0 and context.sent_count < context.chunk_count:
+        in_flight = 0
+        while credit > 0 and context.sent_count < context.chunk_count:
+            credit -= charge_bytes(context.payload)
+            context.sent_count += 1
+            in_flight += 1
+        returned = [meter.take(context.payload) for _ in range(in_flight)]
+        credit += sum(returned)
+        context.return_count += sum(amount > 0 for amount in returned)
+
+
+@then('the whole answer left and at most {most:d} messages returned credits')
+def check_credits(context: Any, most: int) -> None:
+    """Check that nothing stalled and that messages were saved."""
+    assert context.sent_count == context.chunk_count, context.sent_count
+    assert context.return_count <= most, context.return_count
--- a/packages/core/src/buckthornpond_core/credits.py
+++ b/packages/core/src/buckthornpond_core/credits.py
@@ -1,6 +1,7 @@
-"""Charge of a chunk against the credits of its stream."""
+"""Charge of a chunk against the credits of its stream, and their return."""
 
 CHUNK_OVERHEAD_BYTES = 64
+_RETURNS_PER_WINDOW = 4
 
 
 def charge_bytes(payload: bytes) -> int:
@@ -12,3 +13,31 @@
     :param payload: bytes of the answer.
     """
     return len(payload) + CHUNK_OVERHEAD_BYTES
+
+
+class CreditMeter:
+    """Collects what a caller has taken, to return it in few messages.
+
+    A quarter of the window is returned at once, so that the sender, which
+    stops only when the whole window is out, never waits for the rest.
+
+    :param window_bytes: bytes of an answer in flight to one caller.
+    """
+
+    __slots__ = ('_taken_bytes', '_threshold_bytes')
+
+    def __init__(self, window_bytes: int) -> None:
+        self._threshold_bytes = window_bytes // _RETURNS_PER_WINDOW
+        self._taken_bytes = 0
+
+    def take(self, payload: bytes) -> int:
+        """Return the credits to send back now, or nothing.
+
+        :param payload: bytes that left for the caller.
+        """
+        self._taken_bytes += charge_bytes(payload)
+        if self._taken_bytes < self._threshold_bytes:
+            return 0
+        credit_bytes = self._taken_bytes
+        self._taken_bytes = 0
+        return credit_bytes
--- a/packages/entry/src/buckthornpond_entry/answers.py
+++ b/packages/entry/src/buckthornpond_entry/answers.py
@@ -19,7 +19,7 @@
     Refused,
     Started,
 )
-from buckthornpond_core.credits import charge_bytes
+from buckthornpond_core.credits import CreditMeter
 from buckthornpond_core.effects import AnswerMessage
 from buckthornpond_core.refusals import find_refusal
 from buckthornpond_core.types import Clock
@@ -83,6 +83,7 @@
     :param mailbox: where the router task puts the answer.
     :param connection: the caller's socket.
     :param clock: source of time.
+    :param window_bytes: bytes of an answer in flight to the caller.
     """
 
     __slots__ = (
@@ -91,6 +92,7 @@
         '_deadline',
         '_is_over',
         '_mailbox',
+        '_meter',
         '_request_number',
         '_router',
         '_watcher',
@@ -103,6 +105,7 @@
         mailbox: Mailbox[AnswerMessage],
         connection: gevent_socket.socket,
         clock: Clock,
+        window_bytes: int,
     ) -> None:
         self._router = router
         self._request_number = submission.request_number
@@ -110,6 +113,7 @@
         limit = timedelta(milliseconds=submission.time_limit_ms)
         self._deadline = clock.monotonic() + limit
         self._mailbox = mailbox
+        self._meter = CreditMeter(window_bytes)
         self._connection = connection
         self._is_over = False
         self._watcher = Greenlet.spawn(self._watch)
@@ -192,12 +196,14 @@
         self._connection.settimeout(max(seconds, _LEAST_WRITE_SECONDS))
 
     def _consume(self, chunk: Chunk) -> None:
-        self._router.mailbox.send(
-            Consumed(
-                request_number=self._request_number,
-                consumed_bytes=charge_bytes(chunk.payload),
-            ),
-        )
+        consumed_bytes = self._meter.take(chunk.payload)
+        if consumed_bytes:
+            self._router.mailbox.send(
+                Consumed(
+                    request_number=self._request_number,
+                    consumed_bytes=consumed_bytes,
+                ),
+            )
 
     def _watch(self) -> None:
         # Unblocks whoever serves the request.
--- a/packages/entry/src/buckthornpond_entry/front.py
+++ b/packages/entry/src/buckthornpond_entry/front.py
@@ -164,6 +164,7 @@
             mailbox,
             exchange.connection,
             self.clock,
+            self.settings.stream_window_bytes,
         )
         exchange.add_cleanup(caller.finish)
         is_taken = self.router.mailbox.offer(
