Send messages that wait together as one transport message

Cause: each message cost a send and a receive at the socket, a wait on its descriptor included. Change: a port and a link take every message at hand and send those to one peer as one multipart message, bounded by 64 KB and 256 messages; a lone message still leaves at once. Each message is decoded by itself, so that a malformed one does not take others with it.

--- a/features/costs.feature
+++ b/features/costs.feature
@@ -41,3 +41,11 @@
       | 1000   | 40    | 1024   | 500  |
       | 50     | 16384 | 65536  | 50   |
       | 50     | 16384 | 1024   | 50   |
+
+  Scenario: messages that wait together leave in one transport message
+    Given 600 chunks of 200 bytes and one of 500000 bytes wait
+    When they are batched
+    Then every message comes out once and in order
+    And no batch exceeds 65536 bytes by more than one message
+    And there are at most 5 batches
+    And a batch with a frame missing is malformed
--- a/features/steps/costs_steps.py
+++ b/features/steps/costs_steps.py
@@ -7,7 +7,11 @@
 
 from behave import given, then, when
 
+from buckthornpond_core._generated.messages import Chunk
 from buckthornpond_core.credits import CreditMeter, charge_bytes
+from buckthornpond_core.exceptions import MalformedMessageError
+from buckthornpond_runtime.batches import build_batches, split_frames
+from buckthornpond_runtime.codecs import decode_message
 from buckthornpond_runtime.responses import (
     HttpResponse,
     MalformedResponseError,
@@ -169,3 +173,60 @@
     """Check that nothing stalled and that messages were saved."""
     assert context.sent_count == context.chunk_count, context.sent_count
     assert context.return_count <= most, context.return_count
+
+
+@given('{count:d} chunks of {length:d} bytes and one of {body:d} bytes wait')
+def plan_messages(context: Any, count: int, length: int, body: int) -> None:
+    """Build the messages; the long one stands in the middle."""
+    context.messages = [
+        Chunk(attempt_id='a', sequence_number=number, payload=bytes(length))
+        for number in range(count)
+    ]
+    long_message = Chunk(
+        attempt_id='long',
+        sequence_number=0,
+        payload=bytes(body),
+    )
+    context.messages.insert(count // 2, long_message)
+
+
+@when('they are batched')
+def batch_messages(context: Any) -> None:
+    """Build the batches."""
+    context.batches = build_batches(context.messages)
+
+
+@then('every message comes out once and in order')
+def check_order(context: Any) -> None:
+    """Split and decode every batch."""
+    found = [
+        decode_message(frames, 'peer')
+        for batch in context.batches
+        for frames in split_frames(batch.frames, 'peer')
+    ]
+    assert found == context.messages
+
+
+@then('no batch exceeds {limit:d} bytes by more than one message')
+def check_bound(context: Any, limit: int) -> None:
+    """Check each batch without its last message."""
+    for batch in context.batches:
+        last = sum(map(len, batch.frames[-2:]))
+        assert batch.length_bytes - last < limit
+
+
+@then('there are at most {count:d} batches')
+def check_batches(context: Any, count: int) -> None:
+    """Count the batches."""
+    assert len(context.batches) <= count, len(context.batches)
+
+
+@then('a batch with a frame missing is malformed')
+def check_missing(context: Any) -> None:
+    """Leave out a frame."""
+    frames = context.batches[0].frames[:-1]
+    try:
+        list(split_frames(frames, 'peer'))
+    except MalformedMessageError:
+        return
+    raise AssertionError('taken as whole')
--- a/packages/runtime/src/buckthornpond_runtime/tasks.py
+++ b/packages/runtime/src/buckthornpond_runtime/tasks.py
@@ -75,6 +75,19 @@
         except Empty:
             return None
 
+    def receive_all(self, limit_count: int) -> list[MessageT]:
+        """Return every message at hand, waiting for the first.
+
+        :param limit_count: the most messages to return.
+        """
+        found = [self._queue.get()]
+        while len(found) < limit_count:
+            try:
+                found.append(self._queue.get_nowait())
+            except Empty:
+                break
+        return found
+
 
 class Supervisor:
     """Starts tasks and ends the process when one of them dies.
--- a/packages/runtime/src/buckthornpond_runtime/transports.py
+++ b/packages/runtime/src/buckthornpond_runtime/transports.py
@@ -14,7 +14,15 @@
 from buckthornpond_core.exceptions import MalformedMessageError, TransportError
 from buckthornpond_core.journal import EventCode
 
-from .codecs import decode_message, encode_message
+from .batches import (
+    BATCH_COUNT,
+    Batch,
+    build_batches,
+    count_bytes,
+    group_by_peer,
+    split_frames,
+)
+from .codecs import decode_message
 from .logs import log_event
 from .metrics import Metrics
 from .tasks import AnyGreenlet, Inbox, Mailbox
@@ -36,16 +44,6 @@
         self.message = message
 
 
-def _count_bytes(
-    metrics: Metrics,
-    direction: str,
-    frames: list[bytes],
-) -> None:
-    # Called for frames of a known kind only, which bounds the labels.
-    label = f'{direction}_{frames[0].decode()}'
-    metrics.add('wire_bytes', label, sum(map(len, frames)))
-
-
 class PortTask:
     """Owns the listening socket of an agent.
 
@@ -98,33 +96,45 @@
             identity, *frames = self._socket.recv_multipart()
             peer = identity.decode('ascii', 'replace')
             try:
-                message = decode_message(frames, peer)
+                for each in split_frames(frames, peer):
+                    self._take(each, peer)
             except MalformedMessageError as error:
-                self._metrics.count('malformed_messages', 'entry')
-                log_event(
-                    EventCode.malformed_entry_message,
-                    entry=peer,
-                    error=error.message,
-                )
-                continue
-            _count_bytes(self._metrics, 'received', frames)
-            self._inbox.send(Received(peer, message))
+                self._drop(error)
+
+    def _take(self, frames: list[bytes], peer: str) -> None:
+        try:
+            message = decode_message(frames, peer)
+        except MalformedMessageError as error:
+            self._drop(error)
+            return
+        count_bytes(self._metrics, 'received', frames)
+        self._inbox.send(Received(peer, message))
+
+    def _drop(self, error: MalformedMessageError) -> None:
+        self._metrics.count('malformed_messages', 'entry')
+        log_event(
+            EventCode.malformed_entry_message,
+            entry=error.peer,
+            error=error.message,
+        )
 
     def _write(self) -> None:
         while True:
-            effect = self.mailbox.receive()
-            if effect is None:
-                continue
-            frames = encode_message(effect.message)
-            try:
-                self._socket.send_multipart(
-                    [effect.peer.encode(), *frames],
-                    zmq.NOBLOCK,
-                )
-            except zmq.ZMQError:
-                self._metrics.count('undelivered_messages', 'entry')
-                continue
-            _count_bytes(self._metrics, 'sent', frames)
+            effects = self.mailbox.receive_all(BATCH_COUNT)
+            for peer, messages in group_by_peer(effects).items():
+                for batch in build_batches(messages):
+                    self._send(peer, batch)
+
+    def _send(self, peer: str, batch: Batch) -> None:
+        frames = [peer.encode(), *batch.frames]
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            count = len(batch.messages)
+            self._metrics.add('undelivered_messages', 'entry', count)
+            return
+        for each in split_frames(batch.frames, peer):
+            count_bytes(self._metrics, 'sent', each)
 
 
 class LinkTask:
@@ -190,32 +200,49 @@
         while True:
             frames = self._socket.recv_multipart()
             try:
-                message = decode_message(frames, self._instance)
+                for each in split_frames(frames, self._instance):
+                    self._take(each)
             except MalformedMessageError as error:
-                self._metrics.count('malformed_messages', 'agent')
-                log_event(
-                    EventCode.malformed_agent_message,
-                    agent=self._instance,
-                    error=error.message,
-                )
-                continue
-            _count_bytes(self._metrics, 'received', frames)
-            self._inbox.send(Received(self._instance, message))
+                self._drop(error)
+
+    def _take(self, frames: list[bytes]) -> None:
+        try:
+            message = decode_message(frames, self._instance)
+        except MalformedMessageError as error:
+            self._drop(error)
+            return
+        count_bytes(self._metrics, 'received', frames)
+        self._inbox.send(Received(self._instance, message))
+
+    def _drop(self, error: MalformedMessageError) -> None:
+        self._metrics.count('malformed_messages', 'agent')
+        log_event(
+            EventCode.malformed_agent_message,
+            agent=self._instance,
+            error=error.message,
+        )
 
     def _write(self) -> None:
         while True:
-            message = self.mailbox.receive()
-            if message is None:
-                continue
-            frames = encode_message(message)
-            try:
-                self._socket.send_multipart(frames, zmq.NOBLOCK)
-            except zmq.ZMQError:
-                self._metrics.count('undelivered_messages', 'agent')
-                if isinstance(message, Attempt):
-                    self._inbox.send(self._refuse(message))
-                continue
-            _count_bytes(self._metrics, 'sent', frames)
+            messages = self.mailbox.receive_all(BATCH_COUNT)
+            for batch in build_batches(messages):
+                self._send(batch)
+
+    def _send(self, batch: Batch) -> None:
+        try:
+            self._socket.send_multipart(batch.frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._fail(batch)
+            return
+        for each in split_frames(batch.frames, self._instance):
+            count_bytes(self._metrics, 'sent', each)
+
+    def _fail(self, batch: Batch) -> None:
+        count = len(batch.messages)
+        self._metrics.add('undelivered_messages', 'agent', count)
+        for message in batch.messages:
+            if isinstance(message, Attempt):
+                self._inbox.send(self._refuse(message))
 
     def _refuse(self, attempt: Attempt) -> Received:
         refused = Refused(
