Connect to IP numbers without the resolver

Cause: create_connection looked up each IP number by a thread of the resolver's pool, two thread switches for every call to a target. Change: connect the socket to the number itself.

--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -125,12 +125,13 @@
 
     def _connect(self) -> socket.socket:
         host, port = self._address.rsplit(':', 1)
+        # An IP number needs no resolver, which would take a thread.
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.settimeout(self._timeout.total_seconds())
         try:
-            connection = socket.create_connection(
-                (host, int(port)),
-                self._timeout.total_seconds(),
-            )
+            connection.connect((host, int(port)))
         except OSError as error:
+            connection.close()
             raise self._fail(str(error), 'connect') from error
         connection.setsockopt(
             standard_socket.IPPROTO_TCP,
