--- /dev/null
+++ b/packages/standins/src/buckthornpond_standins/keyed.py
@@ -0,0 +1,45 @@
+"""Keyed part of an agent's decisions for benches and tests."""
+
+from datetime import UTC, datetime, timedelta
+
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.key_times import KeyTimes
+from buckthornpond_core.keyed_attempts import KeyedAttempts
+from buckthornpond_core.types import Recorder
+
+_WALL = datetime.fromtimestamp(0, UTC)
+_FENCE_TIMEOUT = timedelta(seconds=1)
+
+
+def build_keyed_attempts(
+    instance: str,
+    configuration: Configuration,
+    *,
+    started: timedelta,
+    recorder: Recorder,
+) -> KeyedAttempts:
+    """Return a home that keeps no answers.
+
+    :param instance: the agent's instance, and its incarnation.
+    :param configuration: what is in force.
+    :param started: start of the agent on the monotonic clock.
+    :param recorder: receiver of counters.
+    """
+    home = FencingKeyHome(
+        instance=instance,
+        configuration=configuration,
+        times=KeyTimes(started, _WALL),
+        limits=KeyLimits(
+            fence_timeout=_FENCE_TIMEOUT,
+            max_replay_bytes=0,
+            replay_budget_bytes=0,
+        ),
+    )
+    return KeyedAttempts(
+        incarnation=instance,
+        configuration=configuration,
+        home=home,
+        max_replay_bytes=0,
+        recorder=recorder,
+    )
