--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from functools import partial
 from typing import TypeAlias
 
@@ -22,13 +22,11 @@
     ToCaller,
     ToPeer,
 )
-from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
-from buckthornpond_core.key_times import KeyTimes
-from buckthornpond_core.keyed_attempts import KeyedAttempts
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
 
 from .engine import EngineCosts
+from .keyed import build_keyed_attempts
 from .mix_inventories import build_inventory
 from .mixes import Arrival, Mix
 from .models import EngineModel
@@ -37,7 +35,6 @@
 
 _TICK_SECONDS = 0.05
 _HEARTBEAT_SECONDS = 0.5
-_WALL = datetime.fromtimestamp(0, UTC)
 # Lag of the engine's report and time between two of them.
 _REPORT_SECONDS = 1.0
 _PEER_TIMEOUT = timedelta(seconds=2)
@@ -386,36 +383,18 @@
             limit=limit,
             order=self._policies.order(),
             forecast=self._policies.forecast(),
-            keyed=self._make_keyed(name, configuration),
+            keyed=build_keyed_attempts(
+                name,
+                configuration,
+                started=timedelta(seconds=self.now),
+                recorder=self.recorder,
+            ),
             recorder=self.recorder,
         )
         admission.follow_configuration(timedelta(seconds=self.now))
         engine = EngineModel(self._costs, is_warm=is_warm)
         return _Agent(admission, configuration, engine)
 
-    def _make_keyed(
-        self,
-        name: str,
-        configuration: Configuration,
-    ) -> KeyedAttempts:
-        home = FencingKeyHome(
-            instance=name,
-            configuration=configuration,
-            times=KeyTimes(timedelta(seconds=self.now), _WALL),
-            limits=KeyLimits(
-                fence_timeout=timedelta(seconds=1),
-                max_replay_bytes=0,
-                replay_budget_bytes=0,
-            ),
-        )
-        return KeyedAttempts(
-            incarnation=name,
-            configuration=configuration,
-            home=home,
-            max_replay_bytes=0,
-            recorder=self.recorder,
-        )
-
     def _make_configuration(self) -> Configuration:
         configuration = Configuration()
         configuration.accept_inventory(self._inventory, b'{}')
