--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -378,7 +378,8 @@
             return False
         limit_tokens = self._limit.limit_tokens
         waiting = sum(queued.total_tokens for _, queued in self._queue.values())
-        return waiting + total_tokens > limit_tokens
+        held_tokens = waiting + self.reserved_tokens
+        return held_tokens + total_tokens > limit_tokens
 
     def _predict(self, attempt: Attempt, now: timedelta) -> int:
         waiting = [
