Place by unfinished prefill, and send small requests on from a full target

Cause: placement by held memory mixes decoding with the work that makes others wait; a short prompt could still wait at a target whose memory had filled since its last hint. Change: hints carry prefill_tokens, and LeastPrefillPlacement compares them; an agent refuses (memory_full, not run, no retry budget) an attempt of at most a sixteenth of its limit that does not fit at once. Shipped in the entry.

--- a/packages/core/src/buckthornpond_core/_generated/messages.py
+++ b/packages/core/src/buckthornpond_core/_generated/messages.py
@@ -85,6 +85,13 @@
     free_tokens: int
     limit_tokens: Annotated[int, Meta(ge=0)]
     configuration: ConfigurationVersion
+    prefill_tokens: Annotated[
+        int,
+        Meta(
+            description='Prompt tokens of attempts that have no first token yet.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class Heartbeat(Struct):
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -45,6 +45,7 @@
 
 _QUEUE_RETRY_AFTER_MS = 200
 _DETACHED_CREDIT_BYTES = 1 << 24
+_SMALL_PARTS = 16
 
 
 class AgentLimits:
@@ -303,6 +304,7 @@
             queued_tokens=sum(waiting),
             free_tokens=self._limit.limit_tokens - self.reserved_tokens,
             limit_tokens=self._limit.limit_tokens,
+            prefill_tokens=self._load().prefill_tokens,
             configuration=self._configuration.version,
         )
 
@@ -353,6 +355,7 @@
     def _find_refusal(self, attempt: Attempt) -> str:
         total_tokens = attempt.prompt_tokens + attempt.output_tokens
         service = self._configuration.services.get(attempt.service)
+        memory_refusal = self._find_memory_refusal(total_tokens)
         checks = (
             (
                 'stale_incarnation',
@@ -367,19 +370,21 @@
                 service is None or self._instance not in service.instances,
             ),
             ('prompt_too_large', total_tokens > self._target.memory_tokens),
-            ('target_cold', self._is_too_cold(total_tokens)),
+            (memory_refusal, bool(memory_refusal)),
             ('deadline_exceeded', attempt.remaining_ms <= 0),
             ('queue_full', len(self._queue) >= self._limits.max_queued_count),
         )
         return next((reason for reason, applies in checks if applies), '')
 
-    def _is_too_cold(self, total_tokens: int) -> bool:
-        if not self._limit.is_cold:
-            return False
-        limit_tokens = self._limit.limit_tokens
-        waiting = sum(queued.total_tokens for _, queued in self._queue.values())
-        held_tokens = waiting + self.reserved_tokens
-        return held_tokens + total_tokens > limit_tokens
+    def _find_memory_refusal(self, total_tokens: int) -> str:
+        free_tokens = self._load().unclaimed_tokens
+        if total_tokens <= max(0, free_tokens):
+            return ''
+        if self._limit.is_cold:
+            return 'target_cold'
+        # A larger attempt waits: it would find no room elsewhere either.
+        is_small = total_tokens * _SMALL_PARTS <= self._limit.limit_tokens
+        return 'memory_full' if is_small else ''
 
     def _predict(self, attempt: Attempt, now: timedelta) -> int:
         waiting = [
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -42,6 +42,12 @@
         held_tokens = self.hint.limit_tokens - self.hint.free_tokens
         return held_tokens + self.hint.queued_tokens + self.pending_tokens
 
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens ahead of a new request."""
+        reported_tokens = self.hint.prefill_tokens if self.hint else 0
+        return reported_tokens + self.pending_tokens
+
     @property
     def free_tokens(self) -> int:
         """Return the tokens that a new request finds free, by the last hint."""
@@ -189,6 +195,33 @@
         )
 
 
+class LeastPrefillPlacement:
+    """Two random choices by unfinished prefill, with free memory for it."""
+
+    __slots__ = ()
+
+    def choose(
+        self,
+        candidates: Sequence[AgentView],
+        submission: Submission,
+        random: RandomSource,
+    ) -> AgentView:
+        """Return the candidate with less prefill ahead of two that fit."""
+        wanted_tokens = submission.prompt_tokens + submission.output_tokens
+        fitting = [
+            view for view in candidates if view.free_tokens >= wanted_tokens
+        ]
+        among = fitting or candidates
+        return min(
+            random.sample(among, min(_CHOICES, len(among))),
+            key=_prefill,
+        )
+
+
+def _prefill(view: AgentView) -> int:
+    return view.prefill_tokens
+
+
 def _backlog(view: AgentView) -> int:
     return view.backlog_tokens
 
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -64,6 +64,21 @@
         self.prefilling = prefilling
         self.free_tokens = free_tokens
 
+    @property
+    def unclaimed_tokens(self) -> int:
+        """Return the free tokens that no waiting attempt will take."""
+        return self.free_tokens - sum(
+            each.total_tokens for each in self.waiting
+        )
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens of attempts without a first token."""
+        return sum(
+            queued.attempt.prompt_tokens
+            for queued in (*self.waiting, *self.prefilling)
+        )
+
     def fits(self, queued: QueuedAttempt) -> bool:
         """Tell whether the target bears the attempt now.
 
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -66,6 +66,7 @@
         'key_unknown': RefusalKind(409, 'Outcome unknown'),
         'length_required': RefusalKind(411, 'Content-Length required'),
         'method_not_allowed': RefusalKind(405, 'Method not allowed'),
+        'memory_full': RefusalKind(503, 'Memory full', may_retry=True),
         'prompt_too_large': RefusalKind(413, 'Prompt larger than any engine'),
         'queue_full': RefusalKind(503, 'Queue full', may_retry=True),
         'response_too_large': RefusalKind(502, 'Answer too large'),
--- a/packages/core/src/buckthornpond_core/retries.py
+++ b/packages/core/src/buckthornpond_core/retries.py
@@ -5,6 +5,7 @@
 FREE_REASONS = frozenset(
     (
         'agent_leaving',
+        'memory_full',
         'service_not_here',
         'stale_incarnation',
         'target_cold',
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -8,7 +8,7 @@
 from buckthornpond_core._generated.settings import EntrySettings
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.journal import EventCode
-from buckthornpond_core.placement import FittingPlacement
+from buckthornpond_core.placement import LeastPrefillPlacement
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
 from buckthornpond_runtime.administration import AdministrationTask
@@ -64,7 +64,7 @@
             stream_window_bytes=settings.stream_window_bytes,
             peer_timeout=timedelta(milliseconds=settings.peer_timeout_ms),
         ),
-        placement=FittingPlacement(),
+        placement=LeastPrefillPlacement(),
         budget=RetryBudget(settings.retry_budget_percent, _RETRY_RESERVE),
         random=random.Random(),
         recorder=metrics,
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -13,6 +13,7 @@
 from buckthornpond_core.placement import (
     FittingPlacement,
     LeastLoadedPlacement,
+    LeastPrefillPlacement,
     Placement,
     RandomPlacement,
     RoundRobinPlacement,
@@ -127,6 +128,13 @@
         limit=_fixed,
         forecast=PrefillForecast,
     ),
+    PolicySet(
+        'prefill-forecast',
+        placement=LeastPrefillPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+        forecast=PrefillForecast,
+    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
@@ -139,4 +147,4 @@
     {policies.name: policies for policies in _SETS},
 )
 
-SHIPPED = 'fitting-forecast'
+SHIPPED = 'prefill-forecast'
--- a/packages/standins/src/buckthornpond_standins/zone_moves.py
+++ b/packages/standins/src/buckthornpond_standins/zone_moves.py
@@ -36,13 +36,20 @@
     :param kind: what happened to the zone.
     """
 
-    __slots__ = ('good_per_second', 'kind', 'records', 'retry_count')
+    __slots__ = (
+        'crash_count',
+        'good_per_second',
+        'kind',
+        'records',
+        'retry_count',
+    )
 
     def __init__(self, kind: MoveKind) -> None:
         self.kind = kind
         self.records: list[RequestRecord] = []
-        self.good_per_second = [0.0] * END_SECONDS
+        self.good_per_second = [0 for _ in range(END_SECONDS)]
         self.retry_count = 0
+        self.crash_count = 0
 
     @property
     def cut_count(self) -> int:
@@ -126,6 +133,9 @@
             _plan_move(bench, result.kind)
             records = bench.run(arrivals)
             _add_records(result, records)
+            result.crash_count += sum(
+                agent.engine.crash_count for agent in bench.agents.values()
+            )
             result.retry_count += bench.recorder.sum_of('retries/')
             report(f'{mix.name} seed {seed} {result.kind}')
     return results
