Keep the signs of a cold target in one class

Change: WarmthWatch takes failures, reports and slow prefill, and lowers the limit. ShortestFirstOrder ranks prefill by length unless told otherwise. Seen: ./dev test: 94 passed, 0 failed. Conclusion: no change of behaviour.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -14,7 +14,6 @@
 from buckthornpond_core.key_times import KeyTimes
 from buckthornpond_core.keyed_attempts import KeyedAttempts
 from buckthornpond_core.limits import SlowStartLimit
-from buckthornpond_core.priorities import LengthPriority
 from buckthornpond_core.queueing import ShortestFirstOrder
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.assembly import ExchangeAssembly
@@ -79,7 +78,7 @@
             peer_timeout=timedelta(milliseconds=settings.peer_timeout_ms),
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
-        order=ShortestFirstOrder(LengthPriority()),
+        order=ShortestFirstOrder(),
         keyed=KeyedAttempts(
             incarnation=incarnation,
             configuration=configuration,
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -42,6 +42,7 @@
 from .limits import TargetLimit
 from .queueing import AdmissionOrder, QueuedAttempt, TargetLoad
 from .types import Recorder
+from .warmth import WarmthWatch
 
 _QUEUE_RETRY_AFTER_MS = 200
 _DETACHED_CREDIT_BYTES = 1 << 24
@@ -118,9 +119,9 @@
         '_peers',
         '_queue',
         '_recorder',
-        '_report',
         '_running',
         '_target',
+        '_warmth',
         'is_stopping',
     )
 
@@ -145,7 +146,7 @@
         self._order = order
         self._keyed = keyed
         self._recorder = recorder
-        self._report: LoadReport | None = None
+        self._warmth = WarmthWatch(limit, recorder)
         self._forecast = forecast or NoForecast()
         self._target = Target(address='0.0.0.0:0')
         self._ledger = Ledger()
@@ -251,7 +252,7 @@
                 running.is_prefilling = False
                 self._forecast.record_first_token(message.attempt_id, now)
                 if self._forecast.take_slowdown():
-                    self._fall_back('slow prefill')
+                    self._warmth.start_over('slow prefill')
             return self._tell(running, chunk)
         return self._end_call(running, message, now)
 
@@ -260,15 +261,7 @@
 
         :param report: what it says of itself.
         """
-        previous = self._report
-        self._report = report
-        self._limit.record_report(is_warm=report.is_warm)
-        if previous is None:
-            return
-        if previous.incarnation != report.incarnation:
-            self._fall_back('engine restarted')
-        elif previous.is_warm and not report.is_warm:
-            self._fall_back('engine report')
+        self._warmth.take_report(report)
 
     def tick(self, now: timedelta) -> list[AgentEffect]:
         """End overdue attempts and those of dead entries, start others.
@@ -484,7 +477,8 @@
         effects: list[AgentEffect] = []
         self._fates.record_end(running.queued, ended)
         if ended.error:
-            self._learn_failure(running, ended)
+            if not running.is_cancelled:
+                self._warmth.take_failure(ended)
             effects.extend(
                 self._tell(running, self._report_failure(running, ended))
             )
@@ -498,19 +492,6 @@
         effects.extend(self._start_waiting(now))
         return effects
 
-    def _learn_failure(self, running: _Running, ended: CallEnded) -> None:
-        if running.is_cancelled:
-            return
-        if ended.is_sent:
-            self._limit.record_failure()
-        else:
-            self._fall_back('connection refused')
-
-    def _fall_back(self, sign: str) -> None:
-        if not self._limit.is_cold:
-            self._recorder.log(EventCode.target_cold, sign=sign)
-        self._limit.record_cold()
-
     def _report_failure(self, running: _Running, ended: CallEnded) -> Refused:
         if ended.is_sent or running.queued.attempt.idempotency_key:
             return self._refuse_unknown(ended.attempt_id, ended.error)
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ._generated.messages import Attempt
-from .priorities import EnginePriority, EqualPriority
+from .priorities import EnginePriority, LengthPriority
 
 _REFUSAL_MARGIN_MS = 50
 _REFUSAL_MARGIN = timedelta(milliseconds=_REFUSAL_MARGIN_MS)
@@ -136,7 +136,7 @@
     __slots__ = ('_engine_priority',)
 
     def __init__(self, engine_priority: EnginePriority | None = None) -> None:
-        self._engine_priority = engine_priority or EqualPriority()
+        self._engine_priority = engine_priority or LengthPriority()
 
     def choose(
         self,
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -19,7 +19,7 @@
     RoundRobinPlacement,
     TwoChoicesPlacement,
 )
-from buckthornpond_core.priorities import LengthPriority
+from buckthornpond_core.priorities import EqualPriority, LengthPriority
 from buckthornpond_core.queueing import (
     AdmissionOrder,
     FifoOrder,
@@ -71,6 +71,10 @@
     return ShortestFirstOrder(LengthPriority())
 
 
+def _shortest() -> AdmissionOrder:
+    return ShortestFirstOrder(EqualPriority())
+
+
 _SETS = (
     PolicySet(
         'random-fifo',
@@ -93,7 +97,7 @@
     PolicySet(
         'two-shortest',
         placement=TwoChoicesPlacement,
-        order=ShortestFirstOrder,
+        order=_shortest,
         limit=_slow_start,
     ),
     PolicySet(
