Plot goodput while an availability zone moves

Cause: the figures of zone moves need a command. Change: ./dev bench moves prints the table and plots goodput by second. Conclusion: none yet.

--- a/packages/standins/src/buckthornpond_standins/bench_commands.py
+++ b/packages/standins/src/buckthornpond_standins/bench_commands.py
@@ -5,9 +5,11 @@
 import click
 
 from .experiments import compare, render_outcomes, render_slowdowns
-from .mixes import MIXES
+from .mixes import MIXES, RAVI
 from .overload import measure_goodput, render_goodput
+from .plots import plot_moves
 from .policies import POLICIES, SHIPPED
+from .zone_moves import measure_moves, render_moves
 
 _OUT = Path('out')
 
@@ -71,3 +73,20 @@
         )
         head = f'{mix.name}: {seeds} seeds of {seconds} s each'
         save(f'goodput-{mix.name}.md', f'{head}\n\n{render_goodput(results)}')
+
+
+@bench.command()
+@click.option('--load', default=0.5, help='Share of the prefill capacity.')
+@click.option('--seeds', default=2, help='Seeds, from 0.')
+def moves(load: float, seeds: int) -> None:
+    """Move an availability zone of the ravi mix and plot the goodput."""
+    results = measure_moves(
+        RAVI,
+        POLICIES[SHIPPED],
+        load=load,
+        seeds=range(seeds),
+        report=_show_progress,
+    )
+    head = f'{RAVI.name}: load {load}, {seeds} seeds'
+    save('moves.md', f'{head}\n\n{render_moves(results)}')
+    plot_moves(results, _OUT / 'moves.png')
