--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ._generated.messages import Attempt
-from .priorities import EnginePriority, EqualPriority
+from .priorities import EnginePriority, LengthPriority
 
 _REFUSAL_MARGIN_MS = 50
 _REFUSAL_MARGIN = timedelta(milliseconds=_REFUSAL_MARGIN_MS)
@@ -64,6 +64,21 @@
         self.prefilling = prefilling
         self.free_tokens = free_tokens
 
+    @property
+    def unclaimed_tokens(self) -> int:
+        """Return the free tokens that no waiting attempt will take."""
+        return self.free_tokens - sum(
+            each.total_tokens for each in self.waiting
+        )
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens of attempts without a first token."""
+        return sum(
+            queued.attempt.prompt_tokens
+            for queued in (*self.waiting, *self.prefilling)
+        )
+
     def fits(self, queued: QueuedAttempt) -> bool:
         """Tell whether the target bears the attempt now.
 
@@ -121,7 +136,7 @@
     __slots__ = ('_engine_priority',)
 
     def __init__(self, engine_priority: EnginePriority | None = None) -> None:
-        self._engine_priority = engine_priority or EqualPriority()
+        self._engine_priority = engine_priority or LengthPriority()
 
     def choose(
         self,
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -13,12 +13,13 @@
 from buckthornpond_core.placement import (
     FittingPlacement,
     LeastLoadedPlacement,
+    LeastPrefillPlacement,
     Placement,
     RandomPlacement,
     RoundRobinPlacement,
     TwoChoicesPlacement,
 )
-from buckthornpond_core.priorities import LengthPriority
+from buckthornpond_core.priorities import EqualPriority, LengthPriority
 from buckthornpond_core.queueing import (
     AdmissionOrder,
     FifoOrder,
@@ -70,6 +71,10 @@
     return ShortestFirstOrder(LengthPriority())
 
 
+def _shortest() -> AdmissionOrder:
+    return ShortestFirstOrder(EqualPriority())
+
+
 _SETS = (
     PolicySet(
         'random-fifo',
@@ -92,7 +97,7 @@
     PolicySet(
         'two-shortest',
         placement=TwoChoicesPlacement,
-        order=ShortestFirstOrder,
+        order=_shortest,
         limit=_slow_start,
     ),
     PolicySet(
@@ -127,6 +132,13 @@
         limit=_fixed,
         forecast=PrefillForecast,
     ),
+    PolicySet(
+        'prefill-forecast',
+        placement=LeastPrefillPlacement,
+        order=_prioritised,
+        limit=_slow_start,
+        forecast=PrefillForecast,
+    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
@@ -139,4 +151,4 @@
     {policies.name: policies for policies in _SETS},
 )
 
-SHIPPED = 'fitting-forecast'
+SHIPPED = 'prefill-forecast'
