Send messages between processes without field names

Cause: a heartbeat and the hint that answers it took 434 bytes, most of them field names, on each link and each interval.

A new field goes after the others and has a default.

--- a/packages/core/src/buckthornpond_core/types.py
+++ b/packages/core/src/buckthornpond_core/types.py
@@ -15,6 +15,14 @@
     """Base of settings and operators' documents: unknown keys are errors."""
 
 
+class WireRecord(Struct, array_like=True):
+    """Base of messages between processes, sent without field names.
+
+    A new field goes after the others and has a default, so that processes
+    of two versions understand each other.
+    """
+
+
 class Clock(Protocol):
     """Source of time."""
 
