--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -37,16 +37,19 @@
 )
 from .fates import AttemptFates
 from .forecasts import Forecast, NoForecast
+from .heartbeats import extend_timeout
 from .journal import EventCode
 from .keyed_attempts import KeyedAttempts, KeyStep
 from .ledger import Ledger
 from .limits import TargetLimit
 from .queueing import REFUSAL_MARGIN, AdmissionOrder, QueuedAttempt, TargetLoad
 from .types import Recorder
+from .warmth import WarmthWatch
 
 _QUEUE_RETRY_AFTER_MS = 200
 _DETACHED_CREDIT_BYTES = 1 << 24
 _BODY_BUDGET_BYTES = 134_217_728
+_SMALL_PARTS = 16
 
 
 class AgentLimits:
@@ -122,9 +125,9 @@
         '_peers',
         '_queue',
         '_recorder',
-        '_report',
         '_running',
         '_target',
+        '_warmth',
         'is_stopping',
     )
 
@@ -149,7 +152,7 @@
         self._order = order
         self._keyed = keyed
         self._recorder = recorder
-        self._report: LoadReport | None = None
+        self._warmth = WarmthWatch(limit, recorder)
         self._forecast = forecast or NoForecast()
         self._target = Target(address='0.0.0.0:0')
         self._ledger = Ledger()
@@ -217,7 +220,7 @@
         """
         if isinstance(message, FenceKey | FenceReply):
             return self._follow(self._keyed.receive(peer, message, now), now)
-        self._peers[peer] = now
+        self._hear(peer, message, now)
         if isinstance(message, Heartbeat):
             return [ToPeer(peer, self.hint())]
         if isinstance(message, Attempt):
@@ -285,7 +288,7 @@
                 running.is_prefilling = False
                 self._forecast.record_first_token(message.attempt_id, now)
                 if self._forecast.take_slowdown():
-                    self._fall_back('slow prefill')
+                    self._warmth.start_over('slow prefill')
             return self._tell(running, chunk)
         return self._end_call(running, message, now)
 
@@ -294,15 +297,7 @@
 
         :param report: what it says of itself.
         """
-        previous = self._report
-        self._report = report
-        self._limit.record_report(is_warm=report.is_warm)
-        if previous is None:
-            return
-        if previous.incarnation != report.incarnation:
-            self._fall_back('engine restarted')
-        elif previous.is_warm and not report.is_warm:
-            self._fall_back('engine report')
+        self._warmth.take_report(report)
 
     def tick(self, now: timedelta) -> list[AgentEffect]:
         """End overdue attempts and those of dead entries, start others.
@@ -336,6 +331,7 @@
             queued_tokens=sum(waiting),
             free_tokens=self._limit.limit_tokens - self.reserved_tokens,
             limit_tokens=self._limit.limit_tokens,
+            prefill_tokens=self._load().prefill_tokens,
             configuration=self._configuration.version,
         )
 
@@ -347,6 +343,19 @@
             self._recorder.log(EventCode.entry_silent, entry=peer)
         return dead
 
+    def _hear(
+        self,
+        peer: str,
+        message: WireMessage,
+        now: timedelta,
+    ) -> None:
+        heard = now
+        if isinstance(message, Heartbeat):
+            interval = timedelta(milliseconds=message.interval_ms)
+            timeout = extend_timeout(self._limits.peer_timeout, interval)
+            heard = now + timeout - self._limits.peer_timeout
+        self._peers[peer] = max(heard, self._peers.get(peer, heard))
+
     def _admit(
         self,
         peer: str,
@@ -385,6 +394,7 @@
         total_tokens = attempt.prompt_tokens + attempt.output_tokens
         held_bytes = self.held_body_bytes + len(attempt.body)
         service = self._configuration.services.get(attempt.service)
+        memory_refusal = self._find_memory_refusal(total_tokens)
         checks = (
             (
                 'stale_incarnation',
@@ -399,19 +409,22 @@
                 service is None or self._instance not in service.instances,
             ),
             ('prompt_too_large', total_tokens > self._target.memory_tokens),
-            ('target_cold', self._is_too_cold(total_tokens)),
+            (memory_refusal, bool(memory_refusal)),
             ('deadline_exceeded', attempt.remaining_ms <= 0),
             ('queue_full', len(self._queue) >= self._limits.max_queued_count),
             ('agent_memory_full', held_bytes > self._limits.body_budget_bytes),
         )
         return next((reason for reason, applies in checks if applies), '')
 
-    def _is_too_cold(self, total_tokens: int) -> bool:
-        if not self._limit.is_cold:
-            return False
-        limit_tokens = self._limit.limit_tokens
-        waiting = sum(queued.total_tokens for _, queued in self._queue.values())
-        return waiting + total_tokens > limit_tokens
+    def _find_memory_refusal(self, total_tokens: int) -> str:
+        free_tokens = self._load().unclaimed_tokens
+        if total_tokens <= max(0, free_tokens):
+            return ''
+        if self._limit.is_cold:
+            return 'target_cold'
+        # A larger attempt waits: it would find no room elsewhere either.
+        is_small = total_tokens * _SMALL_PARTS <= self._limit.limit_tokens
+        return 'memory_full' if is_small else ''
 
     def _predict(self, attempt: Attempt, now: timedelta) -> int:
         waiting = [
@@ -511,7 +524,8 @@
         effects: list[AgentEffect] = []
         self._fates.record_end(running.queued, ended)
         if ended.error:
-            self._learn_failure(running, ended)
+            if not running.is_cancelled:
+                self._warmth.take_failure(ended)
             effects.extend(
                 self._tell(running, self._report_failure(running, ended))
             )
@@ -525,19 +539,6 @@
         effects.extend(self._start_waiting(now))
         return effects
 
-    def _learn_failure(self, running: _Running, ended: CallEnded) -> None:
-        if running.is_cancelled:
-            return
-        if ended.is_sent:
-            self._limit.record_failure()
-        else:
-            self._fall_back('connection refused')
-
-    def _fall_back(self, sign: str) -> None:
-        if not self._limit.is_cold:
-            self._recorder.log(EventCode.target_cold, sign=sign)
-        self._limit.record_cold()
-
     def _report_failure(self, running: _Running, ended: CallEnded) -> Refused:
         if ended.is_sent or running.queued.attempt.idempotency_key:
             return self._refuse_unknown(ended.attempt_id, ended.error)
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -21,11 +21,18 @@
     the lagging hint is corrected.
     """
 
-    __slots__ = ('hint', 'instance', 'last_heard', 'pending_tokens')
+    __slots__ = (
+        'hint',
+        'instance',
+        'last_beat',
+        'last_heard',
+        'pending_tokens',
+    )
 
     def __init__(self, instance: str) -> None:
         self.instance = instance
         self.hint: Hint | None = None
+        self.last_beat: timedelta | None = None
         self.last_heard: timedelta | None = None
         self.pending_tokens = 0
 
@@ -42,6 +49,12 @@
         held_tokens = self.hint.limit_tokens - self.hint.free_tokens
         return held_tokens + self.hint.queued_tokens + self.pending_tokens
 
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens ahead of a new request."""
+        reported_tokens = self.hint.prefill_tokens if self.hint else 0
+        return reported_tokens + self.pending_tokens
+
     @property
     def free_tokens(self) -> int:
         """Return the tokens that a new request finds free, by the last hint."""
@@ -194,6 +207,33 @@
         )
 
 
+class LeastPrefillPlacement:
+    """Two random choices by unfinished prefill, with free memory for it."""
+
+    __slots__ = ()
+
+    def choose(
+        self,
+        candidates: Sequence[AgentView],
+        submission: Submission,
+        random: RandomSource,
+    ) -> AgentView:
+        """Return the candidate with less prefill ahead of two that fit."""
+        wanted_tokens = submission.prompt_tokens + submission.output_tokens
+        fitting = [
+            view for view in candidates if view.free_tokens >= wanted_tokens
+        ]
+        among = fitting or candidates
+        return min(
+            random.sample(among, min(_CHOICES, len(among))),
+            key=_prefill,
+        )
+
+
+def _prefill(view: AgentView) -> int:
+    return view.prefill_tokens
+
+
 def _backlog(view: AgentView) -> int:
     return view.backlog_tokens
 
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -8,7 +8,7 @@
 from buckthornpond_core._generated.settings import EntrySettings
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.journal import EventCode
-from buckthornpond_core.placement import FittingPlacement
+from buckthornpond_core.placement import LeastPrefillPlacement
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
 from buckthornpond_runtime.administration import AdministrationTask
@@ -22,6 +22,7 @@
 from buckthornpond_runtime.tasks import Supervisor
 
 from .front import Front, build_application
+from .links import build_directory
 from .listeners import FrontServer
 from .tasks import EndAll, RouterTask
 
@@ -64,10 +65,11 @@
             stream_window_bytes=settings.stream_window_bytes,
             peer_timeout=timedelta(milliseconds=settings.peer_timeout_ms),
         ),
-        placement=FittingPlacement(),
+        placement=LeastPrefillPlacement(),
         budget=RetryBudget(settings.retry_budget_percent, _RETRY_RESERVE),
         random=random.Random(),
         recorder=metrics,
+        agents=build_directory(settings, configuration),
     )
     assembly = ExchangeAssembly(
         settings.instance,
