--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -524,7 +524,7 @@
             request.is_proven_not_run = False
         elif refused.reason in _PLANNED_REASONS and not request.is_started:
             if refused.reason != 'service_not_here':
-                self._agents[instance].close()
+                self.agents[instance].close()
             self._recorder.count('replacements', refused.reason)
             request.retry_at = now
             return self._advance(request, now)
