--- a/packages/standins/src/buckthornpond_standins/idling.py
+++ b/packages/standins/src/buckthornpond_standins/idling.py
@@ -54,7 +54,7 @@
         causes = [[links, 1] for links in self.links]
         for costs, scale, unit in (
             (self.processor, 1, '% of a core'),
-            (self.resident, 1, 'MB'),
+            (self.resident, 1, 'MiB'),
             (self.control, 1, 'B/s'),
         ):
             fit = fit_costs(_CAUSES, causes, costs)
@@ -66,7 +66,7 @@
 
     :param seconds: length of each sample.
     """
-    click.echo('role   links  core %   RSS MB  anon MB control/s  reads/s')
+    click.echo('role   links  core %   RSS MiB anon MiB control/s  reads/s')
     entry_costs = _Costs('entry')
     agent_costs = _Costs('agent')
     for engine_count, entry_count in _FLEETS:
--- a/packages/standins/src/buckthornpond_standins/scrapes.py
+++ b/packages/standins/src/buckthornpond_standins/scrapes.py
@@ -3,7 +3,9 @@
 from .fleets import call_text
 
 _PREFIX = 'buckthornpond_'
-_CONTROL_KINDS = frozenset(('Document', 'Heartbeat', 'Hint'))
+_CONTROL_KINDS = frozenset(
+    ('Document', 'DocumentRequest', 'Heartbeat', 'Hint'),
+)
 _WIRE = 'wire_bytes_total{reason="'
 
 
