--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -147,6 +147,7 @@
     :param entry_count: entry processes.
     :param engine_arguments: further arguments of each engine.
     :param cold_tokens: what each engine bears after a start, all by default.
+    :param plain_arguments: further arguments of each plain service.
     :param retry_window_ms: retry window of the plain service.
     :param entry_settings: settings of each entry that differ.
     :param agent_settings: settings of each agent that differ.
@@ -160,6 +161,7 @@
         plain_count: int = 1,
         entry_count: int = 2,
         engine_arguments: Iterable[str] = (),
+        plain_arguments: Iterable[str] = (),
         retry_window_ms: int = 1000,
         cold_tokens: int = _MEMORY_TOKENS,
         entry_settings: dict[str, Any] | None = None,
@@ -169,6 +171,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self.folder = Path(self._folder.name)
         self._engine_arguments = list(engine_arguments)
+        self._plain_arguments = list(plain_arguments)
         self._retry_window_ms = retry_window_ms
         self._cold_tokens = cold_tokens
         self._entry_settings = entry_settings or {}
@@ -305,7 +308,12 @@
         for instance in self.plains:
             instance.target = self.make_process(
                 f'{instance.name}-target',
-                ['buckthornpond_standins', 'plain', instance.target_address],
+                [
+                    'buckthornpond_standins',
+                    'plain',
+                    instance.target_address,
+                    *self._plain_arguments,
+                ],
             )
         for instance in self.instances:
             instance.agent = self._make_agent(instance)
