Look earlier homes up in the inventory in force

Cause: a claim keeps the service as it was when the attempt came. When the inventory dropped an instance while its agent was asked for a key, the answer raised a KeyError, which ends the agent.

Change: earlier homes come from the service in force.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -25,6 +25,12 @@
     Then the key is refused as "key_unknown" during the retry window
     And it runs after the retry window
 
+  Scenario: an earlier home leaves the inventory while it is asked
+    Given an agent that has just joined the home of a key
+    When the key is used and the earlier home leaves the inventory
+    And the earlier home answers that it has barred the key
+    Then the key runs
+
   Scenario: an address that serves may not be listed as a former one
     Then an inventory whose former instance still serves is rejected
 
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -12,7 +12,9 @@
     Attempt,
     Cancel,
     Chunk,
+    FenceReply,
     Final,
+    KeyState,
     Query,
     Refused,
     Started,
@@ -170,6 +172,46 @@
     assert len(context.agent.started) == 1
 
 
+@given('an agent that has just joined the home of a key')
+def join_home(context: Any) -> None:
+    """Let an agent see itself join, past the doubt of its start."""
+    context.key = find_key('plain-a')
+    context.agent = AgentBench('plain-a', START)
+    context.agent.follow(make_inventory(1, _NAMES, _NAMES[1:]))
+    context.agent.tick(RETENTION)
+    context.agent.follow(make_inventory(2, _NAMES, _NAMES))
+
+
+@when('the key is used and the earlier home leaves the inventory')
+def ask_leaving(context: Any) -> None:
+    """Change the inventory before the answer."""
+    context.agent.use(context.key)
+    asked = only(context.agent.asked)
+    assert asked.address == address_of('plain-b')
+    context.agent.follow(make_inventory(3, _NAMES[:1], _NAMES[:1]))
+
+
+@when('the earlier home answers that it has barred the key')
+def answer_barred(context: Any) -> None:
+    """Deliver the answer."""
+    assert not context.agent.started
+    reply = FenceReply(
+        service='lots',
+        organisation='gate',
+        idempotency_key=context.key,
+        state=KeyState.fenced,
+        agent_incarnation='other',
+        configuration=context.agent.configuration.version,
+    )
+    context.agent.receive(reply, address_of('plain-b'))
+
+
+@then('the key runs')
+def check_started(context: Any) -> None:
+    """Check that the target was called."""
+    assert len(context.agent.started) == 1
+
+
 @then('an inventory whose former instance still serves is rejected')
 def check_former(context: Any) -> None:
     """Check the problem found, and that another address has none."""
--- a/packages/core/src/buckthornpond_core/homes.py
+++ b/packages/core/src/buckthornpond_core/homes.py
@@ -154,12 +154,13 @@
         :param now: time on the monotonic clock.
         """
         history = self._histories.get(service.name)
-        if history is None:
+        current = self._configuration.services.get(service.name)
+        if history is None or current is None:
             return []
         history.settle(now - timedelta(milliseconds=service.settle_ms))
-        joining = history.joining | set(service.joining_instances)
+        joining = history.joining | set(current.joining_instances)
         homes, settled = _find_below(key, history.members, joining)
-        former = {**self._find_declared(service), **history.former}
+        former = {**self._find_declared(current), **history.former}
         homes.extend(
             home
             for home in former.values()
