Find the home of a key without sorting every instance

Cause: each keyed attempt filtered the drained instances and ranked all with a tuple each, at the entry and at the agent.

Change: the instances among which keys are spread are kept per document, and the home is the highest digest.

It still grows with the instances of a service.

--- a/packages/core/src/buckthornpond_core/configuration.py
+++ b/packages/core/src/buckthornpond_core/configuration.py
@@ -109,6 +109,7 @@
         '_digest',
         '_draining_instances',
         '_draining_zones',
+        '_home_instances',
         '_order',
         '_organisations',
         'contents',
@@ -143,6 +144,7 @@
         self._organisations: dict[str, Organisation] = {}
         self._draining_instances: frozenset[str] = frozenset()
         self._draining_zones: frozenset[str] = frozenset()
+        self._home_instances: dict[str, list[str]] = {}
 
     @property
     def version(self) -> ConfigurationVersion:
@@ -177,6 +179,7 @@
         self._organisations = {
             each.credential_sha256: each for each in inventory.organisations
         }
+        self._spread_homes()
         return True
 
     def accept_rules(self, rules: Rules, content: bytes) -> bool:
@@ -190,6 +193,7 @@
         self.rules = rules
         self._draining_instances = frozenset(rules.draining_instances)
         self._draining_zones = frozenset(rules.draining_availability_zones)
+        self._spread_homes()
         return True
 
     def accept_leaving(
@@ -238,13 +242,7 @@
 
         :param service: a service of the inventory in force.
         """
-        return [
-            name
-            for name in service.instances
-            if name not in self._draining_instances
-            and self.instances[name].availability_zone
-            not in self._draining_zones
-        ]
+        return self._home_instances.get(service.name, [])
 
     def is_behind(self, version: ConfigurationVersion) -> bool:
         """Tell whether a peer has a newer document than this process.
@@ -256,6 +254,18 @@
             for name, stamp in self.stamps.items()
         )
 
+    def _spread_homes(self) -> None:
+        self._home_instances = {
+            service.name: [
+                name
+                for name in service.instances
+                if name not in self._draining_instances
+                and self.instances[name].availability_zone
+                not in self._draining_zones
+            ]
+            for service in self.inventory.services
+        }
+
     def _accept(
         self,
         name: DocumentName,
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/placement.py
@@ -222,11 +222,16 @@
     :param key: what :func:`join_key` returned.
     :param instances: names among which keys are spread, never empty.
     """
-
-    def rank(name: str) -> tuple[int, str]:
-        return rank_home(key, name)
-
-    return max(instances, key=rank)
+    prefix = f'{key}/'
+    digests = [
+        xxh3_64_intdigest(f'{prefix}{name}'.encode()) for name in instances
+    ]
+    highest = max(digests)
+    return max(
+        name
+        for name, digest in zip(instances, digests, strict=True)
+        if digest == highest
+    )
 
 
 def rank_home(key: str, instance: str) -> tuple[int, str]:
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -24,7 +24,7 @@
 from .configuration import Configuration
 from .effects import AnswerMessage, RouterEffect, ToCaller, ToPeer, WireMessage
 from .journal import EventCode
-from .placement import AgentView, Placement, join_key, rank_homes
+from .placement import AgentView, Placement, find_home, join_key
 from .retries import FREE_REASONS, RetryBudget
 from .types import RandomSource, Recorder
 
@@ -389,15 +389,7 @@
     ) -> Iterable[AgentView]:
         names: Iterable[str] = service.instances
         if request.submission.idempotency_key:
-            home_key = join_key(
-                service.name,
-                request.submission.organisation,
-                request.submission.idempotency_key,
-            )
-            names = rank_homes(
-                home_key,
-                self._configuration.find_home_instances(service),
-            )[:1]
+            names = _find_homes(request, service, self._configuration)
         for name in names:
             if name in request.tried or self._configuration.is_draining(name):
                 continue
@@ -622,6 +614,21 @@
     return ToCaller(request.submission.request_number, message)
 
 
+def _find_homes(
+    request: _Request,
+    service: Service,
+    configuration: Configuration,
+) -> list[str]:
+    """Return the home of a request's key, if any instance may be it."""
+    homes = configuration.find_home_instances(service)
+    key = join_key(
+        service.name,
+        request.submission.organisation,
+        request.submission.idempotency_key,
+    )
+    return [find_home(key, homes)] if homes else []
+
+
 def _ask_fate(
     request: _Request,
     view: AgentView | None,
