--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -28,10 +28,11 @@
 from buckthornpond_core.admission import Admission, AgentLimits
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import ToPeer
-from buckthornpond_core.keys import KeyRegister
+from buckthornpond_core.keyed_attempts import KeyedAttempts
 from buckthornpond_core.limits import FixedLimit
 from buckthornpond_core.queueing import FifoOrder
 from buckthornpond_standins.fleets import call_json, call_text, wait_until
+from features.specs.naive_keys import ForgetfulKeyHome
 
 _NOW = timedelta(seconds=10)
 
@@ -51,10 +52,16 @@
         ),
         limit=FixedLimit(1000),
         order=FifoOrder(),
-        keys=KeyRegister(timedelta(0)),
+        keyed=KeyedAttempts(
+            incarnation='agent',
+            configuration=context.configuration,
+            home=ForgetfulKeyHome(),
+            max_replay_bytes=0,
+            recorder=QuietRecorder(),
+        ),
         recorder=QuietRecorder(),
     )
-    context.admission.follow_configuration()
+    context.admission.follow_configuration(_NOW)
     for number in range(3):
         _send(context, f'attempt-{number}')
     assert context.admission.held_count == 3
@@ -135,7 +142,7 @@
 
 
 def _tick(context: Any) -> None:
-    context.admission.follow_configuration()
+    context.admission.follow_configuration(_NOW)
     context.messages = _messages(context.admission.tick(_NOW))
 
 
