--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing.py
@@ -26,7 +26,7 @@
 from .effects import AnswerMessage, RouterEffect, ToCaller, ToPeer, WireMessage
 from .heartbeats import HeartbeatPace
 from .journal import EventCode
-from .placement import AgentView, Placement, join_key, rank_homes
+from .placement import AgentView, Placement, find_home, join_key
 from .retries import FREE_REASONS, RetryBudget
 from .subsets import LinkPlan, WholeService
 from .types import RandomSource, Recorder
@@ -389,10 +389,11 @@
             submission.idempotency_key,
         )
         members = self._configuration.find_home_instances(service)
-        homes = rank_homes(key, members)[:1]
-        for home in homes:
-            self.agents.demand(home)
-        return homes
+        if not members:
+            return []
+        home = find_home(key, members)
+        self.agents.demand(home)
+        return [home]
 
     def _candidates(
         self,
