--- a/packages/core/src/buckthornpond_core/_generated/messages.py
+++ b/packages/core/src/buckthornpond_core/_generated/messages.py
@@ -78,7 +78,6 @@
     Load of a target, reported by its agent to an entry.
     """
 
-    instance: str
     agent_incarnation: str
     phase: TargetPhase
     running_count: Annotated[int, Meta(ge=0)]
