Let the restart scenario wait for its peers, not for the machine

Cause: 'changes spread to processes that cannot read the service' failed in 2 of about 12 runs: a restarted reader took rules version 1 from the stale service. The fleet's start-up hold was 500 ms, less than reconnection (up to 1 s) and a heartbeat on a busy machine, so the hold ended before a peer had answered. Ruled out: the order of versions, which held in each process.

--- a/features/steps/configuration_fleet_steps.py
+++ b/features/steps/configuration_fleet_steps.py
@@ -18,7 +18,12 @@
 @given('a fleet of which only {name} reaches the configuration service')
 def start_cut_fleet(context: Any, name: str) -> None:
     """Start a fleet in which one process reads the platform."""
-    context.fleet = Fleet(entry_count=2, platform_readers=[name])
+    context.fleet = Fleet(
+        entry_count=2,
+        platform_readers=[name],
+        # Ends when two peers have answered, however slow the machine is.
+        startup_hold_ms=30_000,
+    )
     context.fleet.__enter__()
 
 
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -152,6 +152,7 @@
     :param entry_settings: settings of each entry that differ.
     :param agent_settings: settings of each agent that differ.
     :param platform_readers: the only processes that reach the platform.
+    :param startup_hold_ms: how long a fresh process asks its peers.
     :param open_agent_count: agents that each entry sees when it is ready.
     """
 
@@ -168,6 +169,7 @@
         entry_settings: dict[str, Any] | None = None,
         agent_settings: dict[str, Any] | None = None,
         platform_readers: Iterable[str] | None = None,
+        startup_hold_ms: int = 500,
         open_agent_count: int | None = None,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory()
@@ -179,6 +181,7 @@
         self._entry_settings = entry_settings or {}
         self._agent_settings = agent_settings or {}
         self._platform_readers = platform_readers
+        self._startup_hold_ms = startup_hold_ms
         self._open_agent_count = open_agent_count
         self.platform_address = free_address()
         self.platform = self.make_process(
@@ -382,7 +385,7 @@
                 'configuration_address': platform_address,
                 'instance_list_address': platform_address,
                 'poll_interval_ms': 500,
-                'startup_hold_ms': 500,
+                'startup_hold_ms': self._startup_hold_ms,
             },
             **further,
         }
