--- a/features/product.feature
+++ b/features/product.feature
@@ -6,6 +6,12 @@
   Scenario: the refusal table and the code agree
     Then docs/API.md lists the refusal codes of the code and no others
 
+  Scenario: the page of settings and the schema agree
+    Then docs/SETTINGS.md lists the settings of the schema and no others
+
+  Scenario: the table of counters and the code agree
+    Then docs/OPERATIONS.md lists the counters of the code and no others
+
   Scenario: every refusal reason in the decision code has a kind
     Then each reason that the core names is in the refusal table
 
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -76,6 +76,39 @@
     assert set(rows) == wanted, set(rows) ^ wanted
 
 
+@then('docs/SETTINGS.md lists the settings of the schema and no others')
+def check_settings_page(context: Any) -> None:
+    """Compare keys and defaults of each class both ways."""
+    text = (_ROOT / 'docs/SETTINGS.md').read_text()
+    schema = json.loads(
+        (
+            _ROOT / 'packages/core/src/buckthornpond_core/schema/settings.json'
+        ).read_text(),
+    )
+    classes = ('PlatformSettings', 'EntrySettings', 'AgentSettings')
+    sections = text.split('\n## ')[1:]
+    for name, section in zip(classes, sections, strict=True):
+        rows = re.findall(r'^\| `(\w+)` \| [^|]*\| ([^|]*?) ?\|', section, re.M)
+        wanted = {
+            (key, json.dumps(found['default']) if 'default' in found else '')
+            for key, found in schema['$defs'][name]['properties'].items()
+        }
+        assert set(rows) == wanted, set(rows) ^ wanted
+
+
+@then('docs/OPERATIONS.md lists the counters of the code and no others')
+def check_counters(context: Any) -> None:
+    """Compare the table with the counters that the sources name."""
+    text = (_ROOT / 'docs/OPERATIONS.md').read_text()
+    rows = set(re.findall(r'^\| `(\w+)_total` \|', text, re.M))
+    found: set[str] = set()
+    for package in ('core', 'runtime', 'entry', 'agent'):
+        for path in (_ROOT / 'packages' / package).glob('src/*/*.py'):
+            pattern = r"\.(?:count|add)\(\s*'(\w+)',"
+            found.update(re.findall(pattern, path.read_text()))
+    assert rows == found, rows ^ found
+
+
 @then('each reason that the core names is in the refusal table')
 def check_reasons(context: Any) -> None:
     """Search the sources for reasons that callers may be shown."""
