Split the router into modules with one job each

Change: held_requests, dispatching, failovers, retry_rules, answer_checks, request_endings and bounds each take one of these jobs. Router keeps the events of its task. No decision changes.

--- /dev/null
+++ b/packages/core/src/buckthornpond_core/failovers.py
@@ -0,0 +1,222 @@
+"""What follows for a held request when its attempt fails or is lost."""
+
+from datetime import timedelta
+
+from ._generated.messages import (
+    Hint,
+    KeyState,
+    Outcome,
+    Query,
+    QueryReply,
+    Refused,
+)
+from .configuration import Configuration
+from .directories import AgentDirectory
+from .dispatching import Dispatcher
+from .effects import RouterEffect, ToPeer
+from .held_requests import HeldRequest, HeldRequests
+from .placement import AgentView
+from .request_endings import RequestEndings
+from .retry_rules import RetryRules
+from .types import Recorder
+
+# An agent that refuses for these takes no work by plan, so that the next
+# placement is not a retry that the budget has to bound.
+_PLANNED_REASONS = frozenset(
+    (
+        'agent_leaving',
+        'service_not_here',
+        'target_draining',
+    ),
+)
+
+
+class Failover:
+    """Places requests again, asks for their fate, or ends them.
+
+    :param configuration: documents in force.
+    :param agents: the agents known.
+    :param requests: the requests held.
+    :param dispatcher: sends requests to agents.
+    :param endings: ends requests that may not run again.
+    :param rules: tells which attempts may be followed by another.
+    :param recorder: counters of replacements.
+    """
+
+    __slots__ = (
+        '_agents',
+        '_configuration',
+        '_dispatcher',
+        '_endings',
+        '_recorder',
+        '_requests',
+        '_rules',
+    )
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        agents: AgentDirectory,
+        requests: HeldRequests,
+        dispatcher: Dispatcher,
+        endings: RequestEndings,
+        rules: RetryRules,
+        recorder: Recorder,
+    ) -> None:
+        self._configuration = configuration
+        self._agents = agents
+        self._requests = requests
+        self._dispatcher = dispatcher
+        self._endings = endings
+        self._rules = rules
+        self._recorder = recorder
+
+    def advance(
+        self,
+        request: HeldRequest,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        """End a request that is overdue, ask for its fate, or place it.
+
+        :param request: the request.
+        :param now: time on the monotonic clock.
+        """
+        if now >= request.deadline:
+            return self._endings.fail(request, 'deadline_exceeded')
+        if request.attempt_id and now >= request.query_time:
+            return _ask_fate(request, self._agents.get(request.instance))
+        if request.retry_at is None or now < request.retry_at:
+            return []
+        request.retry_at = None
+        service = self._configuration.services.get(request.submission.service)
+        if service is None:
+            return self._endings.fail(request, 'unknown_service')
+        return self._dispatcher.place(request, service, now)
+
+    def take_hint(
+        self,
+        view: AgentView,
+        hint: Hint,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        """Follow the load report of an agent that may be a new incarnation.
+
+        :param view: what is known of the agent.
+        :param hint: its report.
+        :param now: time on the monotonic clock.
+        """
+        effects: list[RouterEffect] = []
+        is_back = view.hint is None
+        view.update(hint, now)
+        for request in self._requests.find_at(view.instance):
+            if request.agent_incarnation != hint.agent_incarnation:
+                effects.extend(self._take_loss(request, 'agent_restarted', now))
+            elif is_back:
+                effects.extend(_ask_fate(request, view))
+        return effects
+
+    def take_refusal(
+        self,
+        instance: str,
+        refused: Refused,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        """Take the refusal of an attempt.
+
+        :param instance: instance of the agent that refused.
+        :param refused: the refusal.
+        :param now: time on the monotonic clock.
+        """
+        request = self._requests.find(instance, refused.attempt_id)
+        if request is None:
+            return []
+        self._requests.end_attempt(request)
+        if refused.outcome is not Outcome.not_run:
+            request.is_proven_not_run = False
+        elif refused.reason in _PLANNED_REASONS and not request.is_started:
+            if refused.reason != 'service_not_here':
+                self._agents[instance].close()
+            self._recorder.count('replacements', refused.reason)
+            request.retry_at = now
+            return self.advance(request, now)
+        return self._retry(request, refused.reason, now)
+
+    def take_fate(
+        self,
+        instance: str,
+        reply: QueryReply,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        """Take the answer to a question for the fate of an attempt.
+
+        :param instance: instance of the agent that was asked.
+        :param reply: its answer.
+        :param now: time on the monotonic clock.
+        """
+        request = self._requests.find(instance, reply.attempt_id)
+        if request is None or reply.state is KeyState.running:
+            return []
+        self._requests.end_attempt(request)
+        if reply.state is KeyState.fenced:
+            if now >= request.query_time:
+                return self._endings.fail(request, 'deadline_exceeded')
+            return self._retry(request, 'agent_lost', now)
+        request.is_proven_not_run = False
+        return self._endings.fail(request, 'answer_lost')
+
+    def lose_agent(self, instance: str, now: timedelta) -> list[RouterEffect]:
+        """Fail over the requests that a lost agent held.
+
+        A request that may not run twice waits until the agent can be asked.
+
+        :param instance: instance of the agent that fell silent.
+        :param now: time on the monotonic clock.
+        """
+        effects: list[RouterEffect] = []
+        for request in self._requests.find_at(instance):
+            if request.needs_fate and request.is_proven_not_run:
+                request.is_fate_asked = False
+            else:
+                effects.extend(self._take_loss(request, 'agent_lost', now))
+        return effects
+
+    def _take_loss(
+        self,
+        request: HeldRequest,
+        reason: str,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        self._requests.end_attempt(request)
+        request.is_proven_not_run = False
+        return self._retry(request, reason, now)
+
+    def _retry(
+        self,
+        request: HeldRequest,
+        reason: str,
+        now: timedelta,
+    ) -> list[RouterEffect]:
+        refusal = self._rules.find_refusal(request, reason)
+        if refusal:
+            return self._endings.fail(request, refusal)
+        request.retry_at = now
+        return self.advance(request, now)
+
+
+def _ask_fate(
+    request: HeldRequest,
+    view: AgentView | None,
+) -> list[RouterEffect]:
+    """Ask whether an attempt runs, and bar it if it does not."""
+    is_reachable = view is not None and view.hint is not None
+    if request.is_fate_asked or not request.needs_fate or not is_reachable:
+        return []
+    request.is_fate_asked = True
+    query = Query(
+        attempt_id=request.attempt_id,
+        agent_incarnation=request.agent_incarnation,
+        service=request.submission.service,
+        idempotency_key=request.submission.idempotency_key,
+    )
+    return [ToPeer(request.instance, query)]
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/held_requests.py
@@ -0,0 +1,181 @@
+"""Requests that a router holds, with the state of each."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+
+from ._generated.events import Submission
+from ._generated.messages import Outcome
+
+_QUERY_MARGIN_MS = 250
+
+
+class HeldRequest:
+    """State of one held request.
+
+    :param submission: what the caller asked for.
+    :param deadline: end of its time on the monotonic clock.
+    """
+
+    __slots__ = (
+        'agent_incarnation',
+        'attempt_count',
+        'attempt_id',
+        'deadline',
+        'instance',
+        'is_fate_asked',
+        'is_proven_not_run',
+        'is_started',
+        'next_sequence',
+        'retry_at',
+        'submission',
+        'tried',
+    )
+
+    def __init__(self, submission: Submission, deadline: timedelta) -> None:
+        self.submission = submission
+        self.deadline = deadline
+        self.attempt_count = 0
+        self.attempt_id = ''
+        self.agent_incarnation = ''
+        self.instance = ''
+        self.is_fate_asked = False
+        self.is_proven_not_run = True
+        self.is_started = False
+        self.next_sequence = 0
+        self.retry_at: timedelta | None = None
+        self.tried: set[str] = set()
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what is proven of the request's execution.
+
+        Of a key nothing is proven here: an earlier request may have run it.
+        """
+        if self.submission.idempotency_key:
+            return Outcome.outcome_unknown
+        if self.is_proven_not_run and not self.attempt_id:
+            return Outcome.not_run
+        return Outcome.outcome_unknown
+
+    @property
+    def needs_fate(self) -> bool:
+        """Tell whether only the agent can say if the request may run again."""
+        return not (
+            self.submission.is_idempotent
+            or self.submission.idempotency_key
+            or self.is_started
+        )
+
+    @property
+    def may_run_again(self) -> bool:
+        """Tell whether another run can do no harm."""
+        return (
+            self.is_proven_not_run
+            or self.submission.is_idempotent
+            or bool(self.submission.idempotency_key)
+        )
+
+    @property
+    def query_time(self) -> timedelta:
+        """Return when the fate of an attempt in flight has to be asked."""
+        time_limit = timedelta(milliseconds=self.submission.time_limit_ms)
+        margin = timedelta(milliseconds=_QUERY_MARGIN_MS)
+        return self.deadline - min(margin, time_limit / 4)
+
+    @property
+    def total_tokens(self) -> int:
+        """Return the tokens that the request may hold at an engine."""
+        return self.submission.prompt_tokens + self.submission.output_tokens
+
+    def forget_attempt(self) -> None:
+        """End the current attempt."""
+        self.attempt_id = ''
+        self.agent_incarnation = ''
+        self.is_fate_asked = False
+        self.instance = ''
+
+
+class HeldRequests:
+    """The requests of a router, by their number and their attempt."""
+
+    __slots__ = ('_attempts', '_requests')
+
+    def __init__(self) -> None:
+        self._requests: dict[int, HeldRequest] = {}
+        self._attempts: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests held."""
+        return len(self._requests)
+
+    def __iter__(self) -> Iterator[HeldRequest]:
+        """Walk over the requests held now, which may end meanwhile."""
+        return iter(list(self._requests.values()))
+
+    @property
+    def instances(self) -> set[str]:
+        """Return the instances that hold an attempt."""
+        return {request.instance for request in self._requests.values()}
+
+    def get(self, request_number: int) -> HeldRequest | None:
+        """Return a request, if it is held.
+
+        :param request_number: its number.
+        """
+        return self._requests.get(request_number)
+
+    def find(self, instance: str, attempt_id: str) -> HeldRequest | None:
+        """Return the request whose current attempt is at an instance.
+
+        :param instance: instance of the agent that speaks of it.
+        :param attempt_id: the attempt.
+        """
+        request_number = self._attempts.get(attempt_id)
+        if request_number is None:
+            return None
+        request = self._requests[request_number]
+        if request.instance != instance or request.attempt_id != attempt_id:
+            return None
+        return request
+
+    def find_at(self, instance: str) -> list[HeldRequest]:
+        """Return the requests whose attempt is at an instance.
+
+        :param instance: instance of an agent.
+        """
+        return [
+            request
+            for request in self._requests.values()
+            if request.instance == instance
+        ]
+
+    def add(self, request: HeldRequest) -> None:
+        """Hold a request.
+
+        :param request: the request.
+        """
+        self._requests[request.submission.request_number] = request
+
+    def add_attempt(self, request: HeldRequest) -> None:
+        """Find a request by its current attempt from now on.
+
+        :param request: a request whose attempt has its name.
+        """
+        request_number = request.submission.request_number
+        self._attempts[request.attempt_id] = request_number
+
+    def end_attempt(self, request: HeldRequest) -> None:
+        """End the current attempt of a request that stays held.
+
+        :param request: the request.
+        """
+        self._attempts.pop(request.attempt_id, None)
+        request.forget_attempt()
+
+    def remove(self, request: HeldRequest) -> None:
+        """Hold a request no longer.
+
+        :param request: the request.
+        """
+        self._attempts.pop(request.attempt_id, None)
+        self._requests.pop(request.submission.request_number, None)
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -6,11 +6,12 @@
 import click
 
 from buckthornpond_core._generated.settings import EntrySettings
+from buckthornpond_core.bounds import RouterLimits
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.placement import LeastPrefillPlacement
 from buckthornpond_core.retries import RetryBudget
-from buckthornpond_core.routing import Router, RouterLimits
+from buckthornpond_core.routing import Router
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.assembly import ExchangeAssembly
 from buckthornpond_runtime.clocks import SystemClock
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -12,6 +12,7 @@
 from buckthornpond_core._generated.messages import Chunk, Final, Refused
 from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.admission import Admission, AgentLimits
+from buckthornpond_core.bounds import RouterLimits
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
     AgentEffect,
@@ -23,7 +24,7 @@
     ToPeer,
 )
 from buckthornpond_core.retries import RetryBudget
-from buckthornpond_core.routing import Router, RouterLimits
+from buckthornpond_core.routing import Router
 
 from .engine import EngineCosts
 from .keyed import build_keyed_attempts
