Share a target's started tokens among organisations by weight

Change: FairOrder wraps the shipped order with a virtual time for each organisation that waits, and reads weights and rules from the accepted documents at each choice. Listed organisations go first while they are within their share.

Conclusion: shares hold among what waits at an agent. Attempts refused before they wait are not weighed.

--- /dev/null
+++ b/features/steps/fairness_steps.py
@@ -0,0 +1,237 @@
+"""Steps that share a target among organisations, on a fake clock."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any
+
+from behave import given, step, then, when
+
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.fairness import FairOrder
+from buckthornpond_core.queueing import ShortestFirstOrder
+from features.specs.fair_histories import check_histories
+from features.specs.fair_targets import (
+    TOKENS_PER_SECOND,
+    FairTarget,
+    Sender,
+    accept_listed,
+    accept_weights,
+)
+
+
+@given('organisations with weights {text}')
+def choose_weights(context: Any, text: str) -> None:
+    """Put an inventory in force."""
+    context.configuration = Configuration()
+    context.senders = []
+    context.window_start = 0
+    _accept(context, text)
+
+
+@when('an inventory with weights {text} is accepted')
+def change_weights(context: Any, text: str) -> None:
+    """Put a newer inventory in force."""
+    context.window_start = len(context.target.starts)
+    _accept(context, text)
+
+
+@given('rules that put {names} at the front')
+def choose_listed(context: Any, names: str) -> None:
+    """Put rules in force."""
+    accept_listed(context.configuration, names.split(', '))
+
+
+@given(
+    "{name} sends requests of up to {tokens:d} tokens at twice the target's speed, seed {seed:d}"
+)
+def add_flood(context: Any, name: str, tokens: int, seed: int) -> None:
+    """Add an organisation that sends more than the target bears."""
+    pace = 2 * TOKENS_PER_SECOND
+    context.senders.append((name, tokens, pace, seed))
+
+
+@given('{name} sends a request of {tokens:d} tokens at half its share')
+def add_small(context: Any, name: str, tokens: int) -> None:
+    """Add an organisation that sends less than it may."""
+    pace = _share(context, name) * TOKENS_PER_SECOND / 2
+    context.senders.append((name, tokens, pace))
+
+
+@step('{name} keeps requests of up to {tokens:d} tokens waiting, seed {seed:d}')
+def add_steady(context: Any, name: str, tokens: int, seed: int) -> None:
+    """Add an organisation that always has work."""
+    sender = name, tokens, 0, seed
+    context.senders.append(sender)
+    if 'target' in context:
+        context.window_start = len(context.target.starts)
+        context.target.senders.append(Sender(*sender))
+
+
+@when('the target runs {count:d} requests under the shipped order')
+def run_fair(context: Any, count: int) -> None:
+    """Run the load with the order of the agent."""
+    order = FairOrder(ShortestFirstOrder(), context.configuration)
+    context.target = FairTarget(order)
+    _run(context, count)
+    assert order.known_count <= len(context.senders)
+
+
+@when('the target runs {count:d} requests under the order without fairness')
+def run_unfair(context: Any, count: int) -> None:
+    """Run the load with the inner order alone."""
+    context.target = FairTarget(ShortestFirstOrder())
+    _run(context, count)
+
+
+@when('the target runs {count:d} more requests')
+def run_on(context: Any, count: int) -> None:
+    """Go on with the same order."""
+    context.target.run(count)
+
+
+@when('the rules list nobody and the target runs {count:d} requests')
+def run_unlisted(context: Any, count: int) -> None:
+    """Run the load without listed organisations."""
+    accept_listed(context.configuration, [])
+    run_fair(context, count)
+
+
+@then('{name} waits no longer than its share allows')
+def check_waits(context: Any, name: str) -> None:
+    """Compare each answer with the time that the share alone gives."""
+    assert _late(context, name) == 0
+
+
+@then('{name} waits longer than that')
+def check_late(context: Any, name: str) -> None:
+    """Check that an order without fairness would be caught."""
+    assert _late(context, name) > 0
+
+
+@then('{one} and {other} stay within one largest request of their shares')
+def check_shares(context: Any, one: str, other: str) -> None:
+    """Compare the started tokens by weight at each start."""
+    check_wide_shares(context, one, other, 1)
+
+
+@then(
+    '{one} and {other} stay within {count:d} largest requests of their shares'
+)
+def check_wide_shares(
+    context: Any,
+    one: str,
+    other: str,
+    count: int,
+) -> None:
+    """Compare the started tokens by weight at each start."""
+    gap = max(_gaps(context, one, other))
+    assert gap <= count * _largest(context, one, other), gap
+
+
+@then('{one} and {other} do not stay within that')
+def check_unfair(context: Any, one: str, other: str) -> None:
+    """Check that an order without fairness would be caught."""
+    gap = max(_gaps(context, one, other))
+    assert gap > _largest(context, one, other), gap
+
+
+@then('each request of {name} is the next to start')
+def check_first(context: Any, name: str) -> None:
+    """Check that nobody starts between its arrival and its start."""
+    overtakers = list(_count_overtakers(context, name))
+    assert overtakers
+    assert not any(overtakers), overtakers
+
+
+@then('a request of {name} is not the next to start')
+def check_not_first(context: Any, name: str) -> None:
+    """Check that the rules are what puts it first."""
+    assert any(_count_overtakers(context, name))
+
+
+@then(
+    'generated arrivals, starts and withdrawals keep the bound of fair queueing'
+)
+def check_generated(context: Any) -> None:
+    """Check histories of the shipped order."""
+    check_histories(
+        lambda configuration: FairOrder(ShortestFirstOrder(), configuration)
+    )
+
+
+@then('the order without fairness breaks it')
+def check_generated_unfair(context: Any) -> None:
+    """Check that an order without fairness would be caught."""
+    try:
+        check_histories(lambda _: ShortestFirstOrder())
+    except AssertionError:
+        return
+    raise AssertionError('no history broke the bound')
+
+
+def _accept(context: Any, text: str) -> None:
+    pairs = (part.split() for part in text.split(', '))
+    context.weights = {name: int(weight) for name, weight in pairs}
+    accept_weights(context.configuration, context.weights)
+
+
+def _run(context: Any, count: int) -> None:
+    context.target.senders = [Sender(*sender) for sender in context.senders]
+    context.target.run(count)
+
+
+def _share(context: Any, name: str) -> float:
+    return context.weights[name] / sum(context.weights.values())
+
+
+def _largest(context: Any, *names: str) -> float:
+    return max(
+        sender[1] / context.weights[sender[0]]
+        for sender in context.senders
+        if sender[0] in names
+    )
+
+
+def _late(context: Any, name: str) -> int:
+    """Count requests that ended later than their share alone gives.
+
+    The bound adds a request that runs at arrival and one that ties.
+    """
+    target = context.target
+    tokens = next(each[1] for each in context.senders if each[0] == name)
+    others = max(each[1] for each in context.senders if each[0] != name)
+    bound = (tokens / _share(context, name) + 2 * others) / TOKENS_PER_SECOND
+    own = [
+        (started, queued)
+        for started, queued in target.starts
+        if queued.attempt.organisation == name
+    ]
+    own.extend(
+        (target.now, queued)
+        for queued in target.waiting
+        if queued.attempt.organisation == name
+    )
+    assert own
+    return sum(
+        started + timedelta(seconds=queued.total_tokens / TOKENS_PER_SECOND)
+        > queued.arrival + timedelta(seconds=bound)
+        for started, queued in own
+    )
+
+
+def _gaps(context: Any, one: str, other: str) -> Iterator[float]:
+    started = {one: 0.0, other: 0.0}
+    for _, queued in context.target.starts[context.window_start :]:
+        name = queued.attempt.organisation
+        started[name] += queued.total_tokens / context.weights[name]
+        yield abs(started[one] - started[other])
+
+
+def _count_overtakers(context: Any, name: str) -> Iterator[int]:
+    starts = context.target.starts
+    for started, queued in starts:
+        if queued.attempt.organisation == name:
+            yield sum(
+                queued.arrival <= other_started < started
+                for other_started, _ in starts
+            )
--- a/packages/core/src/buckthornpond_core/configuration.py
+++ b/packages/core/src/buckthornpond_core/configuration.py
@@ -112,6 +112,7 @@
         '_home_instances',
         '_order',
         '_organisations',
+        '_weights',
         'contents',
         'instances',
         'inventory',
@@ -142,6 +143,7 @@
         self.services: dict[str, Service] = {}
         self.leaving_instances: frozenset[str] = frozenset()
         self._organisations: dict[str, Organisation] = {}
+        self._weights: dict[str, int] = {}
         self._draining_instances: frozenset[str] = frozenset()
         self._draining_zones: frozenset[str] = frozenset()
         self._home_instances: dict[str, list[str]] = {}
@@ -179,6 +181,9 @@
         self._organisations = {
             each.credential_sha256: each for each in inventory.organisations
         }
+        self._weights = {
+            each.name: each.weight for each in inventory.organisations
+        }
         self._spread_homes()
         return True
 
@@ -220,6 +225,13 @@
         """
         return self._organisations.get(credential_sha256)
 
+    def find_weight(self, organisation_name: str) -> int:
+        """Return the weight of an organisation, one if it is unknown.
+
+        :param organisation_name: its name in the inventory.
+        """
+        return self._weights.get(organisation_name, 1)
+
     def is_draining(self, instance_name: str) -> bool:
         """Tell whether operators or the platform take an instance out.
 
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -381,7 +381,7 @@
                 peer_timeout=_PEER_TIMEOUT,
             ),
             limit=limit,
-            order=self._policies.order(),
+            order=self._policies.order(configuration),
             forecast=self._policies.forecast(),
             keyed=build_keyed_attempts(
                 name,
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -4,6 +4,8 @@
 from types import MappingProxyType
 
 from buckthornpond_core._generated.inventory import Target
+from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.fairness import FairOrder
 from buckthornpond_core.forecasts import (
     Forecast,
     NoForecast,
@@ -32,7 +34,7 @@
 
     :param name: label in tables.
     :param placement: makes the placement of an entry.
-    :param order: makes the admission order of an agent.
+    :param order: makes the admission order of an agent with its configuration.
     :param limit: makes the limit of a target.
     :param forecast: makes the forecast of an agent.
     """
@@ -44,7 +46,7 @@
         name: str,
         *,
         placement: Callable[[], Placement],
-        order: Callable[[], AdmissionOrder],
+        order: Callable[[Configuration], AdmissionOrder],
         limit: Callable[[Target], TargetLimit],
         forecast: Callable[[], Forecast] = NoForecast,
     ) -> None:
@@ -67,31 +69,39 @@
     return FixedLimit(target.memory_tokens)
 
 
-def _prioritised() -> AdmissionOrder:
+def _fifo(_configuration: Configuration) -> AdmissionOrder:
+    return FifoOrder()
+
+
+def _prioritised(_configuration: Configuration) -> AdmissionOrder:
     return ShortestFirstOrder(LengthPriority())
 
 
-def _shortest() -> AdmissionOrder:
+def _shortest(_configuration: Configuration) -> AdmissionOrder:
     return ShortestFirstOrder(EqualPriority())
 
 
+def _fair(configuration: Configuration) -> AdmissionOrder:
+    return FairOrder(ShortestFirstOrder(LengthPriority()), configuration)
+
+
 _SETS = (
     PolicySet(
         'random-fifo',
         placement=RandomPlacement,
-        order=FifoOrder,
+        order=_fifo,
         limit=_fixed,
     ),
     PolicySet(
         'round-robin-fifo',
         placement=RoundRobinPlacement,
-        order=FifoOrder,
+        order=_fifo,
         limit=_fixed,
     ),
     PolicySet(
         'least-fifo',
         placement=LeastLoadedPlacement,
-        order=FifoOrder,
+        order=_fifo,
         limit=_fixed,
     ),
     PolicySet(
@@ -139,6 +149,13 @@
         limit=_slow_start,
         forecast=PrefillForecast,
     ),
+    PolicySet(
+        'fair-forecast',
+        placement=LeastPrefillPlacement,
+        order=_fair,
+        limit=_slow_start,
+        forecast=PrefillForecast,
+    ),
     PolicySet(
         'least-priority',
         placement=LeastLoadedPlacement,
@@ -151,4 +168,4 @@
     {policies.name: policies for policies in _SETS},
 )
 
-SHIPPED = 'prefill-forecast'
+SHIPPED = 'fair-forecast'
