--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -64,6 +64,11 @@
         self._greenlet: AnyGreenlet | None = None
         self._error = 'cancelled'
 
+    @property
+    def held_answer_bytes(self) -> int:
+        """Return the bytes of the answer that wait for credit."""
+        return self._call.held_bytes
+
     def start(self) -> None:
         """Start the call."""
         self._greenlet = gevent.spawn(self._run)
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -135,6 +135,7 @@
     metrics.add_gauge('held_keys', lambda: home.key_count)
     metrics.add_gauge('replay_bytes', lambda: home.replay_bytes)
     metrics.add_gauge('held_body_bytes', lambda: admission.held_body_bytes)
+    metrics.add_gauge('held_answer_bytes', lambda: task.held_answer_bytes)
     metrics.add_gauge('reserved_tokens', lambda: admission.reserved_tokens)
     stop = StopSignal()
     supervisor = Supervisor()
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -124,6 +124,11 @@
         self._homes = HomeLinks(context, incarnation, self.mailbox, metrics)
         self._calls: dict[str, CallTask] = {}
 
+    @property
+    def held_answer_bytes(self) -> int:
+        """Return the bytes of answers that wait for credit."""
+        return sum(call.held_answer_bytes for call in self._calls.values())
+
     def run(self) -> None:
         """Serve the mailbox until the process ends."""
         next_tick = self._clock.monotonic()
--- a/packages/core/src/buckthornpond_core/credits.py
+++ b/packages/core/src/buckthornpond_core/credits.py
@@ -41,3 +41,46 @@
         credit_bytes = self._taken_bytes
         self._taken_bytes = 0
         return credit_bytes
+
+
+class UntakenAnswers:
+    """Counts what was handed out for callers that have not yet taken it.
+
+    Callers report by the quarter window, so that the count of one answer
+    is above what really waits by less than a quarter, and never below.
+    """
+
+    __slots__ = ('_charged_bytes', 'held_bytes')
+
+    def __init__(self) -> None:
+        self._charged_bytes: dict[int, int] = {}
+        self.held_bytes = 0
+
+    def add(self, request_number: int, payload: bytes) -> None:
+        """Count a chunk that was handed out.
+
+        :param request_number: the request that it answers.
+        :param payload: bytes of the answer.
+        """
+        self._change(request_number, charge_bytes(payload))
+
+    def take(self, request_number: int, consumed_bytes: int) -> None:
+        """Uncount credits that a caller returned.
+
+        :param request_number: the request.
+        :param consumed_bytes: the credits.
+        """
+        if request_number in self._charged_bytes:
+            self._change(request_number, -consumed_bytes)
+
+    def drop(self, request_number: int) -> None:
+        """Uncount everything of a request that is over.
+
+        :param request_number: the request.
+        """
+        self.held_bytes -= self._charged_bytes.pop(request_number, 0)
+
+    def _change(self, request_number: int, change_bytes: int) -> None:
+        charged_bytes = self._charged_bytes.get(request_number, 0)
+        self._charged_bytes[request_number] = charged_bytes + change_bytes
+        self.held_bytes += change_bytes
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -117,6 +117,10 @@
     metrics.add_gauge('open_agents', lambda: router.open_agent_count)
     metrics.add_gauge('held_requests', lambda: router.held_count)
     metrics.add_gauge('held_body_bytes', lambda: front.budget.held_bytes)
+    metrics.add_gauge(
+        'held_answer_bytes',
+        lambda: router_task.held_answer_bytes,
+    )
     stop = StopSignal()
     supervisor = Supervisor()
     supervisor.start('router', router_task.run)
--- a/packages/entry/src/buckthornpond_entry/tasks.py
+++ b/packages/entry/src/buckthornpond_entry/tasks.py
@@ -12,6 +12,7 @@
 )
 from buckthornpond_core._generated.messages import (
     Attempt,
+    Chunk,
     Document,
     DocumentRequest,
     Hint,
@@ -19,6 +20,7 @@
     Refused,
 )
 from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.credits import UntakenAnswers
 from buckthornpond_core.effects import AnswerMessage, RouterEffect, ToPeer
 from buckthornpond_core.routing import Router
 from buckthornpond_core.types import Clock
@@ -79,6 +81,7 @@
         '_links',
         '_numbers',
         '_router',
+        '_untaken',
         'mailbox',
     )
 
@@ -103,8 +106,14 @@
         self._links.open_startup_links(peer_addresses)
         self._heartbeat_interval = heartbeat_interval
         self._callers: dict[int, Mailbox[AnswerMessage]] = {}
+        self._untaken = UntakenAnswers()
         self._numbers = itertools.count(1)
 
+    @property
+    def held_answer_bytes(self) -> int:
+        """Return the charge of the answers that callers have not taken."""
+        return self._untaken.held_bytes
+
     def next_number(self) -> int:
         """Return a request number that this process never gave out."""
         return next(self._numbers)
@@ -140,12 +149,17 @@
             self._callers[number] = message.mailbox
             return self._router.submit(message.submission, now)
         if isinstance(message, Consumed):
+            self._untaken.take(
+                message.request_number,
+                message.consumed_bytes,
+            )
             return self._router.consume(
                 message.request_number,
                 message.consumed_bytes,
             )
         if isinstance(message, Hangup):
             self._callers.pop(message.request_number, None)
+            self._untaken.drop(message.request_number)
             return self._router.hang_up(message.request_number)
         if isinstance(message, ServiceRead):
             return self._follow(self._exchange.take_read(message, now))
@@ -203,8 +217,13 @@
                 self._send(effect)
                 continue
             mailbox = self._callers.get(effect.request_number)
-            if mailbox is not None:
-                mailbox.offer(effect.message)
+            if mailbox is None or not mailbox.offer(effect.message):
+                continue
+            if isinstance(effect.message, Chunk):
+                self._untaken.add(
+                    effect.request_number,
+                    effect.message.payload,
+                )
 
     def _send(self, effect: ToPeer) -> None:
         is_taken = self._links.send(effect)
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -63,6 +63,11 @@
         """
         return self.response.is_bounded
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of the answer that were received, not taken."""
+        return 0 if self._response is None else self._response.held_bytes
+
     def send(
         self,
         method: str,
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -61,6 +61,11 @@
             name in self._fields for name in _LENGTH_FIELDS
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of the body that nobody has taken."""
+        return len(self._body)
+
     def get(self, name: str, default: str) -> str:
         """Return a header field, or the default.
 
--- a/packages/standins/src/buckthornpond_standins/cli.py
+++ b/packages/standins/src/buckthornpond_standins/cli.py
@@ -2,6 +2,8 @@
 
 import secrets
 import sys
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import click
 import gevent
@@ -15,6 +17,14 @@
 from .platform import PlatformStandIn
 from .servers import StandInServer
 
+CommandT = TypeVar('CommandT', bound=Callable[..., Any])
+
+
+def _size_options(command: CommandT) -> CommandT:
+    bears = click.option('--cold-tokens', default=60_000, help='Borne cold.')
+    pads = click.option('--padding-bytes', default=0, help='To each event.')
+    return bears(pads(command))
+
 
 @click.group()
 def main() -> None:
@@ -31,12 +41,13 @@
 @main.command()
 @click.argument('address')
 @click.option('--time-scale', default=1.0, help='Factor on all times.')
-@click.option('--cold-tokens', default=60_000, help='Borne when cold.')
+@_size_options
 @click.option('--ignore-fencing', is_flag=True, help='Take any order.')
 def engine(
     address: str,
     time_scale: float,
     cold_tokens: int,
+    padding_bytes: int,
     ignore_fencing: bool,
 ) -> None:
     """Run a model engine at ADDRESS."""
@@ -45,6 +56,7 @@
         costs,
         secrets.token_hex(4),
         is_checking_fencing=not ignore_fencing,
+        padding_bytes=padding_bytes,
     )
     gevent.spawn(stand_in.run)
     StandInServer(address, stand_in).serve_forever()
--- a/packages/standins/src/buckthornpond_standins/engine.py
+++ b/packages/standins/src/buckthornpond_standins/engine.py
@@ -102,6 +102,7 @@
     :param costs: its speed and memory.
     :param incarnation: changes with each start.
     :param is_checking_fencing: whether it refuses an old fencing number.
+    :param padding_bytes: added to each event, to fill buffers sooner.
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         '_identifiers',
         '_incarnation',
         '_orders',
+        '_padding',
         '_streams',
         '_wakeup',
         'completed_count',
@@ -124,10 +126,13 @@
         incarnation: str,
         *,
         is_checking_fencing: bool = True,
+        padding_bytes: int = 0,
     ) -> None:
         self._costs = costs
         self._orders = OrderBook(is_checking=is_checking_fencing)
         self._incarnation = incarnation
+        # Space after a JSON value means nothing.
+        self._padding = b' ' * padding_bytes
         self._identifiers = itertools.count(1)
         self._streams: dict[int, _Stream] = {}
         self._wakeup = Event()
@@ -250,7 +255,7 @@
         for number, word in self._iterate_words(stream):
             count = number + 1
             event = msgspec.json.encode({'choices': [{'text': word}]})
-            yield b'data: %b\n\n' % event
+            yield b'data: %b%b\n\n' % (event, self._padding)
         if count == stream.output_tokens:
             yield b'data: [DONE]\n\n'
 
