Discard what the kernel holds for a caller that timed out

Cause: at the deadline of an idle reader the entry closed the connection, but the kernel kept the unsent bytes and the socket as long as the caller acknowledged probes. Change: a write that timed out ends the connection with a reset, which drops the send buffer; the stream still lacks its last event. A feature holds 50 idle readers against the bound and waits until gauges, engine and kernel are empty.

--- a/packages/entry/src/buckthornpond_entry/listeners.py
+++ b/packages/entry/src/buckthornpond_entry/listeners.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket as standard_socket
+import struct
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -214,8 +215,18 @@
             send(data)
         except TimeoutError as expired:
             self._count('write_timeout')
+            self._discard_unsent()
             raise BrokenPipeError(errno.EPIPE, 'write timeout') from expired
 
+    def _discard_unsent(self) -> None:
+        # Else the kernel keeps the buffer of a closed connection for as long
+        # as the caller acknowledges probes of its full window.
+        self.socket.setsockopt(
+            standard_socket.SOL_SOCKET,
+            standard_socket.SO_LINGER,
+            struct.pack('ii', 1, 0),
+        )
+
     def _count(self, reason: str) -> None:
         self.server.metrics.count('closed_connections', reason)
 
