Measure what callers that read nothing hold and what others notice

Cause: the bound on slow readers and their effect on others were not measured. Change: ./dev measure slow: idle readers beside four normal callers, rounds without and with them in turn; bytes held in processes and kernel, resident growth, streams in the engine, ratios of times.

--- a/packages/standins/src/buckthornpond_standins/measure.py
+++ b/packages/standins/src/buckthornpond_standins/measure.py
@@ -10,8 +10,10 @@
 from .inventories import measure_configuration, read_configuration_cost
 from .latencies import measure_latency
 from .rates import measure_rates
+from .slow_readers import measure_slow_readers
 
 _CALLERS = (1, 16, 128)
+_READERS = (1, 100, 1000)
 
 
 @click.group()
@@ -47,6 +49,14 @@
     measure_configuration(_measure_apart)
 
 
+@main.command()
+@click.option('--rounds', default=2, help='Interleaved rounds.')
+@click.option('--readers', multiple=True, type=int, default=_READERS)
+def slow(rounds: int, readers: tuple[int, ...]) -> None:
+    """Bytes held for callers that read nothing, and times of others."""
+    measure_slow_readers(readers, rounds)
+
+
 @main.command(hidden=True)
 @click.argument('instance_count', type=int)
 @click.argument('organisation_count', type=int)
