Take the fair order out of the agent, as short prompts come late under it

Cause: with FairOrder in the agent, policy.feature fails at "no short prompt is refused or late at 200 percent".

Seen: policy.feature with it: 6 passed, 1 failed.

Conclusion: not yet; the forecast assumes shortest first.

--- a/features/fairness.feature
+++ b/features/fairness.feature
@@ -4,7 +4,7 @@
     Given organisations with weights flood <flood>, small <small>
     And flood sends requests of up to 500 tokens at twice the target's speed, seed <seed>
     And small sends a request of 2000 tokens at half its share
-    When the target runs 200 requests under the shipped order
+    When the target runs 200 requests under the fair order
     Then small waits no longer than its share allows
     When the target runs 200 requests under the order without fairness
     Then small waits longer than that
@@ -18,7 +18,7 @@
     Given organisations with weights one <one>, other <other>
     And one keeps requests of up to <one_tokens> tokens waiting, seed <seed>
     And other keeps requests of up to <other_tokens> tokens waiting, seed <seed>
-    When the target runs 300 requests under the shipped order
+    When the target runs 300 requests under the fair order
     Then one and other stay within one largest request of their shares
     When the target runs 300 requests under the order without fairness
     Then one and other do not stay within that
@@ -31,7 +31,7 @@
   Scenario: an idle organisation saves up nothing
     Given organisations with weights one 1, late 1
     And one keeps requests of up to 1000 tokens waiting, seed 0
-    When the target runs 300 requests under the shipped order
+    When the target runs 300 requests under the fair order
     And late keeps requests of up to 1000 tokens waiting, seed 1
     And the target runs 100 more requests
     Then one and late stay within one largest request of their shares
@@ -40,7 +40,7 @@
     Given organisations with weights one 1, other 1
     And one keeps requests of up to 1000 tokens waiting, seed 0
     And other keeps requests of up to 1000 tokens waiting, seed 1
-    When the target runs 100 requests under the shipped order
+    When the target runs 100 requests under the fair order
     And an inventory with weights one 1, other 3 is accepted
     And the target runs 300 more requests
     Then one and other stay within 2 largest requests of their shares
@@ -51,7 +51,7 @@
     And one keeps requests of up to 500 tokens waiting, seed 0
     And other keeps requests of up to 500 tokens waiting, seed 1
     And first sends a request of 2000 tokens at half its share
-    When the target runs 200 requests under the shipped order
+    When the target runs 200 requests under the fair order
     Then each request of first is the next to start
     When the rules list nobody and the target runs 200 requests
     Then a request of first is not the next to start
@@ -61,7 +61,7 @@
     And rules that put first at the front
     And one keeps requests of up to 1000 tokens waiting, seed 0
     And first keeps requests of up to 1000 tokens waiting, seed 1
-    When the target runs 300 requests under the shipped order
+    When the target runs 300 requests under the fair order
     Then one and first stay within 2 largest requests of their shares
 
   Scenario: organisations that wait together get equal service for their weight
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -67,9 +67,9 @@
         context.target.senders.append(Sender(*sender))
 
 
-@when('the target runs {count:d} requests under the shipped order')
+@when('the target runs {count:d} requests under the fair order')
 def run_fair(context: Any, count: int) -> None:
-    """Run the load with the order of the agent."""
+    """Run the load with the fair order."""
     order = FairOrder(ShortestFirstOrder(), context.configuration)
     context.target = FairTarget(order)
     _run(context, count)
@@ -153,7 +153,7 @@
     'generated arrivals, starts and withdrawals keep the bound of fair queueing'
 )
 def check_generated(context: Any) -> None:
-    """Check histories of the shipped order."""
+    """Check histories of the fair order."""
     check_histories(
         lambda configuration: FairOrder(ShortestFirstOrder(), configuration)
     )
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -8,7 +8,6 @@
 from buckthornpond_core._generated.settings import AgentSettings
 from buckthornpond_core.admission import Admission, AgentLimits
 from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.fairness import FairOrder
 from buckthornpond_core.forecasts import PrefillForecast
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
@@ -80,7 +79,7 @@
             peer_timeout=timedelta(milliseconds=settings.peer_timeout_ms),
         ),
         limit=SlowStartLimit(cold_tokens=1, memory_tokens=1),
-        order=FairOrder(ShortestFirstOrder(), configuration),
+        order=ShortestFirstOrder(),
         keyed=KeyedAttempts(
             incarnation=incarnation,
             configuration=configuration,
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -168,4 +168,4 @@
     {policies.name: policies for policies in _SETS},
 )
 
-SHIPPED = 'fair-forecast'
+SHIPPED = 'prefill-forecast'
