Split the admission into modules with one job each

Cause: admission.py held 614 lines that mixed held attempts, running calls, refusals, checks, fate answers, signs of life and readiness in one class of 36 methods.

Admission keeps the events of its task and the ledger.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -6,7 +6,8 @@
 from zmq import green as zmq
 
 from buckthornpond_core._generated.settings import AgentSettings
-from buckthornpond_core.admission import Admission, AgentLimits
+from buckthornpond_core.admission import Admission
+from buckthornpond_core.bounds import AgentLimits
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.fairness import FairOrder
 from buckthornpond_core.forecasts import PrefillForecast
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/attempt_refusals.py
@@ -0,0 +1,82 @@
+"""Refusals of attempts, with what is proven of their execution."""
+
+from collections.abc import Iterable
+
+from ._generated.events import CallEnded
+from ._generated.messages import Outcome, Refused
+from .effects import AgentEffect, ToPeer
+from .held_attempts import HeldAttempts
+from .queueing import QueuedAttempt
+from .running_attempts import RunningAttempt
+from .types import Recorder
+
+_QUEUE_RETRY_AFTER_MS = 200
+
+
+class AttemptRefusals:
+    """Refuses attempts and counts why.
+
+    :param held: the attempts held.
+    :param recorder: counters of refusals.
+    """
+
+    __slots__ = ('_held', '_recorder')
+
+    def __init__(self, held: HeldAttempts, recorder: Recorder) -> None:
+        self._held = held
+        self._recorder = recorder
+
+    def refuse(self, attempt_id: str, reason: str) -> Refused:
+        """Return the refusal of an attempt that never ran.
+
+        :param attempt_id: the attempt.
+        :param reason: the stable code of the refusal.
+        """
+        self._recorder.count('refusals', reason)
+        return Refused(
+            attempt_id=attempt_id,
+            reason=reason,
+            outcome=Outcome.not_run,
+            retry_after_ms=_QUEUE_RETRY_AFTER_MS,
+        )
+
+    def refuse_unknown(self, attempt_id: str, reason: str) -> Refused:
+        """Return the refusal of an attempt that may have run.
+
+        :param attempt_id: the attempt.
+        :param reason: the stable code of the refusal.
+        """
+        refused = self.refuse(attempt_id, reason)
+        refused.outcome = Outcome.outcome_unknown
+        return refused
+
+    def refuse_failed(
+        self,
+        running: RunningAttempt,
+        ended: CallEnded,
+    ) -> Refused:
+        """Return the refusal of an attempt whose call failed.
+
+        :param running: the attempt.
+        :param ended: the end of its call.
+        """
+        if ended.is_sent or running.queued.attempt.idempotency_key:
+            return self.refuse_unknown(ended.attempt_id, ended.error)
+        return self.refuse(ended.attempt_id, ended.error)
+
+    def refuse_waiting(
+        self,
+        reason: str,
+        waiting: Iterable[tuple[str, QueuedAttempt]],
+    ) -> list[AgentEffect]:
+        """Withdraw attempts that wait, and tell their entries.
+
+        :param reason: the stable code of the refusal.
+        :param waiting: the attempts, with their entry.
+        """
+        effects: list[AgentEffect] = []
+        for peer, queued in waiting:
+            attempt_id = queued.attempt.attempt_id
+            self._held.withdraw(attempt_id)
+            effects.append(ToPeer(peer, self.refuse(attempt_id, reason)))
+        return effects
--- a/packages/core/src/buckthornpond_core/bounds.py
+++ b/packages/core/src/buckthornpond_core/bounds.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+_BODY_BUDGET_BYTES = 134_217_728
+
 
 class RouterLimits:
     """Bounds of a router.
@@ -31,3 +33,25 @@
         self.max_attempts = max_attempts
         self.stream_window_bytes = stream_window_bytes
         self.peer_timeout = peer_timeout
+
+
+class AgentLimits:
+    """Bounds of an agent.
+
+    :param max_queued_count: attempts that may wait.
+    :param body_budget_bytes: bytes of requests held at once.
+    :param peer_timeout: silence after which an entry counts as dead.
+    """
+
+    __slots__ = ('body_budget_bytes', 'max_queued_count', 'peer_timeout')
+
+    def __init__(
+        self,
+        *,
+        max_queued_count: int,
+        peer_timeout: timedelta,
+        body_budget_bytes: int = _BODY_BUDGET_BYTES,
+    ) -> None:
+        self.max_queued_count = max_queued_count
+        self.body_budget_bytes = body_budget_bytes
+        self.peer_timeout = peer_timeout
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/readiness.py
@@ -0,0 +1,63 @@
+"""Readiness of an agent and its target for new work."""
+
+from ._generated.inventory import Target
+from ._generated.messages import TargetPhase
+from .configuration import Configuration
+from .limits import TargetLimit
+
+
+class Readiness:
+    """What an agent may take, from its documents and its target.
+
+    :param instance: the agent's instance.
+    :param configuration: documents in force.
+    :param limit: limit of the target.
+    """
+
+    __slots__ = (
+        '_configuration',
+        '_instance',
+        '_limit',
+        'is_stopping',
+        'target',
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        configuration: Configuration,
+        limit: TargetLimit,
+    ) -> None:
+        self._instance = instance
+        self._configuration = configuration
+        self._limit = limit
+        self.is_stopping = False
+        self.target = Target(address='0.0.0.0:0')
+
+    @property
+    def phase(self) -> TargetPhase:
+        """Return the readiness that entries are told."""
+        if self.is_stopping:
+            return TargetPhase.leaving
+        if self._configuration.is_draining(self._instance):
+            return TargetPhase.draining
+        return TargetPhase.cold if self._limit.is_cold else TargetPhase.warm
+
+    def serves(self, service_name: str) -> bool:
+        """Tell whether the instance is one of a service.
+
+        :param service_name: name of the service.
+        """
+        service = self._configuration.services.get(service_name)
+        return service is not None and self._instance in service.instances
+
+    def follow_configuration(self) -> None:
+        """Take up the target of the documents in force."""
+        instance = self._configuration.instances.get(self._instance)
+        if instance is not None:
+            self.target = instance.target
+            self._limit.resize(
+                instance.target.cold_tokens,
+                instance.target.memory_tokens,
+                instance.target.warm_up_tokens,
+            )
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/running_attempts.py
@@ -0,0 +1,111 @@
+"""Attempts whose call to the target is open, and what their entry is told."""
+
+from datetime import timedelta
+
+from ._generated.events import CallChunk, CallStarted
+from ._generated.messages import Chunk, Final, Started
+from .effects import AgentEffect, CancelCall, GrantCall, ToPeer, WireMessage
+from .queueing import QueuedAttempt
+
+_DETACHED_CREDIT_BYTES = 1 << 24
+
+
+class RunningAttempt:
+    """An attempt whose call to the target is open.
+
+    :param peer: incarnation of the entry that sent it.
+    :param queued: the attempt, with its deadline.
+    """
+
+    __slots__ = (
+        'chunk_count',
+        'is_cancelled',
+        'is_detached',
+        'is_prefilling',
+        'peer',
+        'queued',
+    )
+
+    def __init__(self, peer: str, queued: QueuedAttempt) -> None:
+        self.peer = peer
+        self.queued = queued
+        self.chunk_count = 0
+        self.is_cancelled = False
+        self.is_prefilling = True
+        self.is_detached = False
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the name of the attempt."""
+        return self.queued.attempt.attempt_id
+
+    def tell(self, message: WireMessage) -> list[AgentEffect]:
+        """Send a message to the entry, if it still waits for the answer.
+
+        :param message: the message.
+        """
+        if self.is_cancelled or self.is_detached:
+            return []
+        return [ToPeer(self.peer, message)]
+
+    def tell_start(self, call: CallStarted) -> list[AgentEffect]:
+        """Pass on the start of the target's answer.
+
+        :param call: what the task of the call reports.
+        """
+        # The target has the body, which is not needed again.
+        self.queued.attempt.body = b''
+        started = Started(
+            attempt_id=self.attempt_id,
+            status_code=call.status_code,
+            content_type=call.content_type,
+        )
+        return self.tell(started)
+
+    def tell_chunk(self, call: CallChunk) -> list[AgentEffect]:
+        """Pass on a part of the target's answer.
+
+        :param call: what the task of the call reports.
+        """
+        chunk = Chunk(
+            attempt_id=self.attempt_id,
+            sequence_number=self.chunk_count,
+            payload=call.payload,
+        )
+        self.chunk_count += 1
+        return self.tell(chunk)
+
+    def tell_end(self) -> list[AgentEffect]:
+        """Pass on that the target's answer is whole."""
+        final = Final(
+            attempt_id=self.attempt_id,
+            chunk_count=self.chunk_count,
+        )
+        return self.tell(final)
+
+    def cancel(self, now: timedelta) -> list[AgentEffect]:
+        """Close the call, or let it go on without its caller.
+
+        :param now: time on the monotonic clock.
+        """
+        if self.is_cancelled:
+            return []
+        if self._outlives_caller(now):
+            return self._detach()
+        self.is_cancelled = True
+        return [CancelCall(self.attempt_id)]
+
+    def _outlives_caller(self, now: timedelta) -> bool:
+        # The call goes on for callers that repeat its key.
+        attempt = self.queued.attempt
+        return (
+            bool(attempt.idempotency_key)
+            and not attempt.is_idempotent
+            and self.queued.deadline > now
+        )
+
+    def _detach(self) -> list[AgentEffect]:
+        if self.is_detached:
+            return []
+        self.is_detached = True
+        return [GrantCall(self.attempt_id, _DETACHED_CREDIT_BYTES)]
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -11,8 +11,8 @@
 from buckthornpond_core._generated.inventory import Rules
 from buckthornpond_core._generated.messages import Chunk, Final, Refused
 from buckthornpond_core._generated.platform import LoadReport
-from buckthornpond_core.admission import Admission, AgentLimits
-from buckthornpond_core.bounds import RouterLimits
+from buckthornpond_core.admission import Admission
+from buckthornpond_core.bounds import AgentLimits, RouterLimits
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.effects import (
     AgentEffect,
