Follow the bounds in the package's names after the merge

Cause: with the weighted order merged, the agent's command line has 28 imports, and the package took AgentLimits from where mypy sees no export.

--- a/packages/core/src/buckthornpond_core/__init__.py
+++ b/packages/core/src/buckthornpond_core/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from .admission import Admission as Admission
-from .admission import AgentLimits as AgentLimits
+from .bounds import AgentLimits as AgentLimits
 from .bounds import RouterLimits as RouterLimits
 from .configuration import Configuration as Configuration
 from .exceptions import BuckthornpondError as BuckthornpondError
