Build attempts, recorders and metric checks of the tests in one place

Change: features/specs/attempts.py, the bench's recorder, and is_exported and wait_exported, which compare whole lines; the models lie in features/specs. Conclusion: no check is looser; those on metrics now ask for the whole line.

--- a/features/specs/fair_targets.py
+++ b/features/specs/fair_targets.py
@@ -9,16 +9,13 @@
     Organisation,
     Rules,
 )
-from buckthornpond_core._generated.messages import (
-    Attempt,
-    ConfigurationVersion,
-)
 from buckthornpond_core.configuration import Configuration
 from buckthornpond_core.queueing import (
     AdmissionOrder,
     QueuedAttempt,
     TargetLoad,
 )
+from features.specs.attempts import make_attempt
 
 TOKENS_PER_SECOND = 1000
 _TIME_LIMIT = timedelta(hours=1)
@@ -33,30 +30,10 @@
     attempt_id: str = '',
 ) -> QueuedAttempt:
     """Build an attempt that waits."""
-    attempt = Attempt(
-        attempt_id=attempt_id,
-        entry_incarnation='entry.1',
-        agent_incarnation='agent.1',
+    attempt = make_attempt(
+        attempt_id,
         organisation=organisation,
-        service='chat',
-        method='POST',
-        path='/v1/completions',
-        content_type='application/json',
-        idempotency_key='',
-        is_idempotent=False,
-        is_stream=False,
         prompt_tokens=tokens,
-        output_tokens=0,
-        remaining_ms=_TIME_LIMIT // timedelta(milliseconds=1),
-        credit_bytes=0,
-        configuration=ConfigurationVersion(
-            inventory_version=1,
-            rules_version=1,
-            leaving_version=0,
-            digest=0,
-            read_age_ms=0,
-        ),
-        body=b'',
     )
     return QueuedAttempt(attempt, now, now + _TIME_LIMIT)
 
--- a/features/specs/key_agents.py
+++ b/features/specs/key_agents.py
@@ -30,6 +30,8 @@
 from buckthornpond_core.queueing import FifoOrder
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
+from buckthornpond_standins.records import CountingRecorder
+from features.specs.attempts import make_attempt
 
 WALL = datetime(2026, 1, 1, tzinfo=UTC)
 WINDOW = timedelta(hours=1)
@@ -41,16 +43,6 @@
 PEER_TIMEOUT = timedelta(seconds=2)
 
 
-class SilentRecorder:
-    """Drops counters and events."""
-
-    def count(self, name: str, reason: str) -> None:
-        """Drop a counter."""
-
-    def log(self, code: Any, **fields: object) -> None:
-        """Drop an event."""
-
-
 def address_of(name: str) -> str:
     """Return the agent's address of an instance."""
     number = sum(name.encode())
@@ -134,9 +126,9 @@
                 configuration=self.configuration,
                 home=self.home,
                 max_replay_bytes=16_384,
-                recorder=SilentRecorder(),
+                recorder=CountingRecorder(),
             ),
-            recorder=SilentRecorder(),
+            recorder=CountingRecorder(),
         )
         self.attempt_count = 0
 
@@ -162,9 +154,9 @@
         return self.receive(
             make_attempt(
                 f'attempt-{self.attempt_count}',
-                self.incarnation,
-                key,
-                body,
+                agent_incarnation=self.incarnation,
+                idempotency_key=key,
+                body=body,
             ),
         )
 
@@ -217,7 +209,7 @@
             placement=LeastLoadedPlacement(),
             budget=RetryBudget(100, 100),
             random=random.Random(1),
-            recorder=SilentRecorder(),
+            recorder=CountingRecorder(),
         )
         self.router.follow_configuration()
         self.messages: list[ToPeer] = []
@@ -281,31 +273,3 @@
                 self.answers.append(effect.message)
             else:
                 self.messages.append(effect)
-
-
-def make_attempt(
-    attempt_id: str,
-    incarnation: str,
-    key: str,
-    body: bytes,
-) -> Attempt:
-    """Return an attempt that may not run twice."""
-    return Attempt(
-        attempt_id=attempt_id,
-        entry_incarnation='entry',
-        agent_incarnation=incarnation,
-        organisation='gate',
-        service='lots',
-        method='POST',
-        path='/accept',
-        content_type='',
-        idempotency_key=key,
-        is_idempotent=False,
-        is_stream=False,
-        prompt_tokens=0,
-        output_tokens=0,
-        remaining_ms=600_000,
-        credit_bytes=65_536,
-        configuration=Configuration().version,
-        body=body,
-    )
--- a/features/steps/lossy_network.py
+++ b/features/specs/lossy_network.py
@@ -48,6 +48,7 @@
 from buckthornpond_core.retries import RetryBudget
 from buckthornpond_core.routing import Router, RouterLimits
 from buckthornpond_runtime.documents import parse_inventory
+from buckthornpond_standins.records import CountingRecorder
 
 PEER_TIMEOUT = timedelta(seconds=2)
 RETRY_WINDOW_MS = 10_000
@@ -59,18 +60,6 @@
 _PAYLOAD = b'x' * 100
 
 
-class _Recorder:
-    """Drops counters and log events."""
-
-    __slots__ = ()
-
-    def count(self, name: str, reason: str) -> None:
-        """Ignore a counter."""
-
-    def log(self, code: object, **fields: object) -> None:
-        """Ignore an event."""
-
-
 class Caller:
     """What one caller has received."""
 
@@ -175,7 +164,7 @@
         placement=FittingPlacement(),
         budget=RetryBudget(20, 100),
         random=random.Random(1),
-        recorder=_Recorder(),
+        recorder=CountingRecorder(),
     )
     router.follow_configuration()
     return router
@@ -219,9 +208,9 @@
                 ),
             ),
             max_replay_bytes=1000,
-            recorder=_Recorder(),
+            recorder=CountingRecorder(),
         ),
-        recorder=_Recorder(),
+        recorder=CountingRecorder(),
         forecast=PrefillForecast(),
     )
     admission.follow_configuration(now)
--- a/features/steps/spreading_model.py
+++ b/features/specs/spreading.py
@@ -25,6 +25,7 @@
     ReadSchedule,
 )
 from buckthornpond_runtime.documents import DocumentExchange
+from buckthornpond_standins.records import CountingRecorder
 
 _COUNT = 3
 _PROCESSES = range(_COUNT)
@@ -187,20 +188,10 @@
         return self.interval
 
 
-class QuietRecorder:
-    """Drops counters and log events."""
-
-    def count(self, name: str, reason: str) -> None:
-        """Drop a counter."""
-
-    def log(self, code: object, **fields: object) -> None:
-        """Drop an event."""
-
-
 def make_exchange(hold_until: timedelta, peer_count: int) -> DocumentExchange:
     """Return the real decisions of one process."""
     configuration = Configuration()
-    recorder = QuietRecorder()
+    recorder = CountingRecorder()
     limits = ReaderLimits(
         poll_interval=timedelta(seconds=1),
         watch=timedelta(0),
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -22,6 +22,7 @@
 from buckthornpond_core.configuration import find_inventory_problems
 from buckthornpond_core.placement import join_key, rank_homes
 from features.specs.at_most_once import ASK, ATTEMPT
+from features.specs.attempts import make_attempt
 from features.specs.counts import only, report
 from features.specs.key_agents import (
     MILLISECOND,
@@ -35,7 +36,6 @@
     AgentBench,
     EntryBench,
     address_of,
-    make_attempt,
     make_inventory,
 )
 from features.specs.key_histories import (
@@ -411,7 +411,9 @@
 def queue_attempt(context: Any) -> None:
     """Fill the only slot of the target first."""
     make_pair(context, concurrency_count=1)
-    context.agent.receive(make_attempt('other', 'first', '', b'other'))
+    context.agent.receive(
+        make_attempt('other', agent_incarnation='first', body=b'other')
+    )
     context.entry.submit(60_000)
     context.attempt = only(context.entry.find(Attempt, 'plain-a'))
     for reply in context.agent.receive(context.attempt):
--- a/features/steps/caller_faults_steps.py
+++ b/features/steps/caller_faults_steps.py
@@ -15,6 +15,7 @@
     call_text,
     wait_until,
 )
+from buckthornpond_standins.scrapes import wait_exported
 
 _AUTHORISED = f'Authorization: Bearer {CREDENTIAL}\r\n'
 _ACCEPT = 'POST /v1/services/lots/accept HTTP/1.1\r\n'
@@ -205,12 +206,8 @@
     """Read the entry's gauges."""
     address = context.fleet.entry_administration_addresses[0]
 
-    def is_empty() -> bool:
-        text = call_text(address, 'GET', '/metrics')
-        wanted = ('held_requests 0', 'held_body_bytes 0')
-        return all(f'buckthornpond_{each}\n' in text for each in wanted)
-
-    wait_until(is_empty)
+    for gauge in ('held_requests 0', 'held_body_bytes 0'):
+        wait_exported(address, gauge)
 
 
 @then('the entry counted closed connections for "{first}" and "{second}"')
@@ -271,8 +268,4 @@
     address = fleet.entry_administration_addresses[0]
     if process == 'agent':
         address = fleet.engines[0].administration_address
-    wait_until(
-        lambda: (
-            f'buckthornpond_{gauge}\n' in call_text(address, 'GET', '/metrics')
-        ),
-    )
+    wait_exported(address, gauge)
--- a/features/steps/configuration_fleet_steps.py
+++ b/features/steps/configuration_fleet_steps.py
@@ -1,7 +1,6 @@
 """Steps that change the configuration of whole fleets."""
 
 import json
-from functools import partial
 from typing import Any
 
 from behave import given, then, when
@@ -13,6 +12,10 @@
     wait_listening,
     wait_until,
 )
+from buckthornpond_standins.scrapes import scrape, wait_exported
+
+_RULES_READS = 'platform_reads_total{reason="rules"}'
+_REJECTED_RULES = 'rejected_documents_total{reason="rules"}'
 
 
 @given('a fleet of which only {name} reaches the configuration service')
@@ -123,9 +126,9 @@
     wait_until(lambda: _count_reads(context) > first + 20)
     _wait_metric(context, metric, readers)
     for _, address in context.fleet.administered:
-        text = call_text(address, 'GET', '/metrics')
-        assert 'rules_version 2' in text, text
-        assert 'rejected_documents_total{reason="rules"} 3' not in text, text
+        exported = scrape(address)
+        assert exported['rules_version'] == 2, exported
+        assert exported.get(_REJECTED_RULES, 0) <= 2, exported
 
 
 def _count_reads(context: Any) -> int:
@@ -137,27 +140,10 @@
     return [
         address
         for _, address in context.fleet.administered
-        if 'platform_reads_total{reason="rules"}'
-        in call_text(address, 'GET', '/metrics')
-        and _reads_now(address)
+        if scrape(address).get(_RULES_READS, 0) > 1
     ]
 
 
-def _reads_now(address: str) -> bool:
-    text = call_text(address, 'GET', '/metrics')
-    for line in text.splitlines():
-        if line.startswith(
-            'buckthornpond_platform_reads_total{reason="rules"}'
-        ):
-            return int(line.split()[-1]) > 1
-    return False
-
-
 def _wait_metric(context: Any, metric: str, addresses: list[str]) -> None:
     for address in addresses:
-        wait_until(partial(_has_metric, address, metric))
-
-
-def _has_metric(address: str, metric: str) -> bool:
-    text = call_text(address, 'GET', '/metrics')
-    return f'buckthornpond_{metric}' in text
+        wait_exported(address, metric)
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -8,13 +8,6 @@
 from hypothesis import given as generate
 from hypothesis import settings
 from hypothesis import strategies as st
-from spreading_model import (
-    Guards,
-    check,
-    compare,
-    make_exchange,
-    rules_document,
-)
 
 from buckthornpond_core._generated.events import ServiceRead
 from buckthornpond_core._generated.inventory import (
@@ -36,6 +29,13 @@
     ReaderLimits,
     ReadSchedule,
 )
+from features.specs.spreading import (
+    Guards,
+    check,
+    compare,
+    make_exchange,
+    rules_document,
+)
 
 _RULES = DocumentName.rules
 _LIMITS = ReaderLimits(
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -2,12 +2,10 @@
 
 import signal
 from datetime import timedelta
-from functools import partial
 from typing import Any
 
 import gevent
 from behave import given, then, when
-from spreading_model import QuietRecorder
 
 from buckthornpond_core._generated.events import CallEnded, CallStarted
 from buckthornpond_core._generated.inventory import (
@@ -20,7 +18,6 @@
 )
 from buckthornpond_core._generated.messages import (
     Accepted,
-    Attempt,
     Final,
     Outcome,
     Refused,
@@ -30,8 +27,11 @@
 from buckthornpond_core.effects import ToPeer
 from buckthornpond_core.limits import FixedLimit
 from buckthornpond_core.queueing import FifoOrder
-from buckthornpond_standins.fleets import call_json, call_text, wait_until
+from buckthornpond_standins.fleets import call_json
 from buckthornpond_standins.keyed import build_keyed_attempts
+from buckthornpond_standins.records import CountingRecorder
+from buckthornpond_standins.scrapes import wait_exported
+from features.specs.attempts import make_attempt
 
 _NOW = timedelta(seconds=10)
 
@@ -55,9 +55,9 @@
             'engine-0',
             context.configuration,
             started=timedelta(0),
-            recorder=QuietRecorder(),
+            recorder=CountingRecorder(),
         ),
-        recorder=QuietRecorder(),
+        recorder=CountingRecorder(),
     )
     context.admission.follow_configuration(_NOW)
     for number in range(3):
@@ -94,24 +94,14 @@
 
 
 def _send(context: Any, attempt_id: str) -> list[Any]:
-    attempt = Attempt(
-        attempt_id=attempt_id,
-        entry_incarnation='entry',
-        agent_incarnation='agent',
-        organisation='gate',
+    attempt = make_attempt(
+        attempt_id,
         service='model',
-        method='POST',
-        path='/v1/completions',
-        content_type='application/json',
-        idempotency_key='',
         is_idempotent=True,
         is_stream=True,
         prompt_tokens=10,
         output_tokens=10,
-        remaining_ms=60_000,
-        credit_bytes=1000,
         configuration=context.configuration.version,
-        body=b'',
     )
     effects = context.admission.receive('entry', attempt, _NOW)
     return _messages(effects)
@@ -216,7 +206,7 @@
     fleet.publish()
     for process, address in fleet.administered:
         if process is not frozen:
-            wait_until(partial(_has_rules, address, 2))
+            wait_exported(address, 'rules_version 2')
     context.drained = next(each for each in fleet.engines if each.zone == zone)
     context.started_count = _count_started(context)
     frozen.signal(signal.SIGCONT)
@@ -228,15 +218,10 @@
     context.fleet.rules = {'version': 3}
     context.fleet.publish()
     for _, address in context.fleet.administered:
-        wait_until(partial(_has_rules, address, 3))
+        wait_exported(address, 'rules_version 3')
     context.fleet.wait_ready()
 
 
-def _has_rules(address: str, version: int) -> bool:
-    text = call_text(address, 'GET', '/metrics')
-    return f'buckthornpond_rules_version {version}' in text
-
-
 def _count_started(context: Any) -> int:
     load = call_json(context.drained.target_address, 'GET', '/load')
     return load['executed_count']
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -6,9 +6,9 @@
 from behave import then, when
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
-from lossy_network import LossyNetwork, find_faults, find_leaks
 
 from buckthornpond_core._generated.messages import Final, Refused
+from features.specs.lossy_network import LossyNetwork, find_faults, find_leaks
 
 _SUBMIT = st.tuples(
     st.just('submit'),
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -11,7 +11,6 @@
 
 from behave import given, then, when
 from minicheck import Protocol, check_safety
-from spreading_model import QuietRecorder
 
 from buckthornpond_core._generated.events import OrderWish
 from buckthornpond_core._generated.platform import (
@@ -27,6 +26,7 @@
 )
 from buckthornpond_standins.fleets import call_json, wait_until
 from buckthornpond_standins.orders import OrderBook
+from buckthornpond_standins.records import CountingRecorder
 
 _LIMITS = OrderLimits(
     pause=timedelta(seconds=6),
@@ -226,7 +226,7 @@
         EpochNumbers(datetime(2030, 1, 1, tzinfo=UTC)),
         _LIMITS,
         timedelta(0),
-        QuietRecorder(),
+        CountingRecorder(),
     )
     planner.wish = OrderWish(target_address='', model_version='m1')
     return planner
--- a/features/steps/target_faults_steps.py
+++ b/features/steps/target_faults_steps.py
@@ -12,7 +12,6 @@
 from buckthornpond_core._generated.messages import (
     Attempt,
     Chunk,
-    ConfigurationVersion,
 )
 from buckthornpond_runtime.codecs import encode_message
 from buckthornpond_runtime.connections import HttpCall
@@ -20,10 +19,10 @@
 from buckthornpond_standins.fleets import (
     CREDENTIAL,
     Fleet,
-    call_text,
     wait_listening,
-    wait_until,
 )
+from buckthornpond_standins.scrapes import wait_exported
+from features.specs.attempts import make_attempt
 
 _TIME_LIMIT_MS = 1500
 
@@ -91,40 +90,16 @@
 def check_all_empty(context: Any) -> None:
     """Read the gauges of both processes."""
     fleet = context.fleet
-    _wait_for_line(fleet.instances[0].administration_address, 'held_attempts 0')
-    _wait_for_line(fleet.entry_administration_addresses[0], 'held_body_bytes 0')
-
-
-def _wait_for_line(address: str, wanted: str) -> None:
-    wait_until(
-        lambda: (
-            f'buckthornpond_{wanted}\n' in call_text(address, 'GET', '/metrics')
-        ),
-    )
+    wait_exported(fleet.instances[0].administration_address, 'held_attempts 0')
+    wait_exported(fleet.entry_administration_addresses[0], 'held_body_bytes 0')
 
 
 def _build_attempt(remaining_ms: int) -> Attempt:
-    return Attempt(
-        attempt_id='a',
-        entry_incarnation='e',
-        agent_incarnation='x',
-        organisation='gate',
-        service='lots',
+    return make_attempt(
+        'a',
         method='P\u20ac',
         path='/\u20ac\r\n',
-        content_type='',
-        idempotency_key='',
-        is_idempotent=False,
-        is_stream=False,
-        prompt_tokens=0,
-        output_tokens=0,
         remaining_ms=remaining_ms,
-        credit_bytes=0,
-        configuration=ConfigurationVersion(
-            inventory_version=0,
-            rules_version=0,
-        ),
-        body=b'',
     )
 
 
@@ -186,7 +161,7 @@
         'unexpected_messages_total{reason="Chunk"} 1',
         'refusals_total{reason="stale_incarnation"} 1',
     ):
-        _wait_for_line(plain.administration_address, reason)
+        wait_exported(plain.administration_address, reason)
     assert plain.agent.is_running
 
 
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -15,9 +15,9 @@
     CREDENTIAL,
     Fleet,
     call_json,
-    call_text,
     wait_until,
 )
+from buckthornpond_standins.scrapes import wait_exported
 
 
 @given(
@@ -156,6 +156,4 @@
 def check_agent_free(context: Any) -> None:
     """Ask the agent what it has reserved."""
     address = context.fleet.engines[0].administration_address
-    wait_until(
-        lambda: 'reserved_tokens 0' in call_text(address, 'GET', '/metrics'),
-    )
+    wait_exported(address, 'reserved_tokens 0')
--- a/packages/standins/src/buckthornpond_standins/scrapes.py
+++ b/packages/standins/src/buckthornpond_standins/scrapes.py
@@ -1,6 +1,8 @@
 """Counters of a process, read over its administration address."""
 
-from .fleets import call_text
+from functools import partial
+
+from .fleets import call_text, wait_until
 
 _PREFIX = 'buckthornpond_'
 _CONTROL_KINDS = frozenset(
@@ -23,6 +25,25 @@
     return found
 
 
+def is_exported(address: str, line: str) -> bool:
+    """Tell whether a process exports a value.
+
+    :param address: administration address of the process.
+    :param line: metric without its prefix, labels and value.
+    """
+    text = call_text(address, 'GET', '/metrics')
+    return f'{_PREFIX}{line}' in text.splitlines()
+
+
+def wait_exported(address: str, line: str) -> None:
+    """Wait until a process exports a value.
+
+    :param address: administration address of the process.
+    :param line: metric without its prefix, labels and value.
+    """
+    wait_until(partial(is_exported, address, line))
+
+
 def count_control_bytes(exported: dict[str, float]) -> float:
     """Return the bytes of control messages, both directions.
 
