Start groups of callers and check their answers in one place

Cause: the demonstration and two features started the same callers and checked whole answers each in their own code; a second wait_until stood beside the one that already lets callers go on. Change: caller_groups in the stand-ins; the features and the demonstration use it. The check that nothing is held now also reads held_answer_bytes. Conclusion: no check is looser, one is stricter.

--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -11,6 +11,10 @@
 
 from buckthornpond_core.exceptions import TargetError
 from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_standins.caller_groups import (
+    find_incomplete,
+    start_completions,
+)
 from buckthornpond_standins.callers import call_completion
 from buckthornpond_standins.fleets import (
     CREDENTIAL,
@@ -19,6 +23,7 @@
     call_text,
     wait_until,
 )
+from buckthornpond_standins.scrapes import is_exported, scrape, wait_exported
 
 _EXIT_SECONDS = 30
 
@@ -45,24 +50,19 @@
     context.fleet.publish()
     address = context.fleet.engines[0].administration_address
     line = 'accepted_documents_total{reason="inventory"} 2'
-    wait_until(lambda: line in call_text(address, 'GET', '/metrics'))
+    wait_exported(address, line)
 
 
 @when('{count:d} callers stream answers through every entry')
 def stream_answers(context: Any, count: int) -> None:
     """Start callers in turn."""
-    addresses = context.fleet.entry_addresses
-    context.callers = [
-        spawn(
-            call_completion,
-            addresses[number % len(addresses)],
-            CREDENTIAL,
-            kind=f'caller-{number}',
-            prompt_tokens=1000,
-            output_tokens=100,
-        )
-        for number in range(count)
-    ]
+    context.callers = start_completions(
+        context.fleet.entry_addresses,
+        count,
+        kind='caller',
+        prompt_tokens=1000,
+        output_tokens=100,
+    )
 
 
 @when(
@@ -74,17 +74,13 @@
     agent = context.fleet.engines[0].administration_address
     for number in range(count):
         context.callers.append(spawn(_call_whole, context, limit))
-        held = f'held_attempts {number + 1}\n'
-        _wait_cooperatively(partial(_shows, agent, held))
-    _wait_cooperatively(
+        held = f'held_attempts {number + 1}'
+        wait_until(partial(is_exported, agent, held))
+    wait_until(
         lambda: call_json(engine, 'GET', '/load')['running_count'] == 1,
     )
 
 
-def _shows(address: str, line: str) -> bool:
-    return line in call_text(address, 'GET', '/metrics')
-
-
 def _call_whole(context: Any, limit_ms: int) -> dict[str, Any]:
     body = {'model': 'model-a', 'prompt': 'x' * 400, 'max_tokens': 100_000}
     headers = {
@@ -101,18 +97,6 @@
         call.close()
 
 
-def _wait_cooperatively(check: Any) -> None:
-    """Wait without stopping the callers of this process."""
-    for _attempt in range(600):
-        try:
-            if check():
-                return
-        except (TargetError, ValueError):
-            pass
-        sleep(0.05)
-    raise TimeoutError('nothing after 30 s')
-
-
 @when(
     'the agent of the first engine gets {count:d} stop signal while it streams'
 )
@@ -122,7 +106,7 @@
 def stop_agent(context: Any, count: int) -> None:
     """Signal the agent once its engine has work."""
     engine = context.fleet.engines[0]
-    _wait_cooperatively(
+    wait_until(
         lambda: call_json(engine.target_address, 'GET', '/load')[
             'running_count'
         ],
@@ -136,11 +120,7 @@
 def stop_entry(context: Any, count: int) -> None:
     """Signal the entry once it holds requests."""
     address = context.fleet.entry_administration_addresses[0]
-    _wait_cooperatively(
-        lambda: (
-            'held_requests 0\n' not in call_text(address, 'GET', '/metrics')
-        ),
-    )
+    wait_until(lambda: scrape(address)['held_requests'] > 0)
     context.stopped = context.fleet.entries[0]
     _send_signals(context.stopped, count)
 
@@ -161,13 +141,8 @@
 @then('no caller was cut')
 def check_not_cut(context: Any) -> None:
     """Check every answer."""
-    joinall(context.callers)
-    bad = [
-        f'{found.kind} {found.outcome} {found.code} {found.word_count}'
-        for found in (caller.value for caller in context.callers)
-        if found.outcome != 'complete'
-    ]
-    assert not bad, bad
+    incomplete = find_incomplete(context.callers)
+    assert not incomplete, incomplete
 
 
 @then('its health check fails while it still answers a new caller')
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -20,16 +20,23 @@
     CREDENTIAL,
     Fleet,
     call_json,
-    call_text,
     free_address,
 )
 from buckthornpond_standins.relay import Relay
+from buckthornpond_standins.scrapes import scrape
 from features.specs.counts import report
 
 _TIME_LIMIT_MS = 2500
 _SPREAD_SECONDS = 2.0
 _FAULT_SECONDS = 3.0
 _OUTPUT_TOKENS = 20
+_GAUGES = (
+    'held_requests',
+    'held_attempts',
+    'reserved_tokens',
+    'held_body_bytes',
+    'held_answer_bytes',
+)
 
 
 @given('a fleet for faults with a relay before each agent')
@@ -194,19 +201,11 @@
     held: list[str] = []
     try:
         for process, address in fleet.administered:
-            text = call_text(address, 'GET', '/metrics')
+            exported = scrape(address)
             held.extend(
-                f'{process.name}: {line}'
-                for line in text.splitlines()
-                if line.startswith(
-                    (
-                        'buckthornpond_held_requests ',
-                        'buckthornpond_held_attempts ',
-                        'buckthornpond_reserved_tokens ',
-                        'buckthornpond_held_body_bytes ',
-                    ),
-                )
-                and float(line.split()[1])
+                f'{process.name}: {gauge} {exported[gauge]}'
+                for gauge in _GAUGES
+                if exported.get(gauge)
             )
         for instance in fleet.engines:
             load = call_json(instance.target_address, 'GET', '/load')
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -10,7 +10,11 @@
 from behave import given, then, when
 
 from buckthornpond_runtime.connections import HttpCall
-from buckthornpond_standins.callers import call_completion, call_service
+from buckthornpond_standins.caller_groups import (
+    find_incomplete,
+    start_bookings,
+    start_completions,
+)
 from buckthornpond_standins.fleets import (
     CREDENTIAL,
     Fleet,
@@ -40,37 +44,23 @@
 )
 def stream_completions(context: Any, count: int, tokens: int) -> None:
     """Start callers on the entries in turn."""
-    addresses = context.fleet.entry_addresses
-    for number in range(count):
-        context.greenlets.append(
-            gevent.spawn(
-                call_completion,
-                addresses[number % len(addresses)],
-                CREDENTIAL,
-                kind=f'short-{number}',
-                prompt_tokens=tokens,
-                output_tokens=20,
-            ),
-        )
+    context.greenlets += start_completions(
+        context.fleet.entry_addresses,
+        count,
+        kind='short',
+        prompt_tokens=tokens,
+        output_tokens=20,
+    )
 
 
 @when('{count:d} callers book lots through every entry')
 def book_lots(context: Any, count: int) -> None:
     """Book each lot once, after the retry window of the agents' start."""
-    addresses = context.fleet.entry_addresses
-    gevent.sleep(1.5)
-    for number in range(count):
-        context.greenlets.append(
-            gevent.spawn(
-                call_service,
-                addresses[number % len(addresses)],
-                CREDENTIAL,
-                kind=f'lot-{number}',
-                path='/v1/services/lots/accept',
-                body=f'lot-{number}'.encode(),
-                key=f'key-{number}',
-            ),
-        )
+    context.greenlets += start_bookings(
+        context.fleet.entry_addresses,
+        count,
+        delay_seconds=1.5,
+    )
     context.lot_count = count
 
 
@@ -110,13 +100,8 @@
 @then('every caller has a whole answer')
 def check_whole(context: Any) -> None:
     """Check every result."""
-    gevent.joinall(context.greenlets)
-    bad = [
-        f'{found.kind} {found.outcome} {found.code}'
-        for found in (greenlet.value for greenlet in context.greenlets)
-        if found.outcome != 'complete'
-    ]
-    assert not bad, bad
+    incomplete = find_incomplete(context.greenlets)
+    assert not incomplete, incomplete
 
 
 @then('no caller has a truncated answer taken for a whole one')
--- a/packages/standins/src/buckthornpond_standins/demo.py
+++ b/packages/standins/src/buckthornpond_standins/demo.py
@@ -8,8 +8,9 @@
 import click
 import gevent
 
-from .callers import CallerResult, call_completion, call_service
-from .fleets import CREDENTIAL, Fleet, call_json
+from .caller_groups import start_bookings, start_completions
+from .callers import CallerResult
+from .fleets import Fleet, call_json
 
 _SHORT_COUNT = 16
 _LONG_COUNT = 2
@@ -38,44 +39,24 @@
 
 
 def _start_callers(fleet: Fleet) -> list[Any]:
-    greenlets: list[Any] = []
-    entries = fleet.entry_addresses
-    for number in range(_SHORT_COUNT):
-        greenlets.append(
-            gevent.spawn(
-                call_completion,
-                entries[number % len(entries)],
-                CREDENTIAL,
-                kind=f'short-{number}',
-                prompt_tokens=1000,
-                output_tokens=30,
-            ),
-        )
-    for number in range(_LONG_COUNT):
-        greenlets.append(
-            gevent.spawn(
-                call_completion,
-                entries[number % len(entries)],
-                CREDENTIAL,
-                kind=f'long-{number}',
-                prompt_tokens=150_000,
-                output_tokens=30,
-            ),
-        )
-    for number in range(_BOOKING_COUNT):
-        greenlets.append(
-            gevent.spawn_later(
-                1.2,
-                call_service,
-                entries[number % len(entries)],
-                CREDENTIAL,
-                kind=f'booking-{number}',
-                path='/v1/services/lots/accept',
-                body=f'lot-{number}'.encode(),
-                key=f'key-{number}',
-            ),
-        )
-    return greenlets
+    addresses = fleet.entry_addresses
+    return [
+        *start_completions(
+            addresses,
+            _SHORT_COUNT,
+            kind='short',
+            prompt_tokens=1000,
+            output_tokens=30,
+        ),
+        *start_completions(
+            addresses,
+            _LONG_COUNT,
+            kind='long',
+            prompt_tokens=150_000,
+            output_tokens=30,
+        ),
+        *start_bookings(addresses, _BOOKING_COUNT, delay_seconds=1.2),
+    ]
 
 
 def _report(
@@ -97,8 +78,7 @@
     untrue = [
         each.kind
         for each in results
-        if each.outcome == 'not_run'
-        and each.kind.replace('booking', 'lot') in executions
+        if each.outcome == 'not_run' and each.kind in executions
     ]
     complete = sum(each.outcome == 'complete' for each in results)
     click.echo(
