--- a/features/steps/configuration_fleet_steps.py
+++ b/features/steps/configuration_fleet_steps.py
@@ -105,15 +105,24 @@
 )
 def check_never_reverted(context: Any, version: int) -> None:
     """Read what each process logged since its restart."""
-    checked_count = 0
-    for process, before in context.restarted:
-        for line in process.read_whole_log()[before:].splitlines():
-            event = json.loads(line) if line.startswith('{') else {}
-            if event.get('event') == 'configuration_accepted':
-                is_rules = event['document'] == 'rules'
-                assert not is_rules or event['version'] >= version, event
-                checked_count += is_rules
-    assert checked_count >= len(context.restarted), checked_count
+    # Log lines are written a moment after the event.
+    wait_until(lambda: all(map(_list_rules, context.restarted)))
+    for restarted in context.restarted:
+        for event in _list_rules(restarted):
+            assert event['version'] >= version, event
+
+
+def _list_rules(restarted: tuple[Any, int]) -> list[dict[str, Any]]:
+    """Return acceptances of rules since the restart of a process."""
+    process, before = restarted
+    lines = process.read_whole_log()[before:].splitlines()
+    events = [json.loads(line) for line in lines if line.startswith('{')]
+    return [
+        event
+        for event in events
+        if event.get('event') == 'configuration_accepted'
+        and event['document'] == 'rules'
+    ]
 
 
 @then('each document with faults is rejected at most once by each process')
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -58,6 +58,16 @@
     )
 
 
+def _list_sources() -> list[Path]:
+    """Return the modules that are shipped."""
+    return [
+        path
+        for folder in ('packages', 'platform')
+        for path in (_ROOT / folder).glob('**/src/**/*.py')
+        if 'standins' not in str(path)
+    ]
+
+
 @then('docs/EVENTS.md lists the event numbers of the code and no others')
 def check_events(context: Any) -> None:
     """Compare the catalogue with the enumeration both ways."""
@@ -102,10 +112,9 @@
     text = (_ROOT / 'docs/OPERATIONS.md').read_text()
     rows = set(re.findall(r'^\| `(\w+)_total` \|', text, re.M))
     found: set[str] = set()
-    for package in ('core', 'runtime', 'entry', 'agent'):
-        for path in (_ROOT / 'packages' / package).glob('src/*/*.py'):
-            pattern = r"\.(?:count|add)\(\s*'(\w+)',"
-            found.update(re.findall(pattern, path.read_text()))
+    for path in _list_sources():
+        pattern = r"\.(?:count|add)\(\s*'(\w+)',"
+        found.update(re.findall(pattern, path.read_text()))
     assert rows == found, rows ^ found
 
 
@@ -119,11 +128,13 @@
         r"refuse_locally\('(\w+)'\)",
         r"RefuseKey\([^()]*'(\w+)'\)",
         r"RefusedRequestError\(\s*'(\w+)'",
+        r"_not_placed\('(\w+)'",
+        r"_give_up\('(\w+)'",
+        r"SendRefusal\('(\w+)'",
+        r"NotPlaced\('(\w+)'",
     )
     found: set[str] = set()
-    for path in (_ROOT / 'packages').glob('*/src/*/*.py'):
-        if 'standins' in str(path):
-            continue
+    for path in _list_sources():
         for pattern in patterns:
             found.update(re.findall(pattern, path.read_text()))
     # The caller has left, so nobody is shown this one.
--- a/packages/core/src/buckthornpond_core/__init__.py
+++ b/packages/core/src/buckthornpond_core/__init__.py
@@ -3,22 +3,60 @@
 Nothing here opens a socket, reads a clock or encodes a message.
 """
 
-from .admission import Admission as Admission
-from .bounds import AgentLimits as AgentLimits
-from .bounds import RouterLimits as RouterLimits
-from .configuration import Configuration as Configuration
-from .exceptions import BuckthornpondError as BuckthornpondError
-from .exceptions import InvalidDocumentError as InvalidDocumentError
-from .exceptions import MalformedMessageError as MalformedMessageError
-from .exceptions import PlatformError as PlatformError
-from .exceptions import TargetError as TargetError
-from .exceptions import TransportError as TransportError
-from .journal import EventCode as EventCode
-from .placement import Placement as Placement
-from .queueing import AdmissionOrder as AdmissionOrder
-from .refusals import REFUSALS as REFUSALS
-from .refusals import find_refusal as find_refusal
-from .routing import Router as Router
-from .types import Clock as Clock
-from .types import RandomSource as RandomSource
-from .types import Recorder as Recorder
+from collections.abc import Mapping
+from importlib import import_module
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from .admission import Admission as Admission
+    from .bounds import AgentLimits as AgentLimits
+    from .bounds import RouterLimits as RouterLimits
+    from .configuration import Configuration as Configuration
+    from .exceptions import BuckthornpondError as BuckthornpondError
+    from .exceptions import InvalidDocumentError as InvalidDocumentError
+    from .exceptions import MalformedMessageError as MalformedMessageError
+    from .exceptions import PlatformError as PlatformError
+    from .exceptions import TargetError as TargetError
+    from .exceptions import TransportError as TransportError
+    from .journal import EventCode as EventCode
+    from .placement import Placement as Placement
+    from .queueing import AdmissionOrder as AdmissionOrder
+    from .refusals import REFUSALS as REFUSALS
+    from .refusals import find_refusal as find_refusal
+    from .routing import Router as Router
+    from .types import Clock as Clock
+    from .types import RandomSource as RandomSource
+    from .types import Recorder as Recorder
+
+# Loaded on first use, so that a process pays for what it needs.
+_MODULES: Mapping[str, str] = MappingProxyType(
+    {
+        'Admission': '.admission',
+        'AgentLimits': '.bounds',
+        'RouterLimits': '.bounds',
+        'Configuration': '.configuration',
+        'BuckthornpondError': '.exceptions',
+        'InvalidDocumentError': '.exceptions',
+        'MalformedMessageError': '.exceptions',
+        'PlatformError': '.exceptions',
+        'TargetError': '.exceptions',
+        'TransportError': '.exceptions',
+        'EventCode': '.journal',
+        'Placement': '.placement',
+        'AdmissionOrder': '.queueing',
+        'REFUSALS': '.refusals',
+        'find_refusal': '.refusals',
+        'Router': '.routing',
+        'Clock': '.types',
+        'RandomSource': '.types',
+        'Recorder': '.types',
+    }
+)
+
+
+def __getattr__(name: str) -> Any:
+    """Return a public name from its module."""
+    if name not in _MODULES:
+        raise AttributeError(name)
+    return getattr(import_module(_MODULES[name], __name__), name)
--- a/packages/core/src/buckthornpond_core/exceptions.py
+++ b/packages/core/src/buckthornpond_core/exceptions.py
@@ -75,3 +75,21 @@
 
 class PlatformError(BuckthornpondError):
     """The configuration service or the instance list did not answer."""
+
+
+class InvalidRequestError(BuckthornpondError):
+    """A caller's request cannot be served as it is.
+
+    :param reason: stable code of the refusal.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        message: str,
+        *,
+        step: str,
+        peer: str,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.reason = reason
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -0,0 +1,373 @@
+"""Decisions of one entry over all its requests."""
+
+from collections.abc import Collection
+from datetime import timedelta
+
+from .._generated.serving import (
+    AttemptReport,
+    DirectSettings,
+    NotPlaced,
+    Organisation,
+    Placement,
+    RequestFacts,
+    Route,
+    Service,
+)
+from ..journal import EventCode
+from ..types import RandomSource, Recorder
+from .budgets import RepeatBudget
+from .fleet import TargetView
+from .flights import Flight, Work
+from .following import FleetChange, FleetFollower
+from .placement import (
+    Candidate,
+    Choice,
+    FewestFlights,
+    LeastHarm,
+    TargetChoice,
+)
+from .routes import RouteTable, choose_service
+from .trust import AttemptOutcome
+
+_MS = timedelta(milliseconds=1)
+# A caller's route or credential may be newer than what is known by then.
+_STALE_AGE_MS = 2500
+_STALE_AGE = _STALE_AGE_MS * _MS
+_RETRY_AFTER_MS = 200
+_STALE_RETRY_AFTER_MS = 50
+_USUAL_WEIGHT = 0.2
+# Prompt tokens whose answer is worth as much again as answering at all.
+_WEIGHT_TOKENS = 10_000
+_HIGHEST_PRIORITY = 0
+_LOWEST_PRIORITY = 9
+_RESTART_MARGIN = timedelta(seconds=1)
+
+
+class Admission:
+    """A request that the configuration allows.
+
+    :param facts: what the caller says of it.
+    :param route: its route.
+    :param organisation: who asks, or nobody on a public route.
+    :param service: the service that serves it.
+    """
+
+    __slots__ = ('facts', 'organisation', 'route', 'service')
+
+    def __init__(
+        self,
+        facts: RequestFacts,
+        route: Route,
+        organisation: Organisation | None,
+        service: str,
+    ) -> None:
+        self.facts = facts
+        self.route = route
+        self.organisation = organisation
+        self.service = service
+
+
+class Dispatcher:
+    """Knows the fleet and its configuration, and places attempts.
+
+    :param settings: settings of the process.
+    :param random: source of random choices.
+    :param recorder: receives counters and log events.
+    """
+
+    __slots__ = (
+        '_budgets',
+        '_choices',
+        '_follower',
+        '_random',
+        '_recorder',
+        '_settings',
+        'fleet',
+    )
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        random: RandomSource,
+        recorder: Recorder,
+    ) -> None:
+        self._follower = FleetFollower(settings, recorder)
+        self.fleet = self._follower.fleet
+        self._settings = settings
+        self._random = random
+        self._recorder = recorder
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._choices: tuple[TargetChoice, TargetChoice] = (
+            FewestFlights(random),
+            LeastHarm(random),
+        )
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the lookups of the configuration in force."""
+        return self._follower.table
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether a configuration and targets are known."""
+        return self.table is not None and any(True for _ in self.fleet)
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version in force, nought before the first."""
+        return self._follower.version
+
+    def apply(self, change: FleetChange, now: timedelta) -> None:
+        """Take what the source of the fleet says.
+
+        :param change: one message of the source.
+        :param now: time on the monotonic clock.
+        """
+        self._follower.apply(change, now)
+
+    def change_settings(self, settings: DirectSettings) -> None:
+        """Use new settings from now on.
+
+        :param settings: settings of the process.
+        """
+        self._settings = settings
+        self._follower.settings = settings
+        self._budgets.clear()
+
+    def admit(
+        self,
+        facts: RequestFacts,
+        now: timedelta,
+    ) -> Admission | NotPlaced:
+        """Return what the configuration says of a request.
+
+        :param facts: what the caller says of it.
+        :param now: time on the monotonic clock.
+        """
+        if self.table is None:
+            return self._not_placed('no_configuration', now)
+        route = self.table.find(facts.host_name, facts.path)
+        if route is None:
+            return self._refuse_unknown('route_unknown', now)
+        organisation = self.table.authenticate(facts.credential)
+        needs_credential = self.table.needs_credentials and not route.is_public
+        if needs_credential and organisation is None:
+            return self._refuse_unknown('credential_unknown', now)
+        service = choose_service(route, self._random)
+        self._budget_of(service).record_request(now)
+        return Admission(facts, route, organisation, service)
+
+    def place(
+        self,
+        admission: Admission,
+        excluded: Collection[str],
+        now: timedelta,
+        *,
+        is_repeat: bool,
+    ) -> Placement | NotPlaced:
+        """Choose the targets of an attempt.
+
+        :param admission: the request.
+        :param excluded: targets that it was sent to before.
+        :param now: time on the monotonic clock.
+        :param is_repeat: whether a target may have received it before.
+        """
+        candidates = self._list_candidates(admission, excluded, now)
+        if not candidates:
+            return self._not_placed('no_target', now)
+        warm = [each for each in candidates if each.view.bears_one(now)]
+        if not warm:
+            return self._not_placed('target_cold', now)
+        if is_repeat and not self._budget_of(admission.service).allow(now):
+            return self._not_placed('retry_budget_exhausted', now)
+        service = self._service(admission.service)
+        work = _measure(admission)
+        policy = self._choices[service.engine is not None]
+        choice = policy.choose(warm, service, work, now)
+        self._start_flights(admission, choice, work, now)
+        return self._describe(admission, choice, len(warm), now)
+
+    def note_first_byte(self, attempt_id: str, placement: Placement) -> None:
+        """Note that a target began its answer.
+
+        :param attempt_id: the request.
+        :param placement: where its attempt went.
+        """
+        for view in self._views_of(placement):
+            flight = view.flights.get(attempt_id)
+            if flight is None:
+                continue
+            flight.is_reading = False
+            if not flight.writes:
+                view.flights.pop(attempt_id)
+
+    def end_attempt(
+        self,
+        attempt_id: str,
+        placement: Placement,
+        report: AttemptReport,
+        now: timedelta,
+    ) -> None:
+        """Learn how an attempt ended.
+
+        :param attempt_id: the request.
+        :param placement: where its attempt went.
+        :param report: how it ended.
+        :param now: time on the monotonic clock.
+        """
+        for reader in self._views_of(placement):
+            reader.flights.pop(attempt_id, None)
+        faulty = None
+        if report.faulty_address:
+            faulty = self.fleet.find_address(report.faulty_address)
+        view = faulty or self.fleet.find(report.target)
+        if view is None:
+            return
+        outcome = AttemptOutcome(report.outcome)
+        if faulty is not None and outcome is AttemptOutcome.refused:
+            outcome = AttemptOutcome.failed
+        self._learn(view, outcome, report, now)
+
+    def _learn(
+        self,
+        view: TargetView,
+        outcome: AttemptOutcome,
+        report: AttemptReport,
+        now: timedelta,
+    ) -> None:
+        service = self._service(view.record.service)
+        if report.cold_ms:
+            self._follower.mark_cold(view, service, now + report.cold_ms * _MS)
+        if outcome is AttemptOutcome.unreachable and service.cold_ms:
+            # It probably restarts, and will be cold then.
+            cold_time = service.cold_ms * _MS + _RESTART_MARGIN
+            self._follower.mark_cold(view, service, now + cold_time)
+        if outcome is AttemptOutcome.answered and report.first_ms:
+            view.usual_ms += _USUAL_WEIGHT * (report.first_ms - view.usual_ms)
+        if view.trust.record(outcome, now):
+            self._recorder.count('target_pauses', outcome)
+            self._recorder.log(
+                EventCode.target_paused,
+                target=view.record.name,
+                address=view.record.address,
+                reason=outcome,
+                pause_ms=(view.trust.paused_until - now) // _MS,
+            )
+
+    def _service(self, name: str) -> Service:
+        return self._follower.services.get(name) or Service(
+            name=name,
+            engine=None,
+        )
+
+    def _budget_of(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RepeatBudget(
+                self._settings.retry_budget_ratio,
+                self._settings.retry_budget_window_ms * _MS,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _list_candidates(
+        self,
+        admission: Admission,
+        excluded: Collection[str],
+        now: timedelta,
+    ) -> list[Candidate]:
+        near = self._settings.availability_zone
+        usable = self.fleet.list_usable(admission.service, now)
+        return [
+            Candidate(view, is_near=view.record.availability_zone == near)
+            for view in usable
+            if view.record.name not in excluded
+            and self._is_home(admission, view)
+        ]
+
+    def _is_home(self, admission: Admission, view: TargetView) -> bool:
+        zone = view.record.availability_zone
+        region = self._settings.region_by_zone.get(zone, '')
+        organisation = admission.organisation
+        homes = [admission.route.regions]
+        if organisation is not None:
+            homes.append(organisation.regions)
+        return all(not regions or region in regions for regions in homes)
+
+    def _start_flights(
+        self,
+        admission: Admission,
+        choice: Choice,
+        work: Work,
+        now: timedelta,
+    ) -> None:
+        attempt_id = admission.facts.attempt_id
+        for view in (choice.target, *choice.helpers):
+            view.flights[attempt_id] = Flight(
+                work,
+                choice.read_ms,
+                now,
+                writes=view is choice.target,
+            )
+            if view.cold_limit is not None:
+                view.cold_limit.record(now)
+
+    def _views_of(self, placement: Placement) -> list[TargetView]:
+        views = [self.fleet.find(placement.target)]
+        views.extend(
+            self.fleet.find_address(address)
+            for address in placement.helper_addresses
+        )
+        return [view for view in views if view is not None]
+
+    def _describe(
+        self,
+        admission: Admission,
+        choice: Choice,
+        candidate_count: int,
+        now: timedelta,
+    ) -> Placement:
+        record = choice.target.record
+        organisation = admission.organisation
+        return Placement(
+            target=record.name,
+            address=record.address,
+            service=record.service,
+            started_ms=record.started_ms,
+            helper_addresses=[each.record.address for each in choice.helpers],
+            organisation=organisation.name if organisation else '',
+            forecast_ms=round(choice.first_ms, 1),
+            candidate_count=candidate_count,
+            configuration_version=self.configuration_version,
+            fleet_revision=self.fleet.revision,
+            source_age_ms=self.fleet.age(now) // _MS,
+        )
+
+    def _refuse_unknown(self, reason: str, now: timedelta) -> NotPlaced:
+        if self.fleet.age(now) > _STALE_AGE:
+            return self._not_placed('configuration_stale', now)
+        return self._not_placed(reason, now)
+
+    def _not_placed(self, reason: str, now: timedelta) -> NotPlaced:
+        retry_after_ms = _RETRY_AFTER_MS
+        if reason in {'no_configuration', 'configuration_stale'}:
+            retry_after_ms = _STALE_RETRY_AFTER_MS
+        return NotPlaced(
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+            configuration_version=self.configuration_version,
+            fleet_revision=self.fleet.revision,
+            source_age_ms=self.fleet.age(now) // _MS,
+        )
+
+
+def _measure(admission: Admission) -> Work:
+    facts = admission.facts
+    expected = facts.expected_output_tokens or facts.output_tokens
+    return Work(
+        prompt_tokens=facts.prompt_tokens,
+        output_tokens=min(expected, facts.output_tokens or expected),
+        gap_ms=admission.route.event_gap_ms,
+        objective_ms=admission.route.objective_ms,
+        weight=1 + facts.prompt_tokens / _WEIGHT_TOKENS,
+    )
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -0,0 +1,265 @@
+"""Targets that an entry may use, by what the source of the fleet says."""
+
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+
+from .._generated.serving import (
+    Service,
+    SourceSnapshot,
+    TargetRecord,
+)
+from .budgets import ColdLimit
+from .flights import Flight
+from .trust import Trust
+
+# Records that lapsed while the source was away are back by then, if at all.
+RETURN_GRACE = timedelta(seconds=2)
+# The source counts as unsteady for so long after it was lost.
+_UNSTEADY_TIME = timedelta(seconds=3)
+_MS = timedelta(milliseconds=1)
+
+
+class TargetView:
+    """What an entry knows of one target.
+
+    :param record: what the target registered.
+    """
+
+    __slots__ = (
+        'cold_limit',
+        'cold_until',
+        'flights',
+        'gone_at',
+        'record',
+        'trust',
+        'usual_ms',
+    )
+
+    def __init__(self, record: TargetRecord) -> None:
+        self.record = record
+        self.trust = Trust()
+        self.flights: dict[str, Flight] = {}
+        self.cold_until = timedelta()
+        self.cold_limit: ColdLimit | None = None
+        self.usual_ms = 0.0
+        self.gone_at: timedelta | None = None
+
+    def is_cold(self, now: timedelta) -> bool:
+        """Tell whether the target bears only a little.
+
+        :param now: time on the monotonic clock.
+        """
+        return now < self.cold_until
+
+    def bears_one(self, now: timedelta) -> bool:
+        """Tell whether a cold target bears one more request of this entry.
+
+        :param now: time on the monotonic clock.
+        """
+        if not self.is_cold(now) or self.cold_limit is None:
+            return True
+        return self.cold_limit.has_room(now)
+
+    def is_listed(self, now: timedelta) -> bool:
+        """Tell whether the target is registered and takes new work.
+
+        :param now: time on the monotonic clock.
+        """
+        if self.record.is_draining:
+            return False
+        return self.gone_at is None or now < self.gone_at
+
+
+class Fleet:
+    """Targets by name, and the availability zones that are evacuated."""
+
+    __slots__ = (
+        '_targets',
+        'confirmed',
+        'evacuated_zones',
+        'lost_at',
+        'regained_at',
+        'revision',
+    )
+
+    def __init__(self) -> None:
+        self._targets: dict[str, TargetView] = {}
+        self.evacuated_zones: set[str] = set()
+        self.revision = 0
+        self.confirmed: timedelta | None = None
+        self.lost_at: timedelta | None = None
+        self.regained_at: timedelta | None = None
+
+    def __iter__(self) -> Iterator[TargetView]:
+        """Return every target that is known."""
+        return iter(self._targets.values())
+
+    def find(self, name: str) -> TargetView | None:
+        """Return a target by its name.
+
+        :param name: name of the target.
+        """
+        return self._targets.get(name)
+
+    def find_address(self, address: str) -> TargetView | None:
+        """Return the target at an address.
+
+        :param address: IP number and port.
+        """
+        for view in self:
+            if view.record.address == address:
+                return view
+        return None
+
+    def list_usable(self, service: str, now: timedelta) -> list[TargetView]:
+        """Return targets of a service that may get new work.
+
+        :param service: name of the service.
+        :param now: time on the monotonic clock.
+        """
+        return [
+            view
+            for view in self
+            if view.record.service == service
+            and view.is_listed(now)
+            and view.record.availability_zone not in self.evacuated_zones
+        ]
+
+    def put(
+        self,
+        record: TargetRecord,
+        service: Service | None,
+        now: timedelta,
+    ) -> TargetView:
+        """Take the record of a target.
+
+        :param record: what it registered.
+        :param service: its service, if the configuration has it.
+        :param now: time on the monotonic clock.
+        """
+        view = self._targets.get(record.name)
+        if view is None or view.record.started_ms != record.started_ms:
+            view = TargetView(record)
+            self._targets[record.name] = view
+        view.record = record
+        view.gone_at = None
+        if record.cold_ms:
+            self.mark_cold(view, service, now + record.cold_ms * _MS)
+        return view
+
+    def mark_cold(
+        self,
+        view: TargetView,
+        service: Service | None,
+        until: timedelta,
+        allowed_per_second: float = 0,
+    ) -> None:
+        """Send little to a target for some time.
+
+        :param view: the target.
+        :param service: its service.
+        :param until: end of the time, on the monotonic clock.
+        :param allowed_per_second: what all entries together may send.
+        """
+        view.cold_until = max(view.cold_until, until)
+        if view.cold_limit is None:
+            view.cold_limit = ColdLimit(allowed_per_second)
+
+    def remove(self, name: str, now: timedelta) -> bool:
+        """Take the removal of a record and tell whether it holds at once.
+
+        :param name: name of the target.
+        :param now: time on the monotonic clock.
+        """
+        view = self._targets.get(name)
+        if view is None:
+            return False
+        if self.is_unsteady(now) and not view.record.is_draining:
+            view.gone_at = self._grace_end(now)
+            return False
+        self._targets.pop(name)
+        return True
+
+    def replace_all(
+        self,
+        snapshot: SourceSnapshot,
+        services: dict[str, Service],
+        now: timedelta,
+    ) -> None:
+        """Take everything that the source holds.
+
+        :param snapshot: targets and evacuated availability zones.
+        :param services: services of the configuration in force.
+        :param now: time on the monotonic clock.
+        """
+        present = {record.name for record in snapshot.targets}
+        for name in tuple(self._targets):
+            if name not in present:
+                self.remove(name, now)
+        for record in snapshot.targets:
+            self.put(record, services.get(record.service), now)
+        self.evacuated_zones = set(snapshot.evacuated_zones)
+
+    def forget_gone(self, now: timedelta) -> list[str]:
+        """Drop targets whose time to return is over and return their names.
+
+        :param now: time on the monotonic clock.
+        """
+        gone = [
+            view.record.name
+            for view in self
+            if view.gone_at is not None and now >= view.gone_at
+        ]
+        for name in gone:
+            self._targets.pop(name)
+        return gone
+
+    def lose_source(self, now: timedelta) -> bool:
+        """Note that the source does not answer; tell whether that is new.
+
+        :param now: time on the monotonic clock.
+        """
+        is_new = self.lost_at is None
+        if is_new:
+            self.lost_at = now
+        return is_new
+
+    def confirm(self, revision: int, now: timedelta) -> bool:
+        """Note an answer of the source; tell whether it was away before.
+
+        :param revision: the source's revision.
+        :param now: time on the monotonic clock.
+        """
+        self.revision = max(self.revision, revision)
+        self.confirmed = now
+        was_lost = self.lost_at is not None
+        if was_lost:
+            self.lost_at = None
+            self.regained_at = now
+        return was_lost
+
+    def is_unsteady(self, now: timedelta) -> bool:
+        """Tell whether the source is away or just came back.
+
+        :param now: time on the monotonic clock.
+        """
+        if self.lost_at is not None:
+            return True
+        return (
+            self.regained_at is not None
+            and now - self.regained_at < _UNSTEADY_TIME
+        )
+
+    def age(self, now: timedelta) -> timedelta:
+        """Return the time since the source last answered.
+
+        :param now: time on the monotonic clock.
+        """
+        return now - self.confirmed if self.confirmed else now
+
+    def list_names(self) -> Iterable[str]:
+        """Return the names of all targets."""
+        return self._targets.keys()
+
+    def _grace_end(self, now: timedelta) -> timedelta:
+        return (self.regained_at or now) + RETURN_GRACE
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/messages.py
@@ -0,0 +1,63 @@
+"""What the task of an attempt tells the task of its request."""
+
+from typing import TypeAlias
+
+from .effects import AnswerHead
+from .trust import AttemptOutcome
+
+
+class AttemptHead:
+    """The head of the answer has arrived.
+
+    :param head: the head.
+    """
+
+    __slots__ = ('head',)
+
+    def __init__(self, head: AnswerHead) -> None:
+        self.head = head
+
+
+class AttemptBytes:
+    """Part of the body has arrived.
+
+    :param content: its bytes.
+    """
+
+    __slots__ = ('content',)
+
+    def __init__(self, content: bytes) -> None:
+        self.content = content
+
+
+class AttemptDone:
+    """The answer is whole."""
+
+    __slots__ = ()
+
+
+class AttemptFailed:
+    """The attempt ended without a whole answer.
+
+    :param outcome: how the target failed.
+    :param is_sent: whether any byte may have reached the target.
+    :param error: what went wrong, with step and peer.
+    """
+
+    __slots__ = ('error', 'is_sent', 'outcome')
+
+    def __init__(
+        self,
+        outcome: AttemptOutcome,
+        *,
+        is_sent: bool,
+        error: str,
+    ) -> None:
+        self.outcome = outcome
+        self.is_sent = is_sent
+        self.error = error
+
+
+AttemptMessage: TypeAlias = (
+    AttemptBytes | AttemptDone | AttemptFailed | AttemptHead
+)
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/placement.py
@@ -0,0 +1,273 @@
+"""Choice of the targets that get an attempt."""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Protocol
+
+from .._generated.serving import EngineCosts, Service
+from ..types import RandomSource
+from .fleet import TargetView
+from .flights import EngineLoad, Work, late_share
+
+# Part counts that are weighed for a long prompt.
+_PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
+# Shorter parts cost more in waiting for the slowest than they save.
+_SHORTEST_PART_TOKENS = 8000
+_FAILURE_PENALTY = 1.5
+_PAUSED_PENALTY = 1000.0
+_COLD_PENALTY = 0.5
+# What the load of other entries may cost on a target of another zone.
+_DISTANCE_PENALTY = 0.08
+_FULL_PENALTY = 2.0
+_TIME_WEIGHT = 0.1
+# Answers that are kept together on one engine, so that others stay free.
+_PACKED_COUNT = 4
+_PACKING_BONUS = 0.06
+_SHORT_READ_MS = 50
+_HELPER_PENALTY = 0.01
+
+
+class Candidate:
+    """A target that may get an attempt, or a part of one.
+
+    :param view: the target.
+    :param is_near: whether it is in the entry's availability zone.
+    """
+
+    __slots__ = ('is_near', 'view')
+
+    def __init__(self, view: TargetView, *, is_near: bool) -> None:
+        self.view = view
+        self.is_near = is_near
+
+    def base_cost(self, now: timedelta) -> float:
+        """Return what speaks against the target for any request.
+
+        :param now: time on the monotonic clock.
+        """
+        trust = self.view.trust
+        cost = trust.failure_share(now) * _FAILURE_PENALTY
+        if trust.is_paused(now):
+            cost += _PAUSED_PENALTY
+        if self.view.is_cold(now):
+            cost += _COLD_PENALTY
+        if not self.is_near:
+            cost += _DISTANCE_PENALTY
+        return cost
+
+
+class Choice:
+    """Targets of one attempt.
+
+    :param target: the target that gets the request.
+    :param helpers: engines that read parts of its prompt besides.
+    :param first_ms: when the first byte of the answer is due.
+    :param read_ms: time of reading at each of them.
+    """
+
+    __slots__ = ('first_ms', 'helpers', 'read_ms', 'target')
+
+    def __init__(
+        self,
+        target: TargetView,
+        helpers: Sequence[TargetView] = (),
+        first_ms: float = 0,
+        read_ms: float = 0,
+    ) -> None:
+        self.target = target
+        self.helpers = helpers
+        self.first_ms = first_ms
+        self.read_ms = read_ms
+
+
+class TargetChoice(Protocol):
+    """Policy that chooses targets for an attempt."""
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        service: Service,
+        work: Work,
+        now: timedelta,
+    ) -> Choice:
+        """Return the targets of an attempt.
+
+        :param candidates: targets that may take it, never empty.
+        :param service: their service.
+        :param work: the request.
+        :param now: time on the monotonic clock.
+        """
+
+
+class FewestFlights:
+    """For plain services: the target with the fewest attempts in flight.
+
+    :param random: breaks ties.
+    """
+
+    __slots__ = ('_random',)
+
+    def __init__(self, random: RandomSource) -> None:
+        self._random = random
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        service: Service,
+        work: Work,
+        now: timedelta,
+    ) -> Choice:
+        """Return the candidate that is probably the fastest."""
+
+        def cost(candidate: Candidate) -> tuple[float, float]:
+            view = candidate.view
+            waiting = len(view.flights) / max(view.record.slots, 1)
+            slow = view.usual_ms / max(work.objective_ms, 1)
+            return candidate.base_cost(now) + waiting + slow, (
+                self._random.random()
+            )
+
+        best = min(candidates, key=cost).view
+        return Choice(best, first_ms=best.usual_ms)
+
+
+class LeastHarm:
+    """For engines: where an attempt and what runs there lose least.
+
+    :param random: breaks ties.
+    """
+
+    __slots__ = ('_random',)
+
+    def __init__(self, random: RandomSource) -> None:
+        self._random = random
+
+    def choose(
+        self,
+        candidates: Sequence[Candidate],
+        service: Service,
+        work: Work,
+        now: timedelta,
+    ) -> Choice:
+        """Return the targets with the lowest expected loss."""
+        costs = service.engine
+        if costs is None:
+            return Choice(candidates[0].view)
+        engines = [
+            _Engine(each, costs, now, self._random) for each in candidates
+        ]
+        plans = [
+            _plan(engines, work, costs, count)
+            for count in _PART_COUNTS
+            if _is_sensible(count, len(engines), work)
+        ]
+        best = min(plans, key=_cost_of)
+        return best.choice
+
+
+class _Engine:
+    __slots__ = ('base_cost', 'load', 'tie', 'view')
+
+    def __init__(
+        self,
+        candidate: Candidate,
+        costs: EngineCosts,
+        now: timedelta,
+        random: RandomSource,
+    ) -> None:
+        self.view = candidate.view
+        self.load = EngineLoad(costs, candidate.view.flights.values(), now)
+        self.base_cost = candidate.base_cost(now)
+        self.tie = random.random()
+
+    def part_cost(self, read_ms: float) -> tuple[float, float]:
+        """Return the cost of reading a part here, and a tie breaker."""
+        wait = self.load.reading_ms / _CERTAIN_WAIT_MS
+        return self.base_cost + self.load.harm(read_ms) + wait, self.tie
+
+    def writing_cost(
+        self,
+        work: Work,
+        read_ms: float,
+        costs: EngineCosts,
+    ) -> float:
+        """Return what speaks against writing the answer here."""
+        cost = 0.0
+        tokens = work.prompt_tokens + work.output_tokens
+        if self.load.held_tokens + tokens > costs.memory_tokens:
+            cost += _FULL_PENALTY * work.weight
+        if self.load.flight_count >= costs.slots:
+            cost += _FULL_PENALTY * work.weight
+        if read_ms <= _SHORT_READ_MS:
+            cost -= _PACKING_BONUS * _packing(self.load.flight_count)
+        # The newcomer suffers from what is read here already.
+        pause = late_share(self.load.pause_ms(0), work.gap_ms)
+        return cost + work.weight * pause
+
+
+class _Plan:
+    __slots__ = ('choice', 'cost')
+
+    def __init__(self, choice: Choice, cost: float) -> None:
+        self.choice = choice
+        self.cost = cost
+
+
+_CERTAIN_WAIT_MS = 1000.0
+
+
+def _plan(
+    engines: Sequence[_Engine],
+    work: Work,
+    costs: EngineCosts,
+    part_count: int,
+) -> _Plan:
+    read_ms = work.read_ms(costs, part_count)
+
+    def total(engine: _Engine) -> tuple[float, float]:
+        cost, tie = engine.part_cost(read_ms)
+        return cost + engine.writing_cost(work, read_ms, costs), tie
+
+    def part(engine: _Engine) -> tuple[float, float]:
+        return engine.part_cost(read_ms)
+
+    first = min(engines, key=total)
+    others = [engine for engine in engines if engine is not first]
+    helpers = sorted(others, key=part)[: part_count - 1]
+    readers = (first, *helpers)
+    first_ms = max(engine.load.first_ms(work, read_ms) for engine in readers)
+    lost = work.weight * (
+        late_share(first_ms, work.objective_ms)
+        + _TIME_WEIGHT * first_ms / max(work.objective_ms, 1)
+    )
+    cost = (
+        lost
+        + total(first)[0]
+        + sum(part(engine)[0] + _HELPER_PENALTY for engine in helpers)
+    )
+    return _Plan(
+        Choice(
+            first.view,
+            tuple(engine.view for engine in helpers),
+            first_ms,
+            read_ms,
+        ),
+        cost,
+    )
+
+
+def _is_sensible(part_count: int, engine_count: int, work: Work) -> bool:
+    if part_count == 1:
+        return True
+    part_tokens = work.prompt_tokens / part_count
+    return part_count <= engine_count and part_tokens >= _SHORTEST_PART_TOKENS
+
+
+def _packing(flight_count: int) -> int:
+    if flight_count >= _PACKED_COUNT:
+        return _PACKED_COUNT - flight_count
+    return flight_count
+
+
+def _cost_of(plan: _Plan) -> float:
+    return plan.cost
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/routes.py
@@ -0,0 +1,85 @@
+"""Routes, credentials and services of the configuration in force."""
+
+from .._generated.serving import (
+    Organisation,
+    Route,
+    Service,
+    ServingConfiguration,
+)
+from ..types import RandomSource
+
+_SLASH = '/'
+
+
+class RouteTable:
+    """Lookups in one configuration.
+
+    :param configuration: what operators published.
+    """
+
+    __slots__ = (
+        '_organisations',
+        '_routes',
+        'configuration',
+        'services',
+    )
+
+    def __init__(self, configuration: ServingConfiguration) -> None:
+        self.configuration = configuration
+        self.services: dict[str, Service] = {
+            service.name: service for service in configuration.services
+        }
+        self._organisations = {
+            credential: organisation
+            for organisation in configuration.organisations
+            for credential in organisation.credentials
+        }
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            host_routes = self._routes.setdefault(route.host_name.lower(), {})
+            host_routes[route.path_prefix] = route
+
+    @property
+    def needs_credentials(self) -> bool:
+        """Tell whether routes that are not public ask for a credential."""
+        return bool(self.configuration.organisations)
+
+    def find(self, host_name: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path.
+
+        :param host_name: the request's host, perhaps with a port.
+        :param path: the request's path, perhaps with a query.
+        """
+        host_routes = self._routes.get(host_name.partition(':')[0].lower())
+        if not host_routes:
+            return None
+        prefix = path.partition('?')[0]
+        end = prefix.rfind(_SLASH)
+        while end >= 0:
+            route = host_routes.get(prefix[: end + 1])
+            if route is not None:
+                return route
+            end = prefix.rfind(_SLASH, 0, end)
+        return None
+
+    def authenticate(self, credential: str) -> Organisation | None:
+        """Return the organisation that holds a credential.
+
+        :param credential: what the caller presented.
+        """
+        return self._organisations.get(credential)
+
+
+def choose_service(route: Route, random: RandomSource) -> str:
+    """Return a service of the route, each as often as its weight says.
+
+    :param route: the route of a request.
+    :param random: source of random choices.
+    """
+    total = sum(share.weight for share in route.shares)
+    point = random.random() * total
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service if route.shares else ''
--- /dev/null
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -0,0 +1,299 @@
+"""The task side of one request, between its caller and its targets."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, TypeAlias
+
+from buckthornpond_core.journal import EventCode
+from buckthornpond_core.serving.effects import (
+    AskPlacement,
+    BreakOff,
+    ExchangeEffect,
+    NoteFirstByte,
+    ReportAttempt,
+    SendEnd,
+    SendEvents,
+    SendHead,
+    SendRefusal,
+    SendWhole,
+    StartAttempt,
+    StopAttempt,
+)
+from buckthornpond_core.serving.exchange import Exchange
+from buckthornpond_core.serving.messages import AttemptBytes, AttemptFailed
+from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.logs import log_event
+from buckthornpond_runtime.tasks import Mailbox
+
+from .attempts import AttemptTask, FromAttempt
+from .dispatch import (
+    AskTarget,
+    DispatchReply,
+    Ended,
+    FirstByte,
+    Placed,
+    Returned,
+)
+from .front import Front
+from .readers import BadRequest, CallerLeft
+from .requests import CallerRequest
+from .writers import AnswerWriter
+
+_SHORTEST_WAIT_SECONDS = 0.001
+_KIND_STREAM = 'stream'
+_KIND_WHOLE = 'whole'
+_STREAM_STATUS = 200
+
+CallerMessage: TypeAlias = (
+    BadRequest | CallerLeft | CallerRequest | DispatchReply | FromAttempt
+)
+
+
+class ExchangeRun:
+    """Carries out what an exchange decides.
+
+    :param exchange: the decisions.
+    :param request: the caller's request.
+    :param writer: takes the answer.
+    :param front: what all callers share.
+    :param mailbox: where all news of the request arrives.
+    """
+
+    __slots__ = (
+        '_actions',
+        '_attempt',
+        '_attempt_count',
+        '_exchange',
+        '_front',
+        '_idle_connection',
+        '_left',
+        '_mailbox',
+        '_request',
+        '_writer',
+        'set_aside',
+    )
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        *,
+        writer: AnswerWriter,
+        front: Front,
+        mailbox: Mailbox[CallerMessage],
+    ) -> None:
+        self._exchange = exchange
+        self._request = request
+        self._writer = writer
+        self._front = front
+        self._mailbox = mailbox
+        self._attempt: AttemptTask | None = None
+        self._attempt_count = 0
+        self._idle_connection: HttpConnection | None = None
+        self._left: CallerLeft | None = None
+        # Messages of the reader that concern what comes afterwards.
+        self.set_aside: list[BadRequest | CallerLeft | CallerRequest] = []
+        self._actions: dict[type, Callable[[Any], None]] = {
+            AskPlacement: self._ask,
+            BreakOff: self._break_off,
+            NoteFirstByte: self._note_first_byte,
+            ReportAttempt: self._report,
+            SendEnd: self._send_end,
+            SendEvents: self._send_events,
+            SendHead: self._send_head,
+            SendRefusal: self._send_refusal,
+            SendWhole: self._send_whole,
+            StartAttempt: self._start,
+            StopAttempt: self._stop,
+        }
+
+    def run(self, arrival: timedelta) -> None:
+        """Serve the request to its end.
+
+        :param arrival: when it was read, on the monotonic clock.
+        """
+        exchange = self._exchange
+        clock = self._front.clock
+        self._apply(exchange.start())
+        while not exchange.is_done or exchange.is_asking:
+            message = self._mailbox.receive(self._wait_seconds())
+            now = clock.monotonic()
+            if message is not None:
+                self._apply(self._handle(message, now))
+            if message is None or now >= exchange.deadline:
+                self._apply(exchange.tick(now))
+            self._watch_writer(now)
+        kind = _KIND_STREAM if exchange.is_started else _KIND_WHOLE
+        self._front.metrics.observe(
+            'request_time',
+            kind,
+            clock.monotonic() - arrival,
+        )
+
+    def _wait_seconds(self) -> float | None:
+        if self._exchange.is_done:
+            # Only the dispatcher's answer is outstanding.
+            return None
+        wait = self._exchange.wake_at - self._front.clock.monotonic()
+        return max(wait.total_seconds(), _SHORTEST_WAIT_SECONDS)
+
+    def _handle(
+        self,
+        message: CallerMessage,
+        now: timedelta,
+    ) -> list[ExchangeEffect]:
+        if isinstance(message, Placed):
+            return self._take_placement(message, now)
+        if isinstance(message, FromAttempt):
+            return self._hear(message, now)
+        if isinstance(message, (BadRequest, CallerLeft, CallerRequest)):
+            self.set_aside.append(message)
+        if isinstance(message, CallerLeft):
+            return self._leave(message, now)
+        return []
+
+    def _take_placement(
+        self,
+        message: Placed,
+        now: timedelta,
+    ) -> list[ExchangeEffect]:
+        self._idle_connection = message.connection
+        effects = self._exchange.take_placement(message.found, now)
+        if self._exchange.is_done and message.connection is not None:
+            message.connection.close()
+        return effects
+
+    def _hear(
+        self,
+        message: FromAttempt,
+        now: timedelta,
+    ) -> list[ExchangeEffect]:
+        if self._attempt is None or message.number != self._attempt_count:
+            return []
+        if isinstance(message.message, AttemptBytes):
+            self._attempt.take_part()
+        elif isinstance(message.message, AttemptFailed):
+            self._front.metrics.count(
+                'failed_attempts',
+                message.message.outcome,
+            )
+        return self._exchange.take(message.message, now)
+
+    def _watch_writer(self, now: timedelta) -> None:
+        if self._writer.error and self._left is None:
+            self._apply(self._leave(CallerLeft(self._writer.error), now))
+
+    def _leave(
+        self,
+        message: CallerLeft,
+        now: timedelta,
+    ) -> list[ExchangeEffect]:
+        self._left = message
+        if not self._exchange.is_done:
+            self._front.metrics.count('hangups', message.code)
+            self._log(EventCode.request_left, reason=message.reason)
+        return self._exchange.leave(now)
+
+    def _apply(self, effects: list[ExchangeEffect]) -> None:
+        for effect in effects:
+            self._actions[type(effect)](effect)
+
+    @property
+    def _attempt_id(self) -> str:
+        return self._exchange.admission.facts.attempt_id
+
+    @property
+    def _time_left(self) -> timedelta:
+        return self._exchange.deadline - self._front.clock.monotonic()
+
+    def _ask(self, effect: AskPlacement) -> None:
+        admission = self._exchange.admission
+        self._front.dispatch.mailbox.send(
+            AskTarget(admission, effect, self._mailbox),
+        )
+
+    def _start(self, effect: StartAttempt) -> None:
+        self._attempt_count += 1
+        connection = self._idle_connection
+        self._idle_connection = None
+        self._attempt = AttemptTask(
+            self._attempt_count,
+            self._request,
+            effect,
+            codec=self._front.codec,
+            connection=connection,
+            inbox=self._mailbox,
+        )
+
+    def _stop(self, effect: StopAttempt) -> None:
+        if self._attempt is not None:
+            self._attempt.stop()
+
+    def _note_first_byte(self, effect: NoteFirstByte) -> None:
+        self._front.dispatch.mailbox.send(
+            FirstByte(self._attempt_id, effect.placement),
+        )
+
+    def _report(self, effect: ReportAttempt) -> None:
+        dispatch = self._front.dispatch.mailbox
+        dispatch.send(
+            Ended(self._attempt_id, effect.placement, effect.report),
+        )
+        attempt = self._attempt
+        self._attempt = None
+        if attempt is None:
+            return
+        if attempt.kept is None:
+            attempt.stop()
+        else:
+            dispatch.send(Returned(attempt.kept))
+
+    def _send_head(self, effect: SendHead) -> None:
+        self._writer.start_stream(effect.head, self._time_left)
+
+    def _send_events(self, effect: SendEvents) -> None:
+        self._writer.send_events(effect.events, self._time_left)
+
+    def _send_whole(self, effect: SendWhole) -> None:
+        facts = effect.head.facts
+        self._count_answer(facts.status_code)
+        self._writer.send_whole(
+            facts.status_code,
+            effect.head.fields,
+            effect.body,
+            self._time_left,
+        )
+
+    def _send_end(self, effect: SendEnd) -> None:
+        self._count_answer(_STREAM_STATUS)
+        self._writer.end_stream(self._time_left)
+
+    def _send_refusal(self, effect: SendRefusal) -> None:
+        self._log(EventCode.request_refused, reason=effect.reason)
+        self._writer.refuse(
+            effect.reason,
+            effect.retry_after_ms,
+            self._attempt_id,
+        )
+
+    def _break_off(self, effect: BreakOff) -> None:
+        self._log(EventCode.request_cut, reason=effect.reason)
+        self._front.metrics.count('cut_answers', effect.reason)
+        self._writer.is_open = False
+
+    def _count_answer(self, status_code: int) -> None:
+        self._log(EventCode.request_answered, status=status_code)
+        self._front.metrics.count('requests', f'{status_code}')
+
+    def _log(self, code: EventCode, **fields: object) -> None:
+        admission = self._exchange.admission
+        log_event(
+            code,
+            request=admission.facts.attempt_id,
+            route=admission.route.name,
+            service=admission.service,
+            prompt_tokens=admission.facts.prompt_tokens,
+            first_ms=self._exchange.first_ms,
+            attempts=self._exchange.history,
+            **fields,
+        )
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -1,5 +1,6 @@
-"""HTTP calls over one connection each, never repeated by the client."""
+"""HTTP connections and calls, never repeated by the client."""
 
+import select
 import socket as standard_socket
 from datetime import timedelta
 
@@ -16,6 +17,132 @@
 _HIGHEST_STATUS = 599
 
 
+class HttpConnection:
+    """One connection to a server, owned by one task at a time.
+
+    :param address: IP number and port of the server.
+    """
+
+    __slots__ = (
+        '_socket',
+        '_unyielded_bytes',
+        'address',
+        'call_count',
+        'idle_since',
+        'idle_limit',
+    )
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.call_count = 0
+        self.idle_since = timedelta()
+        self.idle_limit = timedelta()
+        self._socket: socket.socket | None = None
+        self._unyielded_bytes = 0
+
+    def connect(self, timeout: timedelta) -> None:
+        """Open the connection.
+
+        :param timeout: longest wait for the server.
+        :raises TargetError: when it does not accept.
+        """
+        host, port = self.address.rsplit(':', 1)
+        # An IP number needs no resolver, which would take a thread.
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection.settimeout(timeout.total_seconds())
+        try:
+            connection.connect((host, int(port)))
+        except OSError as error:
+            connection.close()
+            raise self.fail(str(error), 'connect', is_sent=False) from error
+        connection.setsockopt(
+            standard_socket.IPPROTO_TCP,
+            standard_socket.TCP_NODELAY,
+            1,
+        )
+        self._socket = connection
+
+    def set_timeout(self, timeout: timedelta) -> None:
+        """Bound each wait for the server from now on.
+
+        :param timeout: longest silence of the server.
+        """
+        if self._socket is not None:
+            self._socket.settimeout(timeout.total_seconds())
+
+    def is_usable(self) -> bool:
+        """Tell whether an idle connection is open and nothing came on it."""
+        if self._socket is None:
+            return False
+        poller = select.poll()
+        poller.register(self._socket.fileno(), select.POLLIN)
+        # Readable means bytes of no answer, or the end of the connection.
+        return not poller.poll(0)
+
+    def send(self, content: bytes) -> None:
+        """Send bytes.
+
+        :param content: what to send.
+        :raises TargetError: when the server does not take them.
+        """
+        if self._socket is None:
+            raise self.fail('not connected', 'send')
+        try:
+            self._socket.sendall(content)
+        except OSError as error:
+            raise self.fail(str(error) or repr(error), 'send') from error
+
+    def receive(self, response: HttpResponse, step: str) -> None:
+        """Feed a response with what the server sends next.
+
+        :param response: takes the bytes.
+        :param step: what the caller is doing, for errors.
+        :raises TargetError: when the connection breaks or the bytes are not
+            HTTP.
+        """
+        if self._socket is None:
+            raise self.fail('not connected', step)
+        try:
+            received = self._socket.recv(_READ_BYTES)
+            response.feed(received)
+        except (OSError, BuckthornpondError) as error:
+            raise self.fail(str(error) or repr(error), step) from error
+        self._yield_turn(len(received))
+
+    def close(self) -> None:
+        """Close the connection, which cancels an unfinished call."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def fail(
+        self,
+        message: str,
+        step: str,
+        *,
+        is_sent: bool = True,
+    ) -> TargetError:
+        """Return the error of a call on this connection.
+
+        :param message: what went wrong.
+        :param step: what was being done.
+        :param is_sent: whether the server may have got a byte.
+        """
+        return TargetError(
+            message,
+            step=step,
+            peer=self.address,
+            is_sent=is_sent,
+        )
+
+    def _yield_turn(self, length_bytes: int) -> None:
+        # A socket that is always readable would never let others run.
+        self._unyielded_bytes += length_bytes
+        if self._unyielded_bytes >= _READ_BYTES:
+            self._unyielded_bytes = 0
+            sleep(0)
+
+
 class HttpCall:
     """One HTTP request on a connection of its own.
 
@@ -28,19 +155,17 @@
 
     __slots__ = (
         '_address',
+        '_connection',
         '_response',
-        '_socket',
         '_timeout',
-        '_unyielded_bytes',
         'is_sent',
     )
 
     def __init__(self, address: str, timeout: timedelta) -> None:
         self._address = address
         self._timeout = timeout
-        self._socket: socket.socket | None = None
+        self._connection = HttpConnection(address)
         self._response: HttpResponse | None = None
-        self._unyielded_bytes = 0
         self.is_sent = False
 
     @property
@@ -84,15 +209,12 @@
         :raises TargetError: when there is no valid head.
         """
         head = self._render_head(method, path, len(body), headers)
-        connection = self._connect()
+        self._connection.connect(self._timeout)
         response = HttpResponse(method)
         self.is_sent = True
-        try:
-            connection.sendall(head + body)
-        except OSError as error:
-            raise self._fail(str(error) or repr(error), 'send') from error
+        self._connection.send(head + body)
         while not response.is_head_complete:
-            self._receive(response, 'send')
+            self._connection.receive(response, 'send')
         if not _LOWEST_STATUS <= response.status_code <= _HIGHEST_STATUS:
             raise self._fail('status out of range', 'send')
         self._response = response
@@ -111,7 +233,7 @@
             found = response.take_events(limit_bytes)
             if found or response.is_complete:
                 return found
-            self._receive(response, 'read')
+            self._connection.receive(response, 'read')
 
     def read_block(self, length_bytes: int) -> bytes:
         """Return the next bytes of the body, or nothing at the end.
@@ -120,48 +242,12 @@
         """
         response = self.response
         while not response.holds(length_bytes):
-            self._receive(response, 'read')
+            self._connection.receive(response, 'read')
         return response.take(length_bytes)
 
     def close(self) -> None:
         """Close the connection, which cancels an unfinished call."""
-        if self._socket is not None:
-            self._socket.close()
-
-    def _connect(self) -> socket.socket:
-        host, port = self._address.rsplit(':', 1)
-        # An IP number needs no resolver, which would take a thread.
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        connection.settimeout(self._timeout.total_seconds())
-        try:
-            connection.connect((host, int(port)))
-        except OSError as error:
-            connection.close()
-            raise self._fail(str(error), 'connect') from error
-        connection.setsockopt(
-            standard_socket.IPPROTO_TCP,
-            standard_socket.TCP_NODELAY,
-            1,
-        )
-        self._socket = connection
-        return connection
-
-    def _receive(self, response: HttpResponse, step: str) -> None:
-        if self._socket is None:
-            raise self._fail('not connected', step)
-        try:
-            received = self._socket.recv(_READ_BYTES)
-            response.feed(received)
-        except (OSError, BuckthornpondError) as error:
-            raise self._fail(str(error) or repr(error), step) from error
-        self._yield_turn(len(received))
-
-    def _yield_turn(self, length_bytes: int) -> None:
-        # A socket that is always readable would never let others run.
-        self._unyielded_bytes += length_bytes
-        if self._unyielded_bytes >= _READ_BYTES:
-            self._unyielded_bytes = 0
-            sleep(0)
+        self._connection.close()
 
     def _render_head(
         self,
--- a/packages/runtime/src/buckthornpond_runtime/logs.py
+++ b/packages/runtime/src/buckthornpond_runtime/logs.py
@@ -1,15 +1,169 @@
-"""Numbered log events."""
+"""Numbered log events as JSON lines on standard output."""
 
+import os
 import sys
+from collections import deque
+from typing import Protocol
 
 import eliot
+import gevent
+from gevent.event import Event
+from gevent.socket import wait_write
 
 from buckthornpond_core.journal import EventCode
 
+_BUFFER_BYTES = 262_144
+_WRITE_BYTES = 65_536
+# Lines are written together, so that a busy process writes a few times a
+# second.
+_PAUSE_SECONDS = 0.1
+_DROPPED_REASON = 'buffer_full'
 
-def start_logging() -> None:
-    """Write events to the standard error stream as JSON lines."""
-    eliot.to_file(sys.stderr)
+
+class DropCounter(Protocol):
+    """Receiver of the number of lines that were dropped."""
+
+    def add(self, name: str, reason: str, amount: int) -> None:
+        """Add an amount to a counter."""
+
+
+class LineBuffer:
+    """Lines that wait to be written, a bounded number of bytes.
+
+    :param limit_bytes: the most bytes that wait.
+    """
+
+    __slots__ = ('_held_bytes', '_limit_bytes', '_lines', 'dropped', 'filled')
+
+    def __init__(self, limit_bytes: int = _BUFFER_BYTES) -> None:
+        self._limit_bytes = limit_bytes
+        self._lines: deque[bytes] = deque()
+        self._held_bytes = 0
+        self.dropped = 0
+        self.filled = Event()
+
+    # eliot writes to anything with these two methods.
+
+    def write(self, line: bytes) -> None:
+        """Add a line, or count it as dropped.
+
+        :param line: JSON with its line break.
+        """
+        if self._held_bytes + len(line) > self._limit_bytes:
+            self.dropped += 1
+            return
+        if line:
+            self._held_bytes += len(line)
+            self._lines.append(line)
+            self.filled.set()
+
+    def flush(self) -> None:
+        """Leave the lines to the task that writes them."""
+
+    def take(self) -> bytes:
+        """Return lines to write next, or nothing."""
+        taken = []
+        size_bytes = 0
+        while self._lines and size_bytes < _WRITE_BYTES:
+            line = self._lines.popleft()
+            size_bytes += len(line)
+            taken.append(line)
+        self._held_bytes -= size_bytes
+        if not self._lines:
+            self.filled.clear()
+        return b''.join(taken)
+
+    def take_dropped(self) -> int:
+        """Return the number of lines dropped since the last call."""
+        dropped = self.dropped
+        self.dropped = 0
+        return dropped
+
+
+class LogTask:
+    """Owns the output for log lines; a slow reader never delays the others.
+
+    :param lines: what is to be written.
+    :param descriptor: file descriptor of the output.
+    """
+
+    __slots__ = ('_descriptor', '_lines', 'drops')
+
+    def __init__(self, lines: LineBuffer, descriptor: int) -> None:
+        self._lines = lines
+        self._descriptor = descriptor
+        # Counts what was dropped, once the process has counters.
+        self.drops: DropCounter | None = None
+
+    def run(self) -> None:
+        """Write lines until the process ends."""
+        while True:
+            self._lines.filled.wait()
+            gevent.sleep(_PAUSE_SECONDS)
+            while True:
+                content = self._lines.take()
+                if not content:
+                    break
+                self._write(content)
+            self._report_drops()
+
+    def flush(self) -> None:
+        """Write what can be written without waiting."""
+        try:
+            while True:
+                content = self._lines.take()
+                if not content:
+                    break
+                os.write(self._descriptor, content)
+        except OSError:
+            # Nobody reads; the process is about to end.
+            return
+
+    def _write(self, content: bytes) -> None:
+        while content:
+            try:
+                written = os.write(self._descriptor, content)
+            except BlockingIOError:
+                wait_write(self._descriptor)
+            except OSError:
+                # The reader has gone, and with it the place to tell so.
+                return
+            else:
+                content = content[written:]
+
+    def _report_drops(self) -> None:
+        dropped = self._lines.take_dropped()
+        if not dropped:
+            return
+        if self.drops is not None:
+            self.drops.add('log_lines_dropped', _DROPPED_REASON, dropped)
+        log_event(
+            EventCode.log_lines_dropped,
+            reason=_DROPPED_REASON,
+            line_count=dropped,
+        )
+
+
+_STDOUT_DESCRIPTOR = 1
+_LINES = LineBuffer()
+_TASK = LogTask(_LINES, _STDOUT_DESCRIPTOR)
+
+
+def start_logging(drops: DropCounter | None = None) -> None:
+    """Write events to standard output as JSON lines.
+
+    :param drops: counts lines that nobody read in time.
+    """
+    sys.stdout.flush()
+    os.set_blocking(_STDOUT_DESCRIPTOR, False)
+    _TASK.drops = drops
+    eliot.to_file(_LINES)
+    gevent.spawn(_TASK.run)
+
+
+def flush_logs() -> None:
+    """Write what waits, before the process ends."""
+    _TASK.flush()
 
 
 def log_event(code: EventCode, **fields: object) -> None:
--- a/packages/runtime/src/buckthornpond_runtime/processes.py
+++ b/packages/runtime/src/buckthornpond_runtime/processes.py
@@ -10,7 +10,7 @@
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.types import Clock
 
-from .logs import log_event
+from .logs import flush_logs, log_event
 
 _POLL_SECONDS = 0.05
 _GRACE_SECONDS = 0.3
@@ -79,4 +79,5 @@
         end_all()
     gevent.sleep(_GRACE_SECONDS)
     log_event(EventCode.process_stopped)
+    flush_logs()
     os._exit(0)
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -39,8 +39,11 @@
         '_head_bytes',
         '_method',
         '_parser',
+        'fields',
+        'has_extra',
         'is_complete',
         'is_head_complete',
+        'keeps_alive',
         'status_code',
     )
 
@@ -48,6 +51,10 @@
         self.status_code = 0
         self.is_head_complete = False
         self.is_complete = False
+        # Whether bytes came that belong to no answer.
+        self.has_extra = False
+        self.keeps_alive = False
+        self.fields: list[tuple[str, str]] = []
         self._method = method
         self._fields: dict[str, str] = {}
         self._head_bytes = 0
@@ -127,16 +134,24 @@
 
     def on_message_begin(self) -> None:
         """Begin a response, perhaps after an interim one."""
+        if self.is_complete:
+            self.has_extra = True
+            return
         self._fields.clear()
+        self.fields.clear()
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Keep a header field."""
-        self._fields[name.decode('latin-1').lower()] = field.decode('latin-1')
+        if self.has_extra:
+            return
+        text = field.decode('latin-1')
+        self._fields[name.decode('latin-1').lower()] = text
+        self.fields.append((name.decode('latin-1'), text))
 
     def on_headers_complete(self) -> None:
         """Take the status of a response that is not interim."""
         status_code = self._parser.get_status_code()
-        if status_code < _CONTINUE_LIMIT:
+        if status_code < _CONTINUE_LIMIT or self.has_extra:
             return
         self.status_code = status_code
         self.is_head_complete = True
@@ -144,11 +159,14 @@
 
     def on_body(self, part: bytes) -> None:
         """Keep a part of the body."""
-        self._body += part
+        if not self.has_extra:
+            self._body += part
 
     def on_message_complete(self) -> None:
         """Note the end of a response that is not interim."""
-        self.is_complete = self.is_head_complete
+        if self.is_head_complete and not self.is_complete:
+            self.is_complete = True
+            self.keeps_alive = self._parser.should_keep_alive()
 
     @property
     def _is_bodiless(self) -> bool:
@@ -166,5 +184,6 @@
             self._parser.feed_data(received)
         except (HttpParserError, HttpParserUpgrade) as error:
             # Bytes after a whole response belong to nobody.
+            self.has_extra = True
             if not self.is_complete:
                 raise MalformedResponseError(str(error)) from error
--- a/packages/runtime/src/buckthornpond_runtime/tasks.py
+++ b/packages/runtime/src/buckthornpond_runtime/tasks.py
@@ -9,7 +9,7 @@
 
 from buckthornpond_core.journal import EventCode
 
-from .logs import log_event
+from .logs import flush_logs, log_event
 
 MessageT = TypeVar('MessageT')
 PostedT = TypeVar('PostedT', contravariant=True)
@@ -123,4 +123,5 @@
         task=greenlet.name,
         error=repr(greenlet.exception),
     )
+    flush_logs()
     os._exit(_EXIT_CRASHED)
