Tell other entries of the load at each target by datagrams

Change: an entry sends what it has at each target that changed, 20 ms after the first change, and everything once a second, to the entries it knows; seeds make the first contact and members are passed on. Hints are lost and stale at times, expire after 3 s, and only placement reads them.

Ruled out: sockets of the message library (30 connections and a thread an entry for what may be lost anyway); /report of each target (priced, 200 ms old); each entry with targets of its own (2.5 an entry on the grown site).

--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -475,3 +475,15 @@
             ge=0,
         ),
     ] = 5
+    hint_address: Annotated[
+        str,
+        Meta(
+            description='Where load hints of other entries arrive, empty for none.'
+        ),
+    ] = ''
+    peer_addresses: Annotated[
+        list[str],
+        Meta(
+            description='Entries that a fresh one tells of itself; they may be gone.'
+        ),
+    ] = field(default_factory=list)
--- a/packages/core/src/buckthornpond_core/serving/__init__.py
+++ b/packages/core/src/buckthornpond_core/serving/__init__.py
@@ -8,6 +8,7 @@
 ``trust``       which targets fail too often
 ``budgets``     how many repeats, and requests to cold targets, are allowed
 ``flights``     what an engine is doing, and what a request would cost there
+``peers``       what other entries do at the targets
 ``placement``   which target gets an attempt
 ``following``   what the source of the fleet changes
 ``dispatcher``  all of the above for one entry
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -19,6 +19,7 @@
 from .fleet import TargetView
 from .flights import Flight, Work
 from .following import FleetChange, FleetFollower
+from .peers import LoadExchange
 from .placement import (
     Candidate,
     Choice,
@@ -40,6 +41,7 @@
 _WEIGHT_TOKENS = 10_000
 _HIGHEST_PRIORITY = 0
 _LOWEST_PRIORITY = 9
+_INCARNATIONS = 2**52
 _RESTART_MARGIN = timedelta(seconds=1)
 
 
@@ -82,6 +84,7 @@
         '_random',
         '_recorder',
         '_settings',
+        'exchange',
         'fleet',
     )
 
@@ -97,6 +100,11 @@
         self._random = random
         self._recorder = recorder
         self._budgets: dict[str, RepeatBudget] = {}
+        self.exchange = LoadExchange(
+            settings.hint_address,
+            int(random.random() * _INCARNATIONS),
+            settings.peer_addresses,
+        )
         self._choices: tuple[TargetChoice, TargetChoice] = (
             FewestFlights(random),
             LeastHarm(random),
@@ -125,6 +133,13 @@
         """
         self._follower.apply(change, now)
 
+    def forget_silent(self, now: timedelta) -> None:
+        """Drop the load of entries that were not heard of late.
+
+        :param now: time on the monotonic clock.
+        """
+        self.exchange.forget_silent(self.fleet, now)
+
     def change_settings(self, settings: DirectSettings) -> None:
         """Use new settings from now on.
 
@@ -198,6 +213,7 @@
             if flight is None:
                 continue
             flight.is_reading = False
+            self.exchange.note_change(view.record.name)
             if not flight.writes:
                 view.flights.pop(attempt_id)
 
@@ -217,6 +233,7 @@
         """
         for reader in self._views_of(placement):
             reader.flights.pop(attempt_id, None)
+            self.exchange.note_change(reader.record.name)
         faulty = None
         if report.faulty_address:
             faulty = self.fleet.find_address(report.faulty_address)
@@ -303,6 +320,7 @@
     ) -> None:
         attempt_id = admission.facts.attempt_id
         for view in (choice.target, *choice.helpers):
+            self.exchange.note_change(view.record.name)
             view.flights[attempt_id] = Flight(
                 work,
                 choice.read_ms,
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -30,6 +30,7 @@
         'cold_until',
         'flights',
         'gone_at',
+        'peer_flights',
         'record',
         'trust',
         'usual_ms',
@@ -39,11 +40,21 @@
         self.record = record
         self.trust = Trust()
         self.flights: dict[str, Flight] = {}
+        # What other entries have there, by their addresses.
+        self.peer_flights: dict[str, list[Flight]] = {}
         self.cold_until = timedelta()
         self.cold_limit: ColdLimit | None = None
         self.usual_ms = 0.0
         self.gone_at: timedelta | None = None
 
+    @property
+    def all_flights(self) -> list[Flight]:
+        """Return the attempts there of this and of other entries."""
+        found = list(self.flights.values())
+        for flights in self.peer_flights.values():
+            found.extend(flights)
+        return found
+
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target bears only a little.
 
--- a/packages/core/src/buckthornpond_core/serving/flights.py
+++ b/packages/core/src/buckthornpond_core/serving/flights.py
@@ -54,6 +54,11 @@
         self.objective_ms = objective_ms
         self.weight = weight
 
+    @property
+    def context_tokens(self) -> int:
+        """Return the tokens that the request may hold."""
+        return self.prompt_tokens + self.output_tokens
+
     def read_ms(self, costs: EngineCosts, part_count: int = 1) -> float:
         """Return the time of reading one of even parts of the prompt.
 
@@ -130,7 +135,7 @@
             flight.remaining_ms(now) for flight in self._flights
         )
         self.held_tokens = sum(
-            flight.work.prompt_tokens + flight.work.output_tokens
+            flight.work.context_tokens
             for flight in self._flights
             if flight.writes
         )
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/peers.py
@@ -0,0 +1,194 @@
+"""What entries know of each other's load.
+
+Hints are lost, late and stale at times. They improve placement and nothing
+depends on them: an entry that hears none places by its own attempts alone.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from .._generated.hints import FlightHint, LoadHint, TargetHint
+from .fleet import Fleet, TargetView
+from .flights import Flight, Work
+
+# A peer that is silent for so long is forgotten with its load.
+_SILENCE = timedelta(seconds=3)
+_MS = timedelta(milliseconds=1)
+_PERCENT = 100
+# Peers to which hints are sent.
+_MEMBER_COUNT = 64
+
+
+class Peer:
+    """Another entry.
+
+    :param incarnation: identifies its present start.
+    """
+
+    __slots__ = ('heard', 'incarnation', 'sequence')
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.sequence = -1
+        self.heard = timedelta()
+
+
+class LoadExchange:
+    """Takes the hints of other entries and makes those of this one.
+
+    :param address: where hints for this entry arrive.
+    :param incarnation: differs with each start of this entry.
+    :param seeds: entries that are always told.
+    """
+
+    __slots__ = (
+        '_changed',
+        '_incarnation',
+        '_sequence',
+        'address',
+        'peers',
+        'seeds',
+    )
+
+    def __init__(
+        self,
+        address: str,
+        incarnation: int,
+        seeds: Iterable[str],
+    ) -> None:
+        self.address = address
+        self.seeds = tuple(seed for seed in seeds if seed != address)
+        self.peers: dict[str, Peer] = {}
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._changed: set[str] = set()
+
+    @property
+    def has_changes(self) -> bool:
+        """Tell whether a hint is due."""
+        return bool(self._changed)
+
+    @property
+    def addresses(self) -> list[str]:
+        """Return where hints are sent."""
+        known = dict.fromkeys((*self.peers, *self.seeds))
+        return list(known)[:_MEMBER_COUNT]
+
+    def note_change(self, target: str) -> None:
+        """Note that this entry's load at a target changed.
+
+        :param target: name of the target.
+        """
+        self._changed.add(target)
+
+    def make(
+        self,
+        fleet: Fleet,
+        now: timedelta,
+        *,
+        is_full: bool,
+    ) -> LoadHint:
+        """Return the hint that is due.
+
+        :param fleet: targets and what this entry has there.
+        :param now: time on the monotonic clock.
+        :param is_full: whether to list every target with load.
+        """
+        self._sequence += 1
+        if is_full:
+            views = [view for view in fleet if view.flights]
+        else:
+            found = [fleet.find(name) for name in self._changed]
+            views = [view for view in found if view is not None]
+        self._changed.clear()
+        return LoadHint(
+            sender=self.address,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            is_full=is_full,
+            targets=[_describe(view, now) for view in views],
+            members=list(self.peers) if is_full else [],
+        )
+
+    def hear(self, hint: LoadHint, fleet: Fleet, now: timedelta) -> None:
+        """Take the hint of another entry.
+
+        :param hint: the hint.
+        :param fleet: takes the load.
+        :param now: time on the monotonic clock.
+        """
+        if hint.sender == self.address:
+            return
+        peer = self.peers.get(hint.sender)
+        if peer is None or peer.incarnation != hint.incarnation:
+            peer = Peer(hint.incarnation)
+            self.peers[hint.sender] = peer
+        if hint.sequence <= peer.sequence:
+            return
+        peer.sequence = hint.sequence
+        peer.heard = now
+        self._store(hint, fleet, now)
+        for member in hint.members:
+            if member != self.address and member not in self.peers:
+                # Heard of, and forgotten unless it is heard itself.
+                self.peers[member] = Peer(-1)
+                self.peers[member].heard = now
+
+    def forget_silent(self, fleet: Fleet, now: timedelta) -> None:
+        """Drop peers that were not heard of late.
+
+        :param fleet: loses their load.
+        :param now: time on the monotonic clock.
+        """
+        silent = [
+            address
+            for address, peer in self.peers.items()
+            if now - peer.heard > _SILENCE
+        ]
+        for address in silent:
+            self.peers.pop(address)
+            for view in fleet:
+                view.peer_flights.pop(address, None)
+
+    def _store(self, hint: LoadHint, fleet: Fleet, now: timedelta) -> None:
+        listed = {each.target: each.flights for each in hint.targets}
+        if hint.is_full:
+            for view in fleet:
+                if view.record.name not in listed:
+                    view.peer_flights.pop(hint.sender, None)
+        for name, flights in listed.items():
+            known = fleet.find(name)
+            if known is None:
+                continue
+            known.peer_flights[hint.sender] = [
+                _read(each, now) for each in flights
+            ]
+
+
+def _describe(view: TargetView, now: timedelta) -> TargetHint:
+    return TargetHint(
+        target=view.record.name,
+        flights=[
+            FlightHint(
+                read_ms=int(flight.remaining_ms(now)),
+                context_tokens=flight.work.context_tokens,
+                gap_ms=flight.work.gap_ms,
+                weight_percent=int(flight.work.weight * _PERCENT),
+                writes=flight.writes,
+            )
+            for flight in view.flights.values()
+        ],
+    )
+
+
+def _read(hint: FlightHint, now: timedelta) -> Flight:
+    work = Work(
+        prompt_tokens=hint.context_tokens,
+        output_tokens=0,
+        gap_ms=hint.gap_ms,
+        objective_ms=0,
+        weight=hint.weight_percent / _PERCENT,
+    )
+    flight = Flight(work, hint.read_ms, now, writes=hint.writes)
+    flight.is_reading = hint.read_ms > 0
+    return flight
--- a/packages/core/src/buckthornpond_core/serving/placement.py
+++ b/packages/core/src/buckthornpond_core/serving/placement.py
@@ -121,7 +121,7 @@
 
         def cost(candidate: Candidate) -> tuple[float, float]:
             view = candidate.view
-            waiting = len(view.flights) / max(view.record.slots, 1)
+            waiting = len(view.all_flights) / max(view.record.slots, 1)
             slow = view.usual_ms / max(work.objective_ms, 1)
             return candidate.base_cost(now) + waiting + slow, (
                 self._random.random()
@@ -176,7 +176,7 @@
         random: RandomSource,
     ) -> None:
         self.view = candidate.view
-        self.load = EngineLoad(costs, candidate.view.flights.values(), now)
+        self.load = EngineLoad(costs, candidate.view.all_flights, now)
         self.base_cost = candidate.base_cost(now)
         self.tie = random.random()
 
@@ -193,8 +193,7 @@
     ) -> float:
         """Return what speaks against writing the answer here."""
         cost = 0.0
-        tokens = work.prompt_tokens + work.output_tokens
-        if self.load.held_tokens + tokens > costs.memory_tokens:
+        if self.load.held_tokens + work.context_tokens > costs.memory_tokens:
             cost += _FULL_PENALTY * work.weight
         if self.load.flight_count >= costs.slots:
             cost += _FULL_PENALTY * work.weight
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -3,6 +3,9 @@
 from datetime import timedelta
 from typing import TypeAlias
 
+from gevent.event import Event
+
+from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core._generated.serving import (
     AttemptReport,
     CallerLimits,
@@ -21,6 +24,8 @@
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Inbox, Mailbox
 
+from .hints import AskHint, HintReply
+
 _TICK_SECONDS = 0.5
 # A request that may run only once goes on connections used just now.
 _FRESH_IDLE = timedelta(seconds=1)
@@ -139,6 +144,8 @@
     | Ended
     | FirstByte
     | FleetChange
+    | AskHint
+    | LoadHint
     | Returned
 )
 
@@ -156,6 +163,7 @@
         '_dispatcher',
         '_idle',
         '_metrics',
+        'hint_due',
         'limits',
         'mailbox',
     )
@@ -168,6 +176,8 @@
     ) -> None:
         self.mailbox: Mailbox[DispatchMessage] = Mailbox()
         self.limits = CallerLimits()
+        # Set when other entries have to be told of the load.
+        self.hint_due = Event()
         self._dispatcher = dispatcher
         self._clock = clock
         self._metrics = metrics
@@ -194,6 +204,9 @@
             if now >= next_tick:
                 next_tick = now + timedelta(seconds=_TICK_SECONDS)
                 self._close_idle(now)
+                self._dispatcher.forget_silent(now)
+            if self._dispatcher.exchange.has_changes:
+                self.hint_due.set()
 
     def _handle(self, message: DispatchMessage, now: timedelta) -> None:
         if isinstance(message, (AskAdmission, AskTarget)):
@@ -202,6 +215,8 @@
             self._follow(message, now)
         elif isinstance(message, Returned):
             self._keep(message.connection, now)
+        elif isinstance(message, (AskHint, LoadHint)):
+            self._exchange_hints(message, now)
         elif isinstance(message, DirectSettings):
             self._dispatcher.change_settings(message)
         else:
@@ -220,6 +235,19 @@
         else:
             message.inbox.send(self._dispatcher.admit(message.facts, now))
 
+    def _exchange_hints(
+        self,
+        message: AskHint | LoadHint,
+        now: timedelta,
+    ) -> None:
+        dispatcher = self._dispatcher
+        exchange = dispatcher.exchange
+        if isinstance(message, LoadHint):
+            exchange.hear(message, dispatcher.fleet, now)
+            return
+        hint = exchange.make(dispatcher.fleet, now, is_full=message.is_full)
+        message.inbox.send(HintReply(hint, exchange.addresses))
+
     def _follow(self, message: Ended | FirstByte, now: timedelta) -> None:
         if isinstance(message, FirstByte):
             self._dispatcher.note_first_byte(
--- a/packages/entry/src/buckthornpond_entry/direct/serving.py
+++ b/packages/entry/src/buckthornpond_entry/direct/serving.py
@@ -26,6 +26,7 @@
 from .callers import CallerTask
 from .dispatch import DispatchMessage, DispatchTask
 from .front import Front
+from .hints import HintTask
 
 _BACKLOG = 1024
 # Callers' connections and the attempts for them share the descriptors.
@@ -145,6 +146,7 @@
         self._start('dispatch', self._dispatch.run)
         self._start('source', partial(source.run, self._dispatch.mailbox))
         self._start_administration()
+        self._start_hints()
         self._start_front()
         stop.wait()
         self._leave(stop)
@@ -152,6 +154,18 @@
     def _start(self, name: str, run: Callable[[], None]) -> None:
         self._supervisor.start(name, run)
 
+    def _start_hints(self) -> None:
+        if not self._settings.hint_address:
+            return
+        task = HintTask(
+            self._settings.hint_address,
+            self._dispatch.mailbox,
+            self.metrics,
+            self._dispatch.hint_due,
+        )
+        self._start('hint receiver', task.receive)
+        self._start('hint sender', task.run)
+
     def _start_front(self) -> None:
         listener = FrontListener(
             self._settings.listen_address,
