--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from datetime import timedelta
+from types import MappingProxyType
 
 from .._generated.serving import (
     AttemptReport,
@@ -36,12 +37,22 @@
 _STALE_AGE = _STALE_AGE_MS * _MS
 _RETRY_AFTER_MS = 200
 _STALE_RETRY_AFTER_MS = 50
+# A fresh process without the source learns nothing within a shorter time.
+_START_RETRY_AFTER_MS = 2000
+_RETRY_TIMES_MS = MappingProxyType(
+    {
+        'configuration_stale': _STALE_RETRY_AFTER_MS,
+        'credential_unknown': 0,
+        'no_configuration': _START_RETRY_AFTER_MS,
+        'route_unknown': 0,
+    },
+)
 _USUAL_WEIGHT = 0.2
 # Prompt tokens whose answer is worth as much again as answering at all.
 _WEIGHT_TOKENS = 10_000
 _HIGHEST_PRIORITY = 0
 _LOWEST_PRIORITY = 9
-_INCARNATIONS = 2**52
+_INCARNATION_BITS = 52
 _RESTART_MARGIN = timedelta(seconds=1)
 
 
@@ -102,7 +113,7 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self.exchange = LoadExchange(
             settings.hint_address,
-            int(random.random() * _INCARNATIONS),
+            int(random.random() * 2**_INCARNATION_BITS),
             settings.peer_addresses,
         )
         self._choices: tuple[TargetChoice, TargetChoice] = (
@@ -367,12 +378,9 @@
         return self._not_placed(reason, now)
 
     def _not_placed(self, reason: str, now: timedelta) -> NotPlaced:
-        retry_after_ms = _RETRY_AFTER_MS
-        if reason in {'no_configuration', 'configuration_stale'}:
-            retry_after_ms = _STALE_RETRY_AFTER_MS
         return NotPlaced(
             reason=reason,
-            retry_after_ms=retry_after_ms,
+            retry_after_ms=_RETRY_TIMES_MS.get(reason, _RETRY_AFTER_MS),
             configuration_version=self.configuration_version,
             fleet_revision=self.fleet.revision,
             source_age_ms=self.fleet.age(now) // _MS,
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -71,6 +71,7 @@
         '_excluded',
         '_head',
         '_is_asking',
+        '_last_event_at',
         '_may_have_run',
         '_patience_until',
         '_placement',
@@ -83,6 +84,7 @@
         'history',
         'is_done',
         'is_started',
+        'longest_gap_ms',
     )
 
     def __init__(self, admission: Admission, arrival: timedelta) -> None:
@@ -94,6 +96,8 @@
         self.is_started = False
         self.is_done = False
         self.first_ms = 0
+        self.longest_gap_ms = 0
+        self._last_event_at: timedelta | None = None
         self.history: list[str] = []
         self._assembler = EventAssembler(admission.facts.last_event_id)
         self._body = bytearray()
@@ -266,12 +270,19 @@
         events = self._assembler.feed(content)
         if not events:
             return []
+        self._measure_gap(now)
         route = self.admission.route
         wait_ms = max(_LEAST_GAP_MS, _GAP_FACTOR * route.event_gap_ms)
         if route.may_repeat:
             self._patience_until = now + wait_ms * _MS
         return [*self._begin_stream(now), SendEvents(events)]
 
+    def _measure_gap(self, now: timedelta) -> None:
+        if self._last_event_at is not None:
+            gap_ms = (now - self._last_event_at) // _MS
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self._last_event_at = now
+
     def _begin_stream(self, now: timedelta) -> list[ExchangeEffect]:
         effects: list[ExchangeEffect] = []
         if self._placement is not None and not self._body:
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -1,7 +1,8 @@
 """The task that knows the fleet, and the idle connections to it."""
 
+from collections.abc import Callable
 from datetime import timedelta
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
 from gevent.event import Event
 
@@ -161,6 +162,7 @@
     __slots__ = (
         '_clock',
         '_dispatcher',
+        '_handlers',
         '_idle',
         '_metrics',
         'hint_due',
@@ -182,6 +184,16 @@
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._handlers: dict[type, Callable[[Any, timedelta], None]] = {
+            AskAdmission: self._answer,
+            AskHint: self._exchange_hints,
+            AskTarget: self._answer,
+            DirectSettings: self._change_settings,
+            Ended: self._follow,
+            FirstByte: self._follow,
+            LoadHint: self._exchange_hints,
+            Returned: self._take_back,
+        }
 
     @property
     def is_ready(self) -> bool:
@@ -209,21 +221,24 @@
                 self.hint_due.set()
 
     def _handle(self, message: DispatchMessage, now: timedelta) -> None:
-        if isinstance(message, (AskAdmission, AskTarget)):
-            self._answer(message, now)
-        elif isinstance(message, (Ended, FirstByte)):
-            self._follow(message, now)
-        elif isinstance(message, Returned):
-            self._keep(message.connection, now)
-        elif isinstance(message, (AskHint, LoadHint)):
-            self._exchange_hints(message, now)
-        elif isinstance(message, DirectSettings):
-            self._dispatcher.change_settings(message)
-        else:
-            self._dispatcher.apply(message, now)
-            table = self._dispatcher.table
-            if table is not None:
-                self.limits = table.configuration.limits
+        handler = self._handlers.get(type(message), self._apply)
+        handler(message, now)
+
+    def _apply(self, message: FleetChange, now: timedelta) -> None:
+        self._dispatcher.apply(message, now)
+        table = self._dispatcher.table
+        if table is not None:
+            self.limits = table.configuration.limits
+
+    def _change_settings(
+        self,
+        message: DirectSettings,
+        now: timedelta,
+    ) -> None:
+        self._dispatcher.change_settings(message)
+
+    def _take_back(self, message: Returned, now: timedelta) -> None:
+        self._keep(message.connection, now)
 
     def _answer(
         self,
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -294,6 +294,7 @@
             service=admission.service,
             prompt_tokens=admission.facts.prompt_tokens,
             first_ms=self._exchange.first_ms,
+            longest_gap_ms=self._exchange.longest_gap_ms,
             attempts=self._exchange.history,
             **fields,
         )
--- a/packages/entry/src/buckthornpond_entry/direct/serving.py
+++ b/packages/entry/src/buckthornpond_entry/direct/serving.py
@@ -143,11 +143,7 @@
             EventCode.process_started,
             incarnation=new_incarnation(self._settings.instance),
         )
-        self._start('dispatch', self._dispatch.run)
-        self._start('source', partial(source.run, self._dispatch.mailbox))
-        self._start_administration()
-        self._start_hints()
-        self._start_front()
+        self._start_tasks(source)
         stop.wait()
         self._leave(stop)
 
@@ -183,6 +179,13 @@
             task = AdministrationTask(address, self.metrics, self._is_ready)
             self._start(f'administration {address}', task.run)
 
+    def _start_tasks(self, source: FleetSource) -> None:
+        self._start('dispatch', self._dispatch.run)
+        self._start('source', partial(source.run, self._dispatch.mailbox))
+        self._start_administration()
+        self._start_hints()
+        self._start_front()
+
     def _prepare(self) -> None:
         start_logging(self.metrics)
         self.metrics.add_gauge(
