Test the direct entry against stand-ins of the store, servers and clients

Cause: the usual time of an answer only changed with new answers, and the smallest difference decided.

--- /dev/null
+++ b/features/direct_requests.feature
@@ -0,0 +1,141 @@
+Feature: Requests through an entry that calls targets directly
+
+  Background:
+    Given an entry before 2 app servers and 2 llm servers
+
+  Scenario: a request reaches a target unchanged, and its answer the caller
+    When a caller posts 3000 bytes to /write/1/2f?a=b
+    Then the answer is 200 with the target's body and signature
+    And the target got the same method, path and body
+    And the target got the organisation, its own name and at most the caller's time
+    And the target got neither the credential nor headers that only the system sets
+
+  Scenario Outline: a request that may run once ends truthfully
+    Given the next app servers do: <behaviour>
+    When a caller posts 10 bytes to /write/1
+    Then the answer is <status>
+    And no request ran more than once
+    And an answer that promises that it has not run is true
+
+    Examples:
+      | behaviour             | status |
+      | shed                  | 200    |
+      | moved                 | 200    |
+      | shed shed             | 503    |
+      | reset                 | 502    |
+      | unsigned              | 502    |
+      | wrong_id              | 502    |
+      | encoded               | 502    |
+      | cut                   | 502    |
+      | busy_without_proof    | 502    |
+      | fail                  | 500    |
+      | unframed              | 200    |
+
+  Scenario Outline: a request that may be repeated survives a bad target
+    Given the next app servers do: <behaviour>
+    When a caller gets /read/1
+    Then the answer is <status>
+    And no request ran on more than 2 targets
+
+    Examples:
+      | behaviour   | status |
+      | shed        | 200    |
+      | reset       | 200    |
+      | unsigned    | 200    |
+      | wrong_id    | 200    |
+      | cut         | 200    |
+      | fail        | 200    |
+      | hang        | 200    |
+      | fail fail   | 500    |
+      | reset reset | 502    |
+
+  Scenario Outline: a stream goes on at another target after its last whole event
+    Given the next llm servers do: <behaviour>
+    When a caller streams /stream/1
+    Then the caller has events 1 to 4 once each, and the end
+    And the signature is that of the first target that answered
+
+    Examples:
+      | behaviour |
+      | answer    |
+      | shed      |
+      | cut       |
+      | cut_event |
+      | stall     |
+      | hang      |
+      | unsigned  |
+      | fail      |
+
+  Scenario: a stream that cannot go on does not look complete
+    Given the next llm servers do: cut cut
+    When a caller streams /stream/1
+    Then the answer is not whole
+
+  Scenario: a caller that resumes gets what follows its last event
+    When a caller streams /stream/1 after event 2
+    Then the caller has events 3 to 4 once each, and the end
+
+  Scenario: bytes after an answer reach nobody
+    Given the next app servers do: extra extra extra extra
+    When a caller gets /read/1 8 times
+    Then each answer is its own
+
+  Scenario: a caller that leaves frees its target at once
+    Given the next llm servers do: hang
+    When a caller streams /stream/1 and leaves after 0.3 seconds
+    Then the target sees the end within 0.5 seconds
+    And the entry holds nothing
+
+  Scenario: the route's time limit ends a request
+    Given the routes' time limit is 400 ms
+    And the next app servers do: hang hang
+    When a caller posts 10 bytes to /write/1
+    Then the answer is 504
+    And it came between 0.3 and 0.9 seconds
+
+  Scenario: each repeat gets what is left of the caller's time
+    Given the next app servers do: hang
+    When a caller gets /read/1 with 900 ms
+    Then the answer is 200
+    And the last target got less time than the first
+
+  Scenario: unknown routes and credentials are refused
+    When a caller gets /nowhere/1
+    Then the answer is 404
+    When a caller with credential "wrong" gets /read/1
+    Then the answer is 401
+    And no target got a request
+
+  Scenario Outline: what cannot be a request is refused, and the entry lives
+    When a caller sends the bytes of <bytes>
+    Then the first line has <status>
+    When a caller gets /read/1
+    Then the answer is 200
+
+    Examples:
+      | bytes            | status |
+      | noise            | 400    |
+      | a long head      | 431    |
+      | a long body      | 413    |
+      | half a head      | 408    |
+      | half a body      | 408    |
+      | two lengths      | 400    |
+      | length and chunk | 400    |
+      | no attempt id    | 400    |
+      | a wrong count    | 400    |
+
+  Scenario: a caller may send the next request ahead
+    When a caller sends two requests at once
+    Then both are answered in order
+
+  Scenario: a slow caller holds back a bounded part of its answer
+    Given llm servers write 20000 events
+    When a caller streams /stream/1 and reads nothing for 1 seconds
+    Then the entry has read less than 4 MB of the answer
+
+  Scenario: a connection is reused, and given up before the target does
+    When a caller gets /read/1 6 times
+    Then the app servers saw at most 2 connections
+    When the app servers drop their connections
+    And a caller posts 10 bytes to /write/1
+    Then the answer is 200
--- /dev/null
+++ b/features/steps/direct_steps.py
@@ -0,0 +1,449 @@
+"""Steps on requests through an entry that calls targets directly."""
+
+import re
+from collections import deque
+from datetime import timedelta
+from typing import Any
+
+import eliot
+import gevent
+from behave import given, then, when
+
+from buckthornpond_platform_standins.clients import Client, ClientAnswer
+from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.servers import Behaviour, ServerStandIn
+from buckthornpond_platform_standins.worlds import (
+    HOST,
+    KEY,
+    STREAM_PATH,
+    TENANT,
+    World,
+    make_config,
+)
+
+_PROMISES = (408, 421, 429, 503)
+_READ = 'GET /read/1 HTTP/1.1\r\n'
+_NAMED = f'Host: {HOST}\r\nAuthorization: Token {KEY}\r\n'
+_OWN = 'X-Attempt-Id: aa\r\n'
+_BAD_BYTES = {
+    'noise': b'\x00\x01\x02 noise\r\n\r\n',
+    'a long head': f'{_READ}X: {"a" * 20000}\r\n\r\n'.encode(),
+    'a long body': (
+        f'POST /write/1 HTTP/1.1\r\n{_NAMED}{_OWN}'
+        f'Content-Length: 5000000\r\n\r\n'
+    ).encode()
+    + b'a' * 5_000_000,
+    'half a head': f'{_READ}Host: a'.encode(),
+    'half a body': (
+        f'POST /write/1 HTTP/1.1\r\n{_NAMED}{_OWN}Content-Length: 9\r\n\r\nab'
+    ).encode(),
+    'two lengths': (
+        f'POST /write/1 HTTP/1.1\r\n{_NAMED}{_OWN}Content-Length: 2\r\n'
+        'Content-Length: 3\r\n\r\nabc'
+    ).encode(),
+    'length and chunk': (
+        f'POST /write/1 HTTP/1.1\r\n{_NAMED}{_OWN}Content-Length: 2\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+    ).encode(),
+    'no attempt id': f'{_READ}{_NAMED}\r\n'.encode(),
+    'a wrong count': f'{_READ}{_NAMED}{_OWN}X-Deadline-Ms: -1\r\n\r\n'.encode(),
+}
+
+
+class LogLines(list[bytes]):
+    """Log lines of a scenario."""
+
+    def write(self, line: bytes) -> None:
+        """Keep a line."""
+        self.append(line)
+
+    def flush(self) -> None:
+        """Do nothing; lines are at hand."""
+
+
+def start_world(context: Any, app_count: int, llm_count: int) -> World:
+    """Start a world with one entry.
+
+    :param context: the scenario.
+    :param app_count: servers of the plain service.
+    :param llm_count: servers of the engine.
+    """
+    world = World()
+    context.world = world
+    context.fleet = world
+    context.answers = []
+    context.log_lines = LogLines()
+    eliot.to_file(context.log_lines)
+    for _ in range(app_count):
+        world.add_server('app')
+    for _ in range(llm_count):
+        world.add_server('llm')
+    world.start()
+    return world
+
+
+@given('an entry before {apps:d} app servers and {llms:d} llm servers')
+def start(context: Any, apps: int, llms: int) -> None:
+    """Start an entry before servers of each kind."""
+    start_world(context, apps, llms)
+
+
+@given('the next {service:w} servers do: {behaviours}')
+def plan(context: Any, service: str, behaviours: str) -> None:
+    """Let the next requests of a service meet these behaviours."""
+    # One queue for all, whichever is chosen first.
+    queue = deque(Behaviour(name) for name in behaviours.split())
+    for server in _servers(context, service):
+        server.behaviours = queue
+
+
+@given("the routes' time limit is {limit_ms:d} ms")
+def limit_routes(context: Any, limit_ms: int) -> None:
+    """Write a configuration with shorter time limits."""
+    routes = make_config(0)['routes']
+    for route in routes:
+        route['timeoutMs'] = limit_ms
+    context.world.configure(routes=routes)
+    context.world.settle()
+
+
+@given('llm servers write {count:d} events')
+def write_many(context: Any, count: int) -> None:
+    """Let streams be long."""
+    for server in _servers(context, 'llm'):
+        server.event_count = count
+
+
+@when('a caller posts {length:d} bytes to {path}')
+def post(context: Any, length: int, path: str) -> None:
+    """Send a request that may run once."""
+    context.body = bytes(number % 251 for number in range(length))
+    _timed(
+        context,
+        lambda client: client.ask(
+            'POST',
+            path,
+            body=context.body,
+            X_Tenant='forged',
+            X_Helpers='10.0.0.1:1',
+            X_Deadline_Ms='2500',
+        ),
+    )
+
+
+@when('a caller gets {path:S}')
+def ask_read(context: Any, path: str) -> None:
+    """Send a request that may be repeated."""
+    _timed(context, lambda client: client.ask('GET', path))
+
+
+@when('a caller gets {path:S} with {limit_ms:d} ms')
+def ask_read_within(context: Any, path: str, limit_ms: int) -> None:
+    """Send a request with a time limit of the caller's."""
+    _timed(
+        context,
+        lambda client: client.ask('GET', path, X_Deadline_Ms=f'{limit_ms}'),
+    )
+
+
+@when('a caller with credential "{key}" gets {path:S}')
+def ask_read_as(context: Any, key: str, path: str) -> None:
+    """Send a request with another credential."""
+    client = context.world.connect(key=key)
+    context.answers.append(client.ask('GET', path))
+
+
+@when('a caller gets {path:S} {count:d} times')
+def ask_reads_in_turn(context: Any, path: str, count: int) -> None:
+    """Send requests one after the other on one connection."""
+    client = context.world.connect()
+    context.answers = [client.ask('GET', path) for _ in range(count)]
+
+
+@when('a caller streams {path:S}')
+def stream(context: Any, path: str) -> None:
+    """Ask for a stream."""
+    _timed(context, lambda client: _stream(client, path))
+
+
+@when('a caller streams {path:S} after event {number:d}')
+def resume(context: Any, path: str, number: int) -> None:
+    """Ask for the rest of a stream."""
+    _timed(
+        context,
+        lambda client: _stream(client, path, Last_Event_Id=f'{number}'),
+    )
+
+
+@when('a caller streams {path:S} and leaves after {seconds:f} seconds')
+def leave(context: Any, path: str, seconds: float) -> None:
+    """Ask for a stream and close the connection."""
+    client = context.world.connect()
+    client.send('POST', path, X_Token_Count='100,40')
+    gevent.sleep(seconds)
+    client.connection.close()
+
+
+@when('a caller streams {path:S} and reads nothing for {seconds:d} seconds')
+def read_nothing(context: Any, path: str, seconds: int) -> None:
+    """Ask for a stream and leave it unread."""
+    context.client = context.world.connect()
+    context.client.send('POST', path, X_Token_Count='100,40')
+    gevent.sleep(seconds)
+
+
+@when('a caller sends two requests at once')
+def pipeline(context: Any) -> None:
+    """Send the second request before the first answer."""
+    client = context.world.connect()
+    context.answers = [client.send('GET', '/read/1')]
+    context.answers.append(client.send('GET', '/read/2'))
+    for answer in context.answers:
+        client.receive(answer)
+
+
+@when('a caller sends the bytes of {name}')
+def send_bytes(context: Any, name: str) -> None:
+    """Send bytes that cannot be served."""
+    client = context.world.connect()
+    connection = client.connection
+    connection.connect(timedelta(seconds=5))
+    sender = gevent.spawn(_send_quietly, connection, _BAD_BYTES[name])
+    context.bad = ClientAnswer('aa')
+    client.receive(context.bad)
+    sender.kill()
+
+
+@when('the app servers drop their connections')
+def drop(context: Any) -> None:
+    """Close what is idle, without notice."""
+    for server in _servers(context, 'app'):
+        server.drop_connections()
+    gevent.sleep(0.05)
+
+
+@then('the answer is {status:d}')
+def check_status(context: Any, status: int) -> None:
+    """Check the status of the last answer."""
+    answer = context.answers[-1]
+    assert answer.status == status, (answer.status, answer.error, answer.body)
+
+
+@then("the answer is {status:d} with the target's body and signature")
+def check_answer(context: Any, status: int) -> None:
+    """Check the last answer against what targets send."""
+    check_status(context, status)
+    answer = context.answers[-1]
+    assert answer.body == f'answer to {answer.attempt_id}'.encode()
+    assert answer.fields['x-server-signature']
+
+
+@then('the target got the same method, path and body')
+def check_request(context: Any) -> None:
+    """Compare what the target got with what was sent."""
+    received = _last_received(context)
+    assert received.method == 'POST'
+    assert received.path == '/write/1/2f?a=b'
+    assert received.body == context.body
+
+
+@then(
+    "the target got the organisation, its own name and at most the caller's "
+    'time',
+)
+def check_added(context: Any) -> None:
+    """Check the headers that the system sets."""
+    fields = _last_received(context).fields
+    names = {server.name for server in context.world.servers}
+    assert fields['x-tenant'] == TENANT
+    assert fields['x-expect-instance'] in names
+    assert 0 < int(fields['x-deadline-ms']) <= 2500
+
+
+@then(
+    'the target got neither the credential nor headers that only the system '
+    'sets',
+)
+def check_removed(context: Any) -> None:
+    """Check the headers that must not pass."""
+    fields = _last_received(context).fields
+    assert 'authorization' not in fields
+    assert 'x-helpers' not in fields
+
+
+@then('no request ran more than once')
+def check_once(context: Any) -> None:
+    """Count the runs of each request over all targets."""
+    assert max(_count_runs(context).values(), default=0) <= 1
+
+
+@then('no request ran on more than {count:d} targets')
+def check_runs(context: Any, count: int) -> None:
+    """Count the runs of each request over all targets."""
+    runs = _count_runs(context)
+    assert max(runs.values(), default=0) <= count, runs
+
+
+@then('an answer that promises that it has not run is true')
+def check_promise(context: Any) -> None:
+    """Compare refusals with the runs."""
+    runs = _count_runs(context)
+    for answer in context.answers:
+        if answer.status in _PROMISES:
+            assert not runs.get(answer.attempt_id), answer.status
+            assert float(answer.fields['retry-after']) > 0
+
+
+@then('the caller has events {first:d} to {last:d} once each, and the end')
+def check_events(context: Any, first: int, last: int) -> None:
+    """Check the events of the last answer."""
+    answer = context.answers[-1]
+    assert not answer.error, answer.error
+    assert answer.status == 200, answer.status
+    assert answer.events == list(range(first, last + 1)), answer.events
+
+
+@then('the signature is that of the first target that answered')
+def check_signature(context: Any) -> None:
+    """Check that the head of the stream was not exchanged."""
+    signature = context.answers[-1].fields['x-server-signature']
+    ran = [
+        server.name
+        for server in _servers(context, 'llm')
+        if context.answers[-1].attempt_id in server.runs
+    ]
+    assert signature.rpartition('.')[2] in ran
+
+
+@then('the answer is not whole')
+def check_cut(context: Any) -> None:
+    """Check that the caller sees the break."""
+    assert context.answers[-1].error
+
+
+@then('each answer is its own')
+def check_own(context: Any) -> None:
+    """Compare each answer with its request."""
+    for answer in context.answers:
+        assert answer.body == f'answer to {answer.attempt_id}'.encode(), (
+            answer.status,
+            answer.body,
+        )
+
+
+@then('the target sees the end within {seconds:f} seconds')
+def check_freed(context: Any, seconds: float) -> None:
+    """Wait for the close of the target's connection."""
+    wait_until(
+        lambda: any(server.broken_count for server in _servers(context, 'llm')),
+        seconds,
+    )
+
+
+@then('the entry holds nothing')
+def check_nothing_held(context: Any) -> None:
+    """Wait until no attempt is in flight."""
+    fleet = context.world.entries[0].dispatcher.fleet
+    wait_until(lambda: not any(view.flights for view in fleet), 2)
+
+
+@then('it came between {low:f} and {high:f} seconds')
+def check_time(context: Any, low: float, high: float) -> None:
+    """Check when the last answer came."""
+    assert low <= context.seconds <= high, context.seconds
+
+
+@then('the last target got less time than the first')
+def check_left(context: Any) -> None:
+    """Compare the time limits of the attempts."""
+    limits = [
+        int(received.fields['x-deadline-ms'])
+        for server in _servers(context, 'app')
+        for received in server.received
+    ]
+    assert len(limits) == 2, limits
+    assert max(limits) <= 900, limits
+    assert max(limits) - min(limits) >= 100, limits
+
+
+@then('no target got a request')
+def check_none(context: Any) -> None:
+    """Check that refusals stay at the entry."""
+    assert not any(server.received for server in context.world.servers)
+
+
+@then('the first line has {status:d}')
+def check_first_line(context: Any, status: int) -> None:
+    """Check the refusal of bad bytes."""
+    assert context.bad.status == status, (
+        context.bad.status,
+        context.bad.error,
+        context.bad.body,
+    )
+
+
+@then('both are answered in order')
+def check_pipeline(context: Any) -> None:
+    """Check that the answers are in the order of the requests."""
+    for answer in context.answers:
+        assert answer.body == f'answer to {answer.attempt_id}'.encode()
+
+
+@then('the entry has read less than {size:d} MB of the answer')
+def check_held(context: Any, size: int) -> None:
+    """Check how far the target came before it had to wait."""
+    server = next(
+        server for server in _servers(context, 'llm') if server.received
+    )
+    assert server.written_bytes < size * 1_000_000, server.written_bytes
+    assert server.written_bytes, 'nothing was written'
+    context.client.connection.close()
+
+
+@then('the app servers saw at most {count:d} connections')
+def check_connections(context: Any, count: int) -> None:
+    """Count the connections that the entry opened."""
+    opened = sum(server.connection_count for server in _servers(context, 'app'))
+    assert opened <= count, opened
+
+
+def _timed(context: Any, ask: Any) -> None:
+    begun = context.world.clock.monotonic()
+    context.answers.append(ask(context.world.connect()))
+    elapsed = context.world.clock.monotonic() - begun
+    context.seconds = elapsed.total_seconds()
+
+
+def _stream(client: Client, path: str = STREAM_PATH, **fields: str) -> Any:
+    return client.ask('POST', path, X_Token_Count='100,40', **fields)
+
+
+def _servers(context: Any, service: str) -> list[ServerStandIn]:
+    return [
+        server for server in context.world.servers if server.service == service
+    ]
+
+
+def _last_received(context: Any) -> Any:
+    found = [
+        received
+        for server in context.world.servers
+        for received in server.received
+    ]
+    return max(found, key=lambda received: received.at_seconds)
+
+
+def _count_runs(context: Any) -> dict[str, int]:
+    runs: dict[str, int] = {}
+    for server in context.world.servers:
+        for attempt_id, count in server.runs.items():
+            runs[attempt_id] = runs.get(attempt_id, 0) + count
+    return runs
+
+
+def _send_quietly(connection: Any, content: bytes) -> None:
+    # The entry may refuse and close before it has everything.
+    try:
+        connection.send(content)
+    except Exception as error:
+        assert re.search('reset|pipe|closed|connected', str(error), re.I), error
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -47,7 +47,6 @@
         'route_unknown': 0,
     },
 )
-_USUAL_WEIGHT = 0.2
 # Prompt tokens whose answer is worth as much again as answering at all.
 _WEIGHT_TOKENS = 10_000
 _HIGHEST_PRIORITY = 0
@@ -271,7 +270,7 @@
             cold_time = service.cold_ms * _MS + _RESTART_MARGIN
             self._follower.mark_cold(view, service, now + cold_time)
         if outcome is AttemptOutcome.answered and report.first_ms:
-            view.usual_ms += _USUAL_WEIGHT * (report.first_ms - view.usual_ms)
+            view.learn_time(report.first_ms, now)
         if view.trust.record(outcome, now):
             self._recorder.count('target_pauses', outcome)
             self._recorder.log(
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -70,7 +70,6 @@
         '_body',
         '_excluded',
         '_head',
-        '_is_asking',
         '_last_event_at',
         '_may_have_run',
         '_patience_until',
@@ -82,6 +81,7 @@
         'deadline',
         'first_ms',
         'history',
+        'is_asking',
         'is_done',
         'is_started',
         'longest_gap_ms',
@@ -109,14 +109,10 @@
         self._excluded: list[str] = []
         self._runs = 0
         self._sends = 0
-        self._is_asking = False
+        # Whether a placement was asked for and has not come.
+        self.is_asking = False
         self._may_have_run = False
 
-    @property
-    def is_asking(self) -> bool:
-        """Tell whether a placement was asked for and has not come."""
-        return self._is_asking
-
     @property
     def wake_at(self) -> timedelta:
         """Return when :meth:`tick` has something to do."""
@@ -126,7 +122,7 @@
 
     def start(self) -> list[ExchangeEffect]:
         """Begin with the first attempt."""
-        self._is_asking = True
+        self.is_asking = True
         return [AskPlacement((), is_repeat=False)]
 
     def take_placement(
@@ -139,7 +135,7 @@
         :param found: where the next attempt goes, or why nowhere.
         :param now: time on the monotonic clock.
         """
-        self._is_asking = False
+        self.is_asking = False
         if isinstance(found, NotPlaced):
             return [] if self.is_done else self._go_without(found)
         if self.is_done:
@@ -182,9 +178,9 @@
         if self._patience_until is None or now < self._patience_until:
             return []
         self._patience_until = None
-        if self._is_asking or not self._may_replace(now):
+        if self.is_asking or not self._may_replace(now):
             return []
-        self._is_asking = True
+        self.is_asking = True
         return [AskPlacement(self._tried(), is_repeat=True)]
 
     def leave(self, now: timedelta) -> list[ExchangeEffect]:
@@ -372,7 +368,7 @@
         )
         if is_spent or self.deadline - now < _LEAST_TIME:
             return self._give_up('target_failed')
-        self._is_asking = True
+        self.is_asking = True
         return [AskPlacement(self._tried(), is_repeat=is_repeat)]
 
     def _go_without(self, found: NotPlaced) -> list[ExchangeEffect]:
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -1,5 +1,6 @@
 """Targets that an entry may use, by what the source of the fleet says."""
 
+import math
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
@@ -17,6 +18,8 @@
 # The source counts as unsteady for so long after it was lost.
 _UNSTEADY_TIME = timedelta(seconds=3)
 _MS = timedelta(milliseconds=1)
+_USUAL_WEIGHT = 0.2
+_USUAL_TIME = timedelta(seconds=5)
 
 
 class TargetView:
@@ -33,7 +36,8 @@
         'peer_flights',
         'record',
         'trust',
-        'usual_ms',
+        '_usual_at',
+        '_usual_ms',
     )
 
     def __init__(self, record: TargetRecord) -> None:
@@ -44,7 +48,8 @@
         self.peer_flights: dict[str, list[Flight]] = {}
         self.cold_until = timedelta()
         self.cold_limit: ColdLimit | None = None
-        self.usual_ms = 0.0
+        self._usual_ms = 0.0
+        self._usual_at = timedelta()
         self.gone_at: timedelta | None = None
 
     @property
@@ -55,6 +60,23 @@
             found.extend(flights)
         return found
 
+    def usual_ms(self, now: timedelta) -> float:
+        """Return the usual time of recent answers, which fades without any.
+
+        :param now: time on the monotonic clock.
+        """
+        return self._usual_ms * math.exp(-(now - self._usual_at) / _USUAL_TIME)
+
+    def learn_time(self, first_ms: float, now: timedelta) -> None:
+        """Learn from the time of an answer.
+
+        :param first_ms: time to its first byte.
+        :param now: time on the monotonic clock.
+        """
+        usual_ms = self.usual_ms(now)
+        self._usual_ms = usual_ms + _USUAL_WEIGHT * (first_ms - usual_ms)
+        self._usual_at = now
+
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target bears only a little.
 
--- a/packages/core/src/buckthornpond_core/serving/placement.py
+++ b/packages/core/src/buckthornpond_core/serving/placement.py
@@ -20,8 +20,7 @@
 _DISTANCE_PENALTY = 0.08
 _FULL_PENALTY = 2.0
 _TIME_WEIGHT = 0.1
-# Answers that are kept together on one engine, so that others stay free.
-_PACKED_COUNT = 4
+# For each answer that is on an engine already, so that others stay free.
 _PACKING_BONUS = 0.06
 _SHORT_READ_MS = 50
 _HELPER_PENALTY = 0.01
@@ -122,13 +121,15 @@
         def cost(candidate: Candidate) -> tuple[float, float]:
             view = candidate.view
             waiting = len(view.all_flights) / max(view.record.slots, 1)
-            slow = view.usual_ms / max(work.objective_ms, 1)
+            usual_ms = view.usual_ms(now)
+            # Small differences must not make one target everybody's choice.
+            slow = round(usual_ms / max(work.objective_ms, 1), 1)
             return candidate.base_cost(now) + waiting + slow, (
                 self._random.random()
             )
 
         best = min(candidates, key=cost).view
-        return Choice(best, first_ms=best.usual_ms)
+        return Choice(best, first_ms=best.usual_ms(now))
 
 
 class LeastHarm:
@@ -198,7 +199,10 @@
         if self.load.flight_count >= costs.slots:
             cost += _FULL_PENALTY * work.weight
         if read_ms <= _SHORT_READ_MS:
-            cost -= _PACKING_BONUS * _packing(self.load.flight_count)
+            cost -= _PACKING_BONUS * min(
+                self.load.flight_count,
+                costs.slots - 1,
+            )
         # The newcomer suffers from what is read here already.
         pause = late_share(self.load.pause_ms(0), work.gap_ms)
         return cost + work.weight * pause
@@ -262,11 +266,5 @@
     return part_count <= engine_count and part_tokens >= _SHORTEST_PART_TOKENS
 
 
-def _packing(flight_count: int) -> int:
-    if flight_count >= _PACKED_COUNT:
-        return _PACKED_COUNT - flight_count
-    return flight_count
-
-
 def _cost_of(plan: _Plan) -> float:
     return plan.cost
--- a/packages/entry/src/buckthornpond_entry/direct/serving.py
+++ b/packages/entry/src/buckthornpond_entry/direct/serving.py
@@ -98,6 +98,7 @@
         '_front',
         '_settings',
         '_supervisor',
+        'dispatcher',
         'metrics',
     )
 
@@ -111,8 +112,13 @@
         self._clock = clock
         self.metrics = Metrics()
         self._supervisor = Supervisor()
+        self.dispatcher = Dispatcher(
+            settings,
+            random.Random(),
+            self.metrics,
+        )
         self._dispatch = DispatchTask(
-            Dispatcher(settings, random.Random(), self.metrics),
+            self.dispatcher,
             clock,
             self.metrics,
         )
@@ -143,10 +149,29 @@
             EventCode.process_started,
             incarnation=new_incarnation(self._settings.instance),
         )
-        self._start_tasks(source)
+        self.start_tasks(source)
         stop.wait()
         self._leave(stop)
 
+    def start_tasks(self, source: FleetSource) -> None:
+        """Start serving.
+
+        :param source: reads the fleet and its configuration.
+        """
+        self._start('dispatch', self._dispatch.run)
+        self._start('source', partial(source.run, self._dispatch.mailbox))
+        self._start_administration()
+        self._start_hints()
+        self._start_front()
+
+    def stop_tasks(self) -> None:
+        """End every task, whatever it holds."""
+        self._supervisor.stop()
+
+    def is_ready(self) -> bool:
+        """Tell whether the entry takes new requests."""
+        return self._dispatch.is_ready and not self._front.is_stopping
+
     def _start(self, name: str, run: Callable[[], None]) -> None:
         self._supervisor.start(name, run)
 
@@ -176,16 +201,9 @@
             self._settings.metrics_address,
         }
         for address in addresses - {''}:
-            task = AdministrationTask(address, self.metrics, self._is_ready)
+            task = AdministrationTask(address, self.metrics, self.is_ready)
             self._start(f'administration {address}', task.run)
 
-    def _start_tasks(self, source: FleetSource) -> None:
-        self._start('dispatch', self._dispatch.run)
-        self._start('source', partial(source.run, self._dispatch.mailbox))
-        self._start_administration()
-        self._start_hints()
-        self._start_front()
-
     def _prepare(self) -> None:
         start_logging(self.metrics)
         self.metrics.add_gauge(
@@ -201,9 +219,6 @@
             lambda: self._dispatch.idle_count,
         )
 
-    def _is_ready(self) -> bool:
-        return self._dispatch.is_ready and not self._front.is_stopping
-
     def _leave(self, stop: StopSignal) -> None:
         front = self._front
         begun = self._clock.monotonic()
