Read prompts larger than an engine with memory set aside at others

Change: such a prompt is spread over as few engines as have the memory; all of it is set aside before the request is sent, or none. Tickets are never used twice.

--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -28,8 +28,8 @@
             ge=0,
         ),
     ]
-    context_tokens: Annotated[
-        int, Meta(description='Tokens of the prompt and of the answer.', ge=0)
+    held_tokens: Annotated[
+        int, Meta(description='Tokens that the target holds for it.', ge=0)
     ]
     gap_ms: Annotated[
         int,
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -360,6 +360,19 @@
     ] = 0
 
 
+class MemoryTicket(Struct):
+    """
+    Memory of an engine that is set aside for a part of a prompt.
+    """
+
+    ticket: Annotated[
+        str, Meta(description='Identifies the reservation, never used twice.')
+    ]
+    target: str
+    address: str
+    tokens: Annotated[int, Meta(ge=0)]
+
+
 class Placement(Struct):
     """
     Where an attempt goes.
@@ -373,6 +386,12 @@
         list[str],
         Meta(description='Other engines that read parts of the prompt.'),
     ] = field(default_factory=list)
+    tickets: Annotated[
+        list[MemoryTicket],
+        Meta(
+            description='Memory to set aside at helpers before the request is sent.'
+        ),
+    ] = field(default_factory=list)
     organisation: str = ''
     priority: Annotated[int, Meta(ge=0)] = 5
     forecast_ms: Annotated[
--- a/packages/core/src/buckthornpond_core/journal.py
+++ b/packages/core/src/buckthornpond_core/journal.py
@@ -34,6 +34,8 @@
     request_left = 604
     attempt_placed = 605
     caller_rejected = 606
+    memory_reserved = 607
+    reservation_failed = 608
     target_found = 611
     target_draining = 612
     target_removed = 613
--- a/packages/core/src/buckthornpond_core/serving/codec.py
+++ b/packages/core/src/buckthornpond_core/serving/codec.py
@@ -6,10 +6,11 @@
 
 from .._generated.serving import (
     AnswerFacts,
+    MemoryTicket,
     Placement,
     RequestFacts,
 )
-from .effects import Fields
+from .effects import Fields, TargetOrder
 
 
 class RequestCodec(Protocol):
@@ -47,6 +48,18 @@
         :param last_event_id: last event that the caller has, or nothing.
         """
 
+    def write_reservation(self, ticket: MemoryTicket) -> TargetOrder:
+        """Return the order that sets memory aside, or renews its lease.
+
+        :param ticket: the memory.
+        """
+
+    def write_release(self, ticket: MemoryTicket) -> TargetOrder:
+        """Return the order that gives memory back.
+
+        :param ticket: the memory.
+        """
+
     def read_answer(self, status_code: int, fields: Fields) -> AnswerFacts:
         """Return what the head of a target's answer says.
 
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -7,6 +7,7 @@
 from .._generated.serving import (
     AttemptReport,
     DirectSettings,
+    MemoryTicket,
     NotPlaced,
     Organisation,
     Placement,
@@ -94,6 +95,7 @@
         '_random',
         '_recorder',
         '_settings',
+        '_ticket_count',
         'exchange',
         'fleet',
     )
@@ -110,6 +112,7 @@
         self._random = random
         self._recorder = recorder
         self._budgets: dict[str, RepeatBudget] = {}
+        self._ticket_count = 0
         self.exchange = LoadExchange(
             settings.hint_address,
             int(random.random() * 2**_INCARNATION_BITS),
@@ -208,7 +211,13 @@
         service = self._service(admission.service)
         work = _measure(admission)
         policy = self._choices[service.engine is not None]
-        choice = policy.choose(warm, service, work, now)
+        choice = policy.choose(
+            warm,
+            service,
+            work,
+            now,
+            entry_count=len(self.exchange.peers) + 1,
+        )
         self._start_flights(admission, choice, work, now)
         return self._describe(admission, choice, len(warm), now)
 
@@ -224,7 +233,7 @@
                 continue
             flight.is_reading = False
             self.exchange.note_change(view.record.name)
-            if not flight.writes:
+            if not flight.held_tokens:
                 view.flights.pop(attempt_id)
 
     def end_attempt(
@@ -328,13 +337,13 @@
         work: Work,
         now: timedelta,
     ) -> None:
-        attempt_id = admission.facts.attempt_id
-        for view in (choice.target, *choice.helpers):
+        for view, held_tokens in _share_out(choice, work):
             self.exchange.note_change(view.record.name)
-            view.flights[attempt_id] = Flight(
+            view.flights[admission.facts.attempt_id] = Flight(
                 work,
                 choice.read_ms,
                 now,
+                held_tokens=held_tokens,
                 writes=view is choice.target,
             )
             if view.cold_limit is not None:
@@ -363,6 +372,7 @@
             service=record.service,
             started_ms=record.started_ms,
             helper_addresses=[each.record.address for each in choice.helpers],
+            tickets=self._make_tickets(choice),
             organisation=organisation.name if organisation else '',
             forecast_ms=round(choice.first_ms, 1),
             candidate_count=candidate_count,
@@ -371,6 +381,24 @@
             source_age_ms=self.fleet.age(now) // _MS,
         )
 
+    def _make_tickets(self, choice: Choice) -> list[MemoryTicket]:
+        tickets = []
+        for view, tokens in zip(
+            choice.helpers,
+            choice.ticket_tokens,
+            strict=False,
+        ):
+            self._ticket_count += 1
+            tickets.append(
+                MemoryTicket(
+                    f'{self.exchange.incarnation:x}-{self._ticket_count}',
+                    view.record.name,
+                    view.record.address,
+                    tokens,
+                ),
+            )
+        return tickets
+
     def _refuse_unknown(self, reason: str, now: timedelta) -> NotPlaced:
         if self.fleet.age(now) > _STALE_AGE:
             return self._not_placed('configuration_stale', now)
@@ -386,12 +414,22 @@
         )
 
 
+def _share_out(choice: Choice, work: Work) -> list[tuple[TargetView, int]]:
+    """Return the targets of an attempt with the tokens that each holds."""
+    rest = work.context_tokens - sum(choice.ticket_tokens)
+    shares = [(choice.target, rest)]
+    for number, helper in enumerate(choice.helpers):
+        is_holder = number < len(choice.ticket_tokens)
+        tokens = choice.ticket_tokens[number] if is_holder else 0
+        shares.append((helper, tokens))
+    return shares
+
+
 def _measure(admission: Admission) -> Work:
     facts = admission.facts
-    expected = facts.expected_output_tokens or facts.output_tokens
     return Work(
         prompt_tokens=facts.prompt_tokens,
-        output_tokens=min(expected, facts.output_tokens or expected),
+        output_tokens=facts.output_tokens,
         gap_ms=admission.route.event_gap_ms,
         objective_ms=admission.route.objective_ms,
         weight=1 + facts.prompt_tokens / _WEIGHT_TOKENS,
--- a/packages/core/src/buckthornpond_core/serving/effects.py
+++ b/packages/core/src/buckthornpond_core/serving/effects.py
@@ -9,6 +9,30 @@
 Fields: TypeAlias = Sequence[tuple[str, str]]
 
 
+class TargetOrder:
+    """An order to a target, as a request.
+
+    :param method: HTTP method.
+    :param path: its path.
+    :param fields: header fields.
+    :param body: its body.
+    """
+
+    __slots__ = ('body', 'fields', 'method', 'path')
+
+    def __init__(
+        self,
+        method: str,
+        path: str,
+        fields: Fields,
+        body: bytes,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.fields = fields
+        self.body = body
+
+
 class AnswerHead:
     """Head of a target's answer.
 
@@ -42,17 +66,21 @@
 
     :param placement: the target.
     :param time_limit: what is left of the request's time.
+    :param attempt_id: the request.
     :param last_event_id: last event that the caller has.
     """
 
-    __slots__ = ('last_event_id', 'placement', 'time_limit')
+    __slots__ = ('attempt_id', 'last_event_id', 'placement', 'time_limit')
 
     def __init__(
         self,
         placement: Placement,
         time_limit: timedelta,
+        *,
+        attempt_id: str,
         last_event_id: str,
     ) -> None:
+        self.attempt_id = attempt_id
         self.placement = placement
         self.time_limit = time_limit
         self.last_event_id = last_event_id
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -213,7 +213,8 @@
             StartAttempt(
                 placement,
                 self.deadline - now,
-                self._assembler.last_event_id,
+                attempt_id=self.admission.facts.attempt_id,
+                last_event_id=self._assembler.last_event_id,
             ),
         ]
 
--- a/packages/core/src/buckthornpond_core/serving/flights.py
+++ b/packages/core/src/buckthornpond_core/serving/flights.py
@@ -76,10 +76,18 @@
     :param work: the request.
     :param read_ms: time of reading what this target reads of it.
     :param started: when it was sent, on the monotonic clock.
+    :param held_tokens: tokens that this target holds for it.
     :param writes: whether this target writes the answer.
     """
 
-    __slots__ = ('is_reading', 'read_ms', 'started', 'work', 'writes')
+    __slots__ = (
+        'held_tokens',
+        'is_reading',
+        'read_ms',
+        'started',
+        'work',
+        'writes',
+    )
 
     def __init__(
         self,
@@ -87,9 +95,11 @@
         read_ms: float,
         started: timedelta,
         *,
+        held_tokens: int,
         writes: bool,
     ) -> None:
         self.work = work
+        self.held_tokens = held_tokens
         self.read_ms = read_ms
         self.started = started
         self.writes = writes
@@ -134,11 +144,7 @@
         self.reading_ms = sum(
             flight.remaining_ms(now) for flight in self._flights
         )
-        self.held_tokens = sum(
-            flight.work.context_tokens
-            for flight in self._flights
-            if flight.writes
-        )
+        self.held_tokens = sum(flight.held_tokens for flight in self._flights)
         self.step_ms = (
             costs.step_ms
             + costs.step_request_ms * self.flight_count
--- a/packages/core/src/buckthornpond_core/serving/peers.py
+++ b/packages/core/src/buckthornpond_core/serving/peers.py
@@ -43,9 +43,9 @@
 
     __slots__ = (
         '_changed',
-        '_incarnation',
         '_sequence',
         'address',
+        'incarnation',
         'peers',
         'seeds',
     )
@@ -59,7 +59,7 @@
         self.address = address
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.peers: dict[str, Peer] = {}
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._sequence = 0
         self._changed: set[str] = set()
 
@@ -103,7 +103,7 @@
         self._changed.clear()
         return LoadHint(
             sender=self.address,
-            incarnation=self._incarnation,
+            incarnation=self.incarnation,
             sequence=self._sequence,
             is_full=is_full,
             targets=[_describe(view, now) for view in views],
@@ -171,7 +171,7 @@
         flights=[
             FlightHint(
                 read_ms=int(flight.remaining_ms(now)),
-                context_tokens=flight.work.context_tokens,
+                held_tokens=flight.held_tokens,
                 gap_ms=flight.work.gap_ms,
                 weight_percent=int(flight.work.weight * _PERCENT),
                 writes=flight.writes,
@@ -183,12 +183,18 @@
 
 def _read(hint: FlightHint, now: timedelta) -> Flight:
     work = Work(
-        prompt_tokens=hint.context_tokens,
+        prompt_tokens=hint.held_tokens,
         output_tokens=0,
         gap_ms=hint.gap_ms,
         objective_ms=0,
         weight=hint.weight_percent / _PERCENT,
     )
-    flight = Flight(work, hint.read_ms, now, writes=hint.writes)
+    flight = Flight(
+        work,
+        hint.read_ms,
+        now,
+        held_tokens=hint.held_tokens,
+        writes=hint.writes,
+    )
     flight.is_reading = hint.read_ms > 0
     return flight
--- a/packages/core/src/buckthornpond_core/serving/placement.py
+++ b/packages/core/src/buckthornpond_core/serving/placement.py
@@ -22,8 +22,14 @@
 _TIME_WEIGHT = 0.1
 # For each answer that is on an engine already, so that others stay free.
 _PACKING_BONUS = 0.06
+_ENTRIES_PER_ROOM = 8
 _SHORT_READ_MS = 50
 _HELPER_PENALTY = 0.01
+_TICKET_PENALTY = 0.3
+# Engines hold memory in blocks.
+_TICKET_ROUNDING = 64
+# What is planned of an engine's memory, since others plan at the same time.
+_USED_SHARE = 0.97
 
 
 class Candidate:
@@ -62,9 +68,10 @@
     :param helpers: engines that read parts of its prompt besides.
     :param first_ms: when the first byte of the answer is due.
     :param read_ms: time of reading at each of them.
+    :param ticket_tokens: tokens to set aside at each of the first helpers.
     """
 
-    __slots__ = ('first_ms', 'helpers', 'read_ms', 'target')
+    __slots__ = ('first_ms', 'helpers', 'read_ms', 'target', 'ticket_tokens')
 
     def __init__(
         self,
@@ -72,8 +79,10 @@
         helpers: Sequence[TargetView] = (),
         first_ms: float = 0,
         read_ms: float = 0,
+        ticket_tokens: Sequence[int] = (),
     ) -> None:
         self.target = target
+        self.ticket_tokens = ticket_tokens
         self.helpers = helpers
         self.first_ms = first_ms
         self.read_ms = read_ms
@@ -88,6 +97,8 @@
         service: Service,
         work: Work,
         now: timedelta,
+        *,
+        entry_count: int,
     ) -> Choice:
         """Return the targets of an attempt.
 
@@ -95,6 +106,7 @@
         :param service: their service.
         :param work: the request.
         :param now: time on the monotonic clock.
+        :param entry_count: entries that place at the same time.
         """
 
 
@@ -115,6 +127,8 @@
         service: Service,
         work: Work,
         now: timedelta,
+        *,
+        entry_count: int,
     ) -> Choice:
         """Return the candidate that is probably the fastest."""
 
@@ -149,25 +163,33 @@
         service: Service,
         work: Work,
         now: timedelta,
+        *,
+        entry_count: int,
     ) -> Choice:
         """Return the targets with the lowest expected loss."""
         costs = service.engine
         if costs is None:
             return Choice(candidates[0].view)
         engines = [
-            _Engine(each, costs, now, self._random) for each in candidates
+            _Engine(
+                each,
+                costs,
+                now,
+                self._random,
+                _packed_count(costs, entry_count),
+            )
+            for each in candidates
         ]
         plans = [
             _plan(engines, work, costs, count)
             for count in _PART_COUNTS
             if _is_sensible(count, len(engines), work)
         ]
-        best = min(plans, key=_cost_of)
-        return best.choice
+        return min(plans, key=_cost_of).choice
 
 
 class _Engine:
-    __slots__ = ('base_cost', 'load', 'tie', 'view')
+    __slots__ = ('base_cost', 'load', 'packed', 'tie', 'view')
 
     def __init__(
         self,
@@ -175,10 +197,13 @@
         costs: EngineCosts,
         now: timedelta,
         random: RandomSource,
+        packed: int,
     ) -> None:
         self.view = candidate.view
         self.load = EngineLoad(costs, candidate.view.all_flights, now)
         self.base_cost = candidate.base_cost(now)
+        # Answers that are kept together here.
+        self.packed = packed if candidate.is_near else 0
         self.tie = random.random()
 
     def part_cost(self, read_ms: float) -> tuple[float, float]:
@@ -186,6 +211,12 @@
         wait = self.load.reading_ms / _CERTAIN_WAIT_MS
         return self.base_cost + self.load.harm(read_ms) + wait, self.tie
 
+    def free_tokens(self, costs: EngineCosts) -> int:
+        """Return the memory that is probably free."""
+        return max(
+            int(costs.memory_tokens * _USED_SHARE) - (self.load.held_tokens), 0
+        )
+
     def writing_cost(
         self,
         work: Work,
@@ -194,15 +225,10 @@
     ) -> float:
         """Return what speaks against writing the answer here."""
         cost = 0.0
-        if self.load.held_tokens + work.context_tokens > costs.memory_tokens:
-            cost += _FULL_PENALTY * work.weight
         if self.load.flight_count >= costs.slots:
             cost += _FULL_PENALTY * work.weight
         if read_ms <= _SHORT_READ_MS:
-            cost -= _PACKING_BONUS * min(
-                self.load.flight_count,
-                costs.slots - 1,
-            )
+            cost -= _PACKING_BONUS * min(self.load.flight_count, self.packed)
         # The newcomer suffers from what is read here already.
         pause = late_share(self.load.pause_ms(0), work.gap_ms)
         return cost + work.weight * pause
@@ -243,22 +269,47 @@
         late_share(first_ms, work.objective_ms)
         + _TIME_WEIGHT * first_ms / max(work.objective_ms, 1)
     )
-    cost = (
-        lost
-        + total(first)[0]
-        + sum(part(engine)[0] + _HELPER_PENALTY for engine in helpers)
-    )
+    cost = lost + total(first)[0]
+    cost += sum(part(engine)[0] + _HELPER_PENALTY for engine in helpers)
+    tickets = _divide(work, [each.free_tokens(costs) for each in readers])
+    if tickets is None:
+        cost += _FULL_PENALTY * work.weight
+    else:
+        cost += _TICKET_PENALTY * len(tickets)
     return _Plan(
         Choice(
             first.view,
             tuple(engine.view for engine in helpers),
             first_ms,
             read_ms,
+            tickets or (),
         ),
         cost,
     )
 
 
+def _divide(work: Work, free_tokens: Sequence[int]) -> list[int] | None:
+    """Return what helpers hold of a prompt, or nothing if it does not fit.
+
+    :param work: the request.
+    :param free_tokens: free memory of the first engine and of each helper.
+    """
+    if work.context_tokens <= free_tokens[0]:
+        return []
+    for holder_count in range(2, len(free_tokens) + 1):
+        share = work.context_tokens // holder_count + _TICKET_ROUNDING
+        if share <= min(free_tokens[:holder_count]):
+            return [share for _ in range(1, holder_count)]
+    return None
+
+
+def _packed_count(costs: EngineCosts, entry_count: int) -> int:
+    # The more entries choose before they hear of each other, the more room
+    # has to stay.
+    room = 1 + entry_count // _ENTRIES_PER_ROOM
+    return max(costs.slots - room, costs.slots // 2)
+
+
 def _is_sensible(part_count: int, engine_count: int, work: Work) -> bool:
     if part_count == 1:
         return True
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -22,6 +22,7 @@
 from buckthornpond_runtime.tasks import AnyGreenlet, Inbox
 
 from .requests import CallerRequest, drop_hop_fields
+from .tickets import TicketTask
 
 _CONNECT_TIMEOUT_MS = 300
 _CONNECT_TIMEOUT = timedelta(milliseconds=_CONNECT_TIMEOUT_MS)
@@ -74,6 +75,7 @@
         '_order',
         '_request',
         '_sender',
+        '_tickets',
         'kept',
     )
 
@@ -96,6 +98,7 @@
         self._credit = BoundedSemaphore(_UNREAD_PARTS)
         self._sender: AnyGreenlet | None = None
         self._is_body_sent = True
+        self._tickets: TicketTask | None = None
         # The connection, once the answer is whole and it can serve again.
         self.kept: HttpConnection | None = None
         self._greenlet: AnyGreenlet = gevent.spawn(self._run)
@@ -128,10 +131,13 @@
     def _release(self) -> None:
         if self._sender is not None:
             self._sender.kill(block=False)
+        if self._tickets is not None:
+            self._tickets.release()
         if self._connection is not None and self.kept is None:
             self._connection.close()
 
     def _serve(self) -> None:
+        self._set_memory_aside()
         connection = self._connection
         if connection is None:
             connection = HttpConnection(self._order.placement.address)
@@ -150,6 +156,17 @@
         self._keep(connection, response)
         self._tell(AttemptDone())
 
+    def _set_memory_aside(self) -> None:
+        placement = self._order.placement
+        if not placement.tickets:
+            return
+        self._tickets = TicketTask(
+            self._order.attempt_id,
+            placement.tickets,
+            self._codec,
+        )
+        self._tickets.reserve()
+
     def _send(self, connection: HttpConnection) -> None:
         head = self._render_head(connection)
         body = self._request.body
