Test the entry as a process: start, planned stop, reload, kill, its log

Dropped log lines were counted only when the reader came back; they are counted at once (scenario "a log that nobody reads holds nothing up" failed first).

--- /dev/null
+++ b/features/steps/direct_process_steps.py
@@ -0,0 +1,380 @@
+"""Steps on the entry as a process on the platform."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import gevent
+import yaml
+from behave import given, then, when
+
+from buckthornpond_core.journal import EventCode
+from buckthornpond_platform_standins.clients import Client, ClientAnswer
+from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.worlds import (
+    HOST,
+    KEY,
+    STREAM_PATH,
+    World,
+    free_port,
+)
+
+_ROOT = Path(__file__).resolve().parents[2]
+_START = [sys.executable, str(_ROOT / 'deploy/start.py')]
+_VARIABLE = 'BUCKTHORNPOND_CONFIG'
+_READ_PATH = '/read/1'
+
+
+class EntryProcess:
+    """An entry process with its settings file and its log."""
+
+    def __init__(self, store_address: str, *, reads_log: bool = True) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.log_path = Path(self.folder.name) / 'log'
+        self.settings_path = Path(self.folder.name) / 'local.yaml'
+        self.address = f'127.0.0.1:{free_port()}'
+        self.ready_address = f'127.0.0.1:{free_port()}'
+        self.metrics_port = free_port()
+        self.reads_log = reads_log
+        self.process: subprocess.Popen[bytes] | None = None
+        self.settings = {
+            'nodeName': 'edge-1',
+            'role': 'entry',
+            'ip': '127.0.0.1',
+            'zone': 'zone-a',
+            'zones': {'zone-a': 'north'},
+            'listen': {
+                'frontend': self.address,
+                'ready': self.ready_address,
+            },
+            'internalPorts': [free_port()],
+            'seeds': [],
+            'limits': {'memoryMb': 300, 'maxFds': 4200},
+            'bounds': {'graceS': 8, 'strictRevocation': False},
+            'platform': {'address': store_address, 'form': 'read'},
+            'unknown': 1,
+        }
+
+    def start(self) -> None:
+        """Start the process and wait until it is ready."""
+        self.settings_path.write_text(yaml.safe_dump(self.settings))
+        log = self.log_path.open('ab') if self.reads_log else None
+        self.process = subprocess.Popen(
+            [*_START, 'run', f'--metrics-port={self.metrics_port}'],
+            stdin=subprocess.DEVNULL,
+            stdout=log or subprocess.PIPE,
+            env={**os.environ, _VARIABLE: str(self.settings_path)},
+        )
+        wait_until(lambda: ask_status(self.ready_address, '/readyz') == 200)
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def events(self) -> list[dict[str, Any]]:
+        """Return the log lines so far."""
+        lines = self.log_path.read_text().splitlines()
+        return [json.loads(line) for line in lines]
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        if self.process is not None and self.process.stdout:
+            self.process.stdout.close()
+        self.folder.cleanup()
+
+
+class ProcessWorld(World):
+    """A store and servers before an entry process."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.process: EntryProcess | None = None
+
+    def close(self) -> None:
+        """End everything."""
+        if self.process is not None:
+            self.process.stop()
+        super().close()
+
+
+def ask_status(address: str, path: str) -> int:
+    """Return the status of a health check, nought without an answer."""
+    return ask(address, path).status
+
+
+def ask(address: str, path: str) -> ClientAnswer:
+    """Return the answer to a plain request."""
+    client = Client(address, HOST)
+    try:
+        return client.ask('GET', path)
+    except Exception:
+        # The process is not up yet, or no longer.
+        return ClientAnswer('')
+    finally:
+        client.connection.close()
+
+
+def _connect(context: Any) -> Client:
+    return Client(context.process.address, HOST, KEY)
+
+
+def _serve_read(context: Any) -> ClientAnswer:
+    return _connect(context).ask('GET', _READ_PATH)
+
+
+@given('an entry process before {apps:d} app servers and {llms:d} llm servers')
+def start_process(
+    context: Any,
+    apps: int,
+    llms: int,
+    *,
+    reads_log: bool = True,
+) -> None:
+    """Start a process before servers of each kind."""
+    world = ProcessWorld()
+    context.world = world
+    context.fleet = world
+    context.answers = []
+    for _ in range(apps):
+        world.add_server('app')
+    for _ in range(llms):
+        world.add_server('llm')
+    world.configure()
+    world.process = EntryProcess(world.store.address, reads_log=reads_log)
+    context.process = world.process
+    world.process.start()
+
+
+@given(
+    'an entry process before {apps:d} app servers and {llms:d} llm servers '
+    'whose log nobody reads'
+)
+def start_unread(context: Any, apps: int, llms: int) -> None:
+    """Start a process whose output fills a pipe."""
+    start_process(context, apps, llms, reads_log=False)
+
+
+@when('a stream has begun and a stop signal comes')
+def stop_in_stream(context: Any) -> None:
+    """Send the signal between two events."""
+    context.open_client = _connect(context)
+    context.late_client = _connect(context)
+    for client in (context.open_client, context.late_client):
+        assert client.ask('GET', _READ_PATH).status == 200
+    context.stream_client = _connect(context)
+    context.stream = context.stream_client.send(
+        'POST',
+        STREAM_PATH,
+        X_Token_Count='100,40',
+    )
+    gevent.sleep(0.4)
+    context.stopped_at = time.monotonic()
+    context.process.send_signal(signal.SIGTERM)
+
+
+@when('a stream waits and two stop signals come')
+def stop_twice(context: Any) -> None:
+    """Send both signals while a request is held."""
+    context.stream_client = _connect(context)
+    context.stream_client.send('POST', STREAM_PATH, X_Token_Count='100,40')
+    gevent.sleep(0.3)
+    for _ in range(2):
+        context.process.send_signal(signal.SIGTERM)
+        gevent.sleep(0.2)
+
+
+@when('the settings file changes and a reload signal comes')
+def change_settings(context: Any) -> None:
+    """Write other settings."""
+    context.process.settings['bounds']['retryBudgetRatio'] = 0.1
+    context.process.settings_path.write_text(
+        yaml.safe_dump(context.process.settings),
+    )
+    context.process.send_signal(signal.SIGHUP)
+
+
+@when('the settings file is spoiled')
+def spoil_settings(context: Any) -> None:
+    """Write what cannot be used, without a signal."""
+    context.process.settings_path.write_text('platform: 3\n')
+
+
+@when('it is killed and started again')
+def restart_process(context: Any) -> None:
+    """Kill the process and start it anew."""
+    context.process.send_signal(signal.SIGKILL)
+    context.process.process.wait()
+    context.process.start()
+
+
+@when('a process starts with {kind}')
+def start_badly(context: Any, kind: str) -> None:
+    """Start a process that cannot run."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'local.yaml'
+        entry = EntryProcess('127.0.0.1:1')
+        if kind == 'no YAML':
+            path.write_text('a: [')
+        elif kind == 'no store':
+            entry.settings.pop('platform')
+        elif kind == 'a text as a zone':
+            entry.settings['zones'] = 'zone-a'
+        if kind in {'no store', 'a text as a zone'}:
+            path.write_text(yaml.safe_dump(entry.settings))
+        environment = {**os.environ, _VARIABLE: str(path)}
+        if kind == 'no path':
+            environment.pop(_VARIABLE)
+        context.done = subprocess.run(
+            [*_START, 'run'],
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=20,
+            check=False,
+        )
+        entry.stop()
+
+
+@when('{count:d} reads are asked for on {connections:d} connections')
+def read_much(context: Any, count: int, connections: int) -> None:
+    """Ask for reads side by side."""
+    context.begun = time.monotonic()
+    jobs = [
+        gevent.spawn(_read_often, context, count // connections)
+        for _ in range(connections)
+    ]
+    gevent.joinall(jobs)
+    context.statuses = [status for job in jobs for status in job.value]
+
+
+@then('it is ready, and serves a read')
+def check_serves(context: Any) -> None:
+    """Ask for readiness and a read."""
+    assert ask_status(context.process.ready_address, '/readyz') == 200
+    assert _serve_read(context).status == 200
+
+
+@then('its metrics show the answer')
+def check_metrics(context: Any) -> None:
+    """Scrape both addresses."""
+    for address in (
+        context.process.ready_address,
+        f'127.0.0.1:{context.process.metrics_port}',
+    ):
+        text = ask(address, '/metrics').body.decode()
+        assert 'buckthornpond_requests_total{reason="200"} 1' in text, text
+        assert 'buckthornpond_request_time_ms{kind="whole"' in text, text
+
+
+@then('each of its log lines is JSON with a number of the catalogue')
+def check_log(context: Any) -> None:
+    """Compare the log with the catalogue."""
+    wait_until(
+        lambda: any(
+            event['event'] == 'request_answered'
+            for event in context.process.events()
+        ),
+    )
+    for event in context.process.events():
+        assert EventCode(int(event['message_type'][1:])).name == event['event']
+
+
+@then('it is not ready within {seconds:f} seconds')
+def check_unready(context: Any, seconds: float) -> None:
+    """Ask the address of the balancer."""
+    wait_until(
+        lambda: ask_status(context.process.ready_address, '/readyz') == 503,
+        seconds,
+    )
+
+
+@then('a request on an open connection is still answered, with its close')
+def check_open(context: Any) -> None:
+    """Ask on a connection that was open before the signal."""
+    answer = context.open_client.ask('GET', _READ_PATH)
+    assert answer.status == 200
+    assert answer.fields['connection'] == 'close'
+
+
+@then('the stream ends whole')
+def check_stream(context: Any) -> None:
+    """Read the stream to its end."""
+    context.stream_client.receive(context.stream, 'POST')
+    assert not context.stream.error, context.stream.error
+    assert context.stream.events == [1, 2, 3, 4]
+
+
+@then(
+    'a request after {seconds:f} seconds of notice is refused as not run, or '
+    'its connection is closed unread'
+)
+def check_late(context: Any, seconds: float) -> None:
+    """Ask on an open connection when the notice is over."""
+    gevent.sleep(max(context.stopped_at + seconds - time.monotonic(), 0))
+    before = sum(len(each.received) for each in context.world.servers)
+    try:
+        status = context.late_client.ask('GET', _READ_PATH).status
+    except Exception:
+        status = 0
+    after = sum(len(each.received) for each in context.world.servers)
+    assert status in {0, 503}, status
+    assert after == before
+
+
+@then('the process ends with code {code:d} within {seconds:d} seconds')
+def check_exit(context: Any, code: int, seconds: int) -> None:
+    """Wait for the end."""
+    process = context.process.process
+    wait_until(lambda: process.poll() is not None, seconds)
+    assert process.returncode == code, process.returncode
+
+
+@then('event E631 is logged as {verdict:w}')
+def check_settings_read(context: Any, verdict: str) -> None:
+    """Wait for the line on the settings."""
+    wanted = verdict == 'valid'
+    wait_until(
+        lambda: any(
+            event['event'] == 'settings_read' and event['is_valid'] is wanted
+            for event in context.process.events()
+        ),
+    )
+
+
+@then('it ends with code {code:d} and names {word}')
+def check_error(context: Any, code: int, word: str) -> None:
+    """Check the error of a start."""
+    assert context.done.returncode == code, context.done
+    assert word in context.done.stderr, context.done.stderr
+    assert 'Traceback' not in context.done.stderr, context.done.stderr
+
+
+@then('all are answered within {seconds:d} seconds')
+def check_fast(context: Any, seconds: int) -> None:
+    """Check the statuses and the time."""
+    assert set(context.statuses) == {200}
+    assert time.monotonic() - context.begun < seconds
+
+
+@then('its metrics show dropped log lines')
+def check_dropped(context: Any) -> None:
+    """Scrape the counter of dropped lines."""
+    address = context.process.ready_address
+    wait_until(
+        lambda: b'log_lines_dropped_total' in ask(address, '/metrics').body,
+    )
+
+
+def _read_often(context: Any, count: int) -> list[int]:
+    client = _connect(context)
+    return [client.ask('GET', _READ_PATH).status for _ in range(count)]
--- a/packages/runtime/src/buckthornpond_runtime/logs.py
+++ b/packages/runtime/src/buckthornpond_runtime/logs.py
@@ -33,13 +33,22 @@
     :param limit_bytes: the most bytes that wait.
     """
 
-    __slots__ = ('_held_bytes', '_limit_bytes', '_lines', 'dropped', 'filled')
+    __slots__ = (
+        '_held_bytes',
+        '_limit_bytes',
+        '_lines',
+        'dropped',
+        'drops',
+        'filled',
+    )
 
     def __init__(self, limit_bytes: int = _BUFFER_BYTES) -> None:
         self._limit_bytes = limit_bytes
         self._lines: deque[bytes] = deque()
         self._held_bytes = 0
         self.dropped = 0
+        # Counts what was dropped, once the process has counters.
+        self.drops: DropCounter | None = None
         self.filled = Event()
 
     # eliot writes to anything with these two methods.
@@ -51,6 +60,8 @@
         """
         if self._held_bytes + len(line) > self._limit_bytes:
             self.dropped += 1
+            if self.drops is not None:
+                self.drops.add('log_lines_dropped', _DROPPED_REASON, 1)
             return
         if line:
             self._held_bytes += len(line)
@@ -87,13 +98,11 @@
     :param descriptor: file descriptor of the output.
     """
 
-    __slots__ = ('_descriptor', '_lines', 'drops')
+    __slots__ = ('_descriptor', '_lines')
 
     def __init__(self, lines: LineBuffer, descriptor: int) -> None:
         self._lines = lines
         self._descriptor = descriptor
-        # Counts what was dropped, once the process has counters.
-        self.drops: DropCounter | None = None
 
     def run(self) -> None:
         """Write lines until the process ends."""
@@ -135,8 +144,6 @@
         dropped = self._lines.take_dropped()
         if not dropped:
             return
-        if self.drops is not None:
-            self.drops.add('log_lines_dropped', _DROPPED_REASON, dropped)
         log_event(
             EventCode.log_lines_dropped,
             reason=_DROPPED_REASON,
@@ -156,7 +163,7 @@
     """
     sys.stdout.flush()
     os.set_blocking(_STDOUT_DESCRIPTOR, False)
-    _TASK.drops = drops
+    _LINES.drops = drops
     eliot.to_file(_LINES)
     gevent.spawn(_TASK.run)
 
