--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -107,6 +107,7 @@
     """Targets by name, and the availability zones that are evacuated."""
 
     __slots__ = (
+        '_begun',
         '_targets',
         'confirmed',
         'evacuated_zones',
@@ -117,6 +118,8 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, TargetView] = {}
+        # When the source was first heard or missed.
+        self._begun: timedelta | None = None
         self.evacuated_zones: set[str] = set()
         self.revision = 0
         self.confirmed: timedelta | None = None
@@ -252,6 +255,7 @@
 
         :param now: time on the monotonic clock.
         """
+        self._begun = self._begun or now
         is_new = self.lost_at is None
         if is_new:
             self.lost_at = now
@@ -288,7 +292,7 @@
 
         :param now: time on the monotonic clock.
         """
-        return now - self.confirmed if self.confirmed else now
+        return now - (self.confirmed or self._begun or now)
 
     def list_names(self) -> Iterable[str]:
         """Return the names of all targets."""
