--- a/features/direct_tickets.feature
+++ b/features/direct_tickets.feature
@@ -43,3 +43,18 @@
     When a caller streams a prompt of 4000000 tokens
     Then the answer is 503
     And no request ran more than 0 times
+
+  Scenario: memory is given back while a renewal is under way
+    Given the next llm servers do: hang
+    And llm servers answer orders after 0.3 seconds
+    When a caller streams a prompt of 600000 tokens and leaves 0.6 seconds later
+    Then each ticket is released within 1.5 seconds
+    And no task of the entry failed
+
+  Scenario: several tickets are given back when engines refuse slowly
+    Given llm servers refuse orders
+    And llm servers answer orders after 0.3 seconds
+    When a caller streams a prompt of 1200000 tokens
+    Then the answer is 503
+    And each ticket is released within 1.5 seconds
+    And no task of the entry failed
--- a/features/steps/direct_process_steps.py
+++ b/features/steps/direct_process_steps.py
@@ -1,10 +1,8 @@
 """Steps on the entry as a process on the platform."""
 
-import json
 import os
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -17,82 +15,22 @@
 from buckthornpond_core.journal import EventCode
 from buckthornpond_platform_standins.clients import Client, ClientAnswer
 from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.processes import (
+    PATH_VARIABLE,
+    START,
+    EntryProcess,
+    ask_plainly,
+)
 from buckthornpond_platform_standins.worlds import (
     HOST,
     KEY,
     STREAM_PATH,
     World,
-    free_port,
 )
 
-_ROOT = Path(__file__).resolve().parents[2]
-_START = [sys.executable, str(_ROOT / 'deploy/start.py')]
-_VARIABLE = 'BUCKTHORNPOND_CONFIG'
 _READ_PATH = '/read/1'
 
 
-class EntryProcess:
-    """An entry process with its settings file and its log."""
-
-    def __init__(self, store_address: str, *, reads_log: bool = True) -> None:
-        self.folder = tempfile.TemporaryDirectory()
-        self.log_path = Path(self.folder.name) / 'log'
-        self.settings_path = Path(self.folder.name) / 'local.yaml'
-        self.address = f'127.0.0.1:{free_port()}'
-        self.ready_address = f'127.0.0.1:{free_port()}'
-        self.metrics_port = free_port()
-        self.reads_log = reads_log
-        self.process: subprocess.Popen[bytes] | None = None
-        self.settings = {
-            'nodeName': 'edge-1',
-            'role': 'entry',
-            'ip': '127.0.0.1',
-            'zone': 'zone-a',
-            'zones': {'zone-a': 'north'},
-            'listen': {
-                'frontend': self.address,
-                'ready': self.ready_address,
-            },
-            'internalPorts': [free_port()],
-            'seeds': [],
-            'limits': {'memoryMb': 300, 'maxFds': 4200},
-            'bounds': {'graceS': 8, 'strictRevocation': False},
-            'platform': {'address': store_address, 'form': 'read'},
-            'unknown': 1,
-        }
-
-    def start(self) -> None:
-        """Start the process and wait until it is ready."""
-        self.settings_path.write_text(yaml.safe_dump(self.settings))
-        log = self.log_path.open('ab') if self.reads_log else None
-        self.process = subprocess.Popen(
-            [*_START, 'run', f'--metrics-port={self.metrics_port}'],
-            stdin=subprocess.DEVNULL,
-            stdout=log or subprocess.PIPE,
-            env={**os.environ, _VARIABLE: str(self.settings_path)},
-        )
-        wait_until(lambda: ask_status(self.ready_address, '/readyz') == 200)
-
-    def send_signal(self, number: int) -> None:
-        """Send a signal to the process."""
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    def events(self) -> list[dict[str, Any]]:
-        """Return the log lines so far."""
-        lines = self.log_path.read_text().splitlines()
-        return [json.loads(line) for line in lines]
-
-    def stop(self) -> None:
-        """End the process."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
-        if self.process is not None and self.process.stdout:
-            self.process.stdout.close()
-        self.folder.cleanup()
-
-
 class ProcessWorld(World):
     """A store and servers before an entry process."""
 
@@ -109,19 +47,7 @@
 
 def ask_status(address: str, path: str) -> int:
     """Return the status of a health check, nought without an answer."""
-    return ask(address, path).status
-
-
-def ask(address: str, path: str) -> ClientAnswer:
-    """Return the answer to a plain request."""
-    client = Client(address, HOST)
-    try:
-        return client.ask('GET', path)
-    except Exception:
-        # The process is not up yet, or no longer.
-        return ClientAnswer('')
-    finally:
-        client.connection.close()
+    return ask_plainly(address, path).status
 
 
 def _connect(context: Any) -> Client:
@@ -231,11 +157,11 @@
             entry.settings['zones'] = 'zone-a'
         if kind in {'no store', 'a text as a zone'}:
             path.write_text(yaml.safe_dump(entry.settings))
-        environment = {**os.environ, _VARIABLE: str(path)}
+        environment = {**os.environ, PATH_VARIABLE: str(path)}
         if kind == 'no path':
-            environment.pop(_VARIABLE)
+            environment.pop(PATH_VARIABLE)
         context.done = subprocess.run(
-            [*_START, 'run'],
+            [*START, 'run'],
             env=environment,
             capture_output=True,
             text=True,
@@ -271,7 +197,7 @@
         context.process.ready_address,
         f'127.0.0.1:{context.process.metrics_port}',
     ):
-        text = ask(address, '/metrics').body.decode()
+        text = ask_plainly(address, '/metrics').body.decode()
         assert 'buckthornpond_requests_total{reason="200"} 1' in text, text
         assert 'buckthornpond_request_time_ms{kind="whole"' in text, text
 
@@ -282,10 +208,10 @@
     wait_until(
         lambda: any(
             event['event'] == 'request_answered'
-            for event in context.process.events()
+            for event in context.process.read_events()
         ),
     )
-    for event in context.process.events():
+    for event in context.process.read_events():
         assert EventCode(int(event['message_type'][1:])).name == event['event']
 
 
@@ -346,7 +272,7 @@
     wait_until(
         lambda: any(
             event['event'] == 'settings_read' and event['is_valid'] is wanted
-            for event in context.process.events()
+            for event in context.process.read_events()
         ),
     )
 
@@ -371,7 +297,9 @@
     """Scrape the counter of dropped lines."""
     address = context.process.ready_address
     wait_until(
-        lambda: b'log_lines_dropped_total' in ask(address, '/metrics').body,
+        lambda: (
+            b'log_lines_dropped_total' in ask_plainly(address, '/metrics').body
+        ),
     )
 
 
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -1,5 +1,6 @@
 """Steps on requests through an entry that calls targets directly."""
 
+import io
 import re
 from collections import deque
 from datetime import timedelta
@@ -73,6 +74,8 @@
     context.fleet = world
     context.answers = []
     context.log_lines = LogLines()
+    context.task_errors = io.StringIO()
+    gevent.get_hub().exception_stream = context.task_errors
     eliot.to_file(context.log_lines)
     for _ in range(app_count):
         world.add_server('app')
@@ -407,6 +410,14 @@
     assert opened <= count, opened
 
 
+@then('no task of the entry failed')
+def check_tasks(context: Any) -> None:
+    """Check that no greenlet ended with an error that nobody handled."""
+    gevent.sleep(0.1)
+    errors = context.task_errors.getvalue()
+    assert not errors, errors
+
+
 def _timed(context: Any, ask: Any) -> None:
     begun = context.world.clock.monotonic()
     context.answers.append(ask(context.world.connect()))
--- a/features/steps/direct_ticket_steps.py
+++ b/features/steps/direct_ticket_steps.py
@@ -49,12 +49,17 @@
 
 
 @when('a caller streams a prompt of {tokens:d} tokens and leaves')
-def stream_and_leave(context: Any, tokens: int) -> None:
+@when(
+    'a caller streams a prompt of {tokens:d} tokens and leaves {seconds:f} '
+    'seconds later'
+)
+def stream_and_leave(context: Any, tokens: int, seconds: float = 0) -> None:
     """Close the connection once the engine works."""
     client = context.world.connect()
     client.send('POST', STREAM_PATH, X_Token_Count=f'{tokens},40')
     wait_until(lambda: any(each.runs for each in _engines(context)))
     assert any(each.held_tokens for each in _engines(context))
+    gevent.sleep(seconds)
     client.connection.close()
 
 
@@ -139,3 +144,23 @@
     """Count the runs of each request."""
     for server in _engines(context):
         assert max(server.runs.values(), default=0) <= count
+
+
+@given('llm servers answer orders after {seconds:f} seconds')
+def slow_orders(context: Any, seconds: float) -> None:
+    """Let a renewal be under way most of the time."""
+    for server in _engines(context):
+        server.order_seconds = seconds
+
+
+@then('each ticket is released within {seconds:f} seconds')
+def check_released(context: Any, seconds: float) -> None:
+    """Wait for a release of each ticket."""
+    wait_until(lambda: _list_unreleased(context) == set(), seconds)
+
+
+def _list_unreleased(context: Any) -> set[str]:
+    orders = _orders(context)
+    assert orders
+    released = {each['id'] for each in orders if each['op'] == 'release'}
+    return {each['id'] for each in orders} - released
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -22,7 +22,7 @@
 from buckthornpond_runtime.tasks import AnyGreenlet, Inbox
 
 from .requests import CallerRequest, drop_hop_fields
-from .tickets import TicketTask
+from .tickets import AttemptMemory
 
 _CONNECT_TIMEOUT_MS = 300
 _CONNECT_TIMEOUT = timedelta(milliseconds=_CONNECT_TIMEOUT_MS)
@@ -71,11 +71,11 @@
         '_greenlet',
         '_inbox',
         '_is_body_sent',
+        '_memory',
         '_number',
         '_order',
         '_request',
         '_sender',
-        '_tickets',
         'kept',
     )
 
@@ -98,7 +98,7 @@
         self._credit = BoundedSemaphore(_UNREAD_PARTS)
         self._sender: AnyGreenlet | None = None
         self._is_body_sent = True
-        self._tickets: TicketTask | None = None
+        self._memory: AttemptMemory | None = None
         # The connection, once the answer is whole and it can serve again.
         self.kept: HttpConnection | None = None
         self._greenlet: AnyGreenlet = gevent.spawn(self._run)
@@ -131,8 +131,8 @@
     def _release(self) -> None:
         if self._sender is not None:
             self._sender.kill(block=False)
-        if self._tickets is not None:
-            self._tickets.release()
+        if self._memory is not None:
+            self._memory.release()
         if self._connection is not None and self.kept is None:
             self._connection.close()
 
@@ -160,12 +160,12 @@
         placement = self._order.placement
         if not placement.tickets:
             return
-        self._tickets = TicketTask(
+        self._memory = AttemptMemory(
             self._order.attempt_id,
             placement.tickets,
             self._codec,
         )
-        self._tickets.reserve()
+        self._memory.reserve()
 
     def _send(self, connection: HttpConnection) -> None:
         head = self._render_head(connection)
--- a/packages/entry/src/buckthornpond_entry/direct/tickets.py
+++ b/packages/entry/src/buckthornpond_entry/direct/tickets.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 import gevent
+from gevent.event import Event
 
 from buckthornpond_core._generated.serving import MemoryTicket
 from buckthornpond_core.exceptions import TargetError
@@ -14,7 +15,7 @@
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.responses import HttpResponse
-from buckthornpond_runtime.tasks import AnyGreenlet
+from buckthornpond_runtime.tasks import Mailbox
 
 _ORDER_TIMEOUT_MS = 400
 _ORDER_TIMEOUT = timedelta(milliseconds=_ORDER_TIMEOUT_MS)
@@ -23,133 +24,162 @@
 # An order without an answer may be carried out for so long.
 _LATE_TIME_SECONDS = 13
 _STEP = 'order'
+_LINE_END = '\r\n'
 
 
 class TicketTask:
-    """Owns the reservations of one attempt and the connections for them.
+    """Owns one reservation and the connection for its orders.
 
     :param attempt_id: the request, for the log.
-    :param tickets: the memory.
+    :param ticket: the memory.
     :param codec: spells the orders.
     """
 
     __slots__ = (
         '_attempt_id',
         '_codec',
-        '_connections',
-        '_greenlets',
-        '_tickets',
-        '_unanswered',
+        '_connection',
+        '_is_over',
+        '_is_unanswered',
+        '_ticket',
+        'answers',
     )
 
     def __init__(
         self,
         attempt_id: str,
-        tickets: list[MemoryTicket],
+        ticket: MemoryTicket,
         codec: RequestCodec,
     ) -> None:
         self._attempt_id = attempt_id
-        self._tickets = tickets
+        self._ticket = ticket
         self._codec = codec
-        self._connections: dict[str, HttpConnection] = {}
-        self._greenlets: list[AnyGreenlet] = []
-        # Tickets of which an order got no answer.
-        self._unanswered: set[str] = set()
-
-    def reserve(self) -> None:
-        """Set all of the memory aside, or none of it.
-
-        :raises TargetError: when a target does not give it.
-        """
-        jobs = [gevent.spawn(self._reserve, each) for each in self._tickets]
-        gevent.joinall(jobs)
-        refusals = [job.value for job in jobs if job.value]
-        log_event(
-            EventCode.memory_reserved,
-            request=self._attempt_id,
-            tickets={each.target: each.tokens for each in self._tickets},
-            refusals=refusals,
-        )
-        if refusals:
-            self.release()
-            raise TargetError(
-                refusals[0],
-                step=_STEP,
-                peer=self._tickets[0].address,
-                is_sent=False,
-            )
-        self._greenlets = [
-            gevent.spawn(self._renew, ticket) for ticket in self._tickets
-        ]
-
-    def release(self) -> None:
+        self._connection: HttpConnection | None = None
+        # Whether an order got no answer, and may be carried out late.
+        self._is_unanswered = False
+        self._is_over = Event()
+        # Takes why the memory was not given, or nothing, once.
+        self.answers: Mailbox[str] = Mailbox()
+        gevent.spawn(self._run)
+
+    def end(self) -> None:
         """Give the memory back, without waiting for it."""
-        for renewal in self._greenlets:
-            renewal.kill(block=False)
-        for ticket in self._tickets:
-            gevent.spawn(self._release, ticket)
-
-    def _reserve(self, ticket: MemoryTicket) -> str:
-        """Return why the memory was not given, or nothing."""
-        try:
-            status_code = self._send(
-                ticket,
-                self._codec.write_reservation(ticket),
-            )
-        except TargetError as error:
-            return str(error)
-        if status_code == HTTPStatus.OK:
-            return ''
-        return f'{ticket.target}: status {status_code}'
+        self._is_over.set()
 
-    def _renew(self, ticket: MemoryTicket) -> None:
-        while True:
-            gevent.sleep(_RENEWAL_SECONDS)
-            refusal = self._reserve(ticket)
+    def _run(self) -> None:
+        refusal = self._reserve()
+        self.answers.offer(refusal)
+        while not self._is_over.wait(_RENEWAL_SECONDS):
+            refusal = self._reserve()
             if refusal:
                 # The next one may come in time; else the target ends the
                 # request, which its answer shows.
                 log_event(
                     EventCode.reservation_failed,
                     request=self._attempt_id,
-                    target=ticket.target,
+                    target=self._ticket.target,
                     error=refusal,
                 )
+        self._release()
 
-    def _release(self, ticket: MemoryTicket) -> None:
-        self._send_release(ticket)
-        if ticket.ticket in self._unanswered:
+    def _reserve(self) -> str:
+        """Return why the memory was not given, or nothing."""
+        try:
+            status_code = self._send(
+                self._codec.write_reservation(self._ticket),
+            )
+        except TargetError as error:
+            return str(error)
+        if status_code == HTTPStatus.OK:
+            return ''
+        return f'{self._ticket.target}: status {status_code}'
+
+    def _release(self) -> None:
+        self._send_release()
+        if self._is_unanswered:
             # What is carried out late must not keep the memory.
             for _ in range(int(_LATE_TIME_SECONDS / _RENEWAL_SECONDS)):
                 gevent.sleep(_RENEWAL_SECONDS)
-                self._send_release(ticket)
-        connection = self._connections.pop(ticket.address, None)
-        if connection is not None:
-            connection.close()
+                self._send_release()
+        if self._connection is not None:
+            self._connection.close()
 
-    def _send_release(self, ticket: MemoryTicket) -> None:
+    def _send_release(self) -> None:
         # The lease ends by itself soon if this does not arrive.
         with suppress(TargetError):
-            self._send(ticket, self._codec.write_release(ticket))
+            self._send(self._codec.write_release(self._ticket))
 
-    def _send(self, ticket: MemoryTicket, order: TargetOrder) -> int:
-        connection = self._connections.get(ticket.address)
-        if connection is None or not connection.is_usable():
-            connection = HttpConnection(ticket.address)
-            connection.connect(_ORDER_TIMEOUT)
-            self._connections[ticket.address] = connection
-        connection.set_timeout(_ORDER_TIMEOUT)
+    def _send(self, order: TargetOrder) -> int:
+        connection = self._connect()
         lines = [f'{order.method} {order.path} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in order.fields)
         lines.extend((f'Content-Length: {len(order.body)}', '', ''))
+        head = _LINE_END.join(lines).encode('latin-1')
+        response = HttpResponse(order.method)
         try:
-            connection.send('\r\n'.join(lines).encode('latin-1') + order.body)
-            response = HttpResponse(order.method)
+            connection.send(head + order.body)
             while not response.is_complete:
                 connection.receive(response, _STEP)
         except TargetError:
-            self._unanswered.add(ticket.ticket)
+            self._is_unanswered = True
             connection.close()
-            self._connections.pop(ticket.address, None)
             raise
         return response.status_code
+
+    def _connect(self) -> HttpConnection:
+        connection = self._connection
+        if connection is None or not connection.is_usable():
+            connection = HttpConnection(self._ticket.address)
+            connection.connect(_ORDER_TIMEOUT)
+            connection.set_timeout(_ORDER_TIMEOUT)
+            self._connection = connection
+        return connection
+
+
+class AttemptMemory:
+    """All reservations of one attempt.
+
+    :param attempt_id: the request, for the log.
+    :param tickets: the memory.
+    :param codec: spells the orders.
+    """
+
+    __slots__ = ('_attempt_id', '_tasks', '_tickets')
+
+    def __init__(
+        self,
+        attempt_id: str,
+        tickets: list[MemoryTicket],
+        codec: RequestCodec,
+    ) -> None:
+        self._attempt_id = attempt_id
+        self._tickets = tickets
+        self._tasks = [
+            TicketTask(attempt_id, ticket, codec) for ticket in tickets
+        ]
+
+    def reserve(self) -> None:
+        """Wait until all of the memory is set aside.
+
+        :raises TargetError: when a target does not give it.
+        """
+        answers = [task.answers.receive() for task in self._tasks]
+        refusals = [answer for answer in answers if answer]
+        log_event(
+            EventCode.memory_reserved,
+            request=self._attempt_id,
+            tickets={each.target: each.tokens for each in self._tickets},
+            refusals=refusals,
+        )
+        if refusals:
+            raise TargetError(
+                refusals[0],
+                step=_STEP,
+                peer=self._tickets[0].address,
+                is_sent=False,
+            )
+
+    def release(self) -> None:
+        """Give the memory back, without waiting for it."""
+        for task in self._tasks:
+            task.end()
