--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -123,6 +123,7 @@
       | length and chunk | 400    |
       | no attempt id    | 400    |
       | a wrong count    | 400    |
+      | a huge count     | 400    |
 
   Scenario: a caller may send the next request ahead
     When a caller sends two requests at once
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -47,6 +47,9 @@
         'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
     ).encode(),
     'no attempt id': f'{_READ}{_NAMED}\r\n'.encode(),
+    'a huge count': (
+        f'{_READ}{_NAMED}{_OWN}X-Deadline-Ms: {"9" * 5000}\r\n\r\n'
+    ).encode(),
     'a wrong count': f'{_READ}{_NAMED}{_OWN}X-Deadline-Ms: -1\r\n\r\n'.encode(),
 }
 
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -3,6 +3,7 @@
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _ID_LINE = b'\nid:'
+_LONGEST_NUMBER = 18
 
 
 class EventAssembler:
@@ -76,4 +77,6 @@
 
 
 def _parse_number(text: str) -> int | None:
-    return int(text) if text.isascii() and text.isdigit() else None
+    if len(text) > _LONGEST_NUMBER or not text.isascii():
+        return None
+    return int(text) if text.isdigit() else None
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -6,7 +6,8 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from buckthornpond_core.exceptions import TargetError
+from buckthornpond_core.exceptions import BuckthornpondError, TargetError
+from buckthornpond_core.journal import EventCode
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import AnswerHead, StartAttempt
 from buckthornpond_core.serving.messages import (
@@ -18,6 +19,7 @@
 )
 from buckthornpond_core.serving.trust import AttemptOutcome
 from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.responses import HttpResponse
 from buckthornpond_runtime.tasks import AnyGreenlet, Inbox
 
@@ -115,19 +117,26 @@
         try:
             self._serve()
         except TargetError as error:
-            outcome = AttemptOutcome.failed
-            if not error.is_sent:
-                outcome = AttemptOutcome.unreachable
-            self._tell(
-                AttemptFailed(
-                    outcome,
-                    is_sent=error.is_sent,
-                    error=str(error),
-                ),
+            self._fail(error, is_sent=error.is_sent)
+        except BuckthornpondError as error:
+            self._fail(error, is_sent=True)
+        except Exception as error:
+            # Else the request would wait for an attempt that is dead.
+            log_event(
+                EventCode.request_crashed,
+                path=self._request.path,
+                error=repr(error),
             )
+            self._fail(error, is_sent=True)
         finally:
             self._release()
 
+    def _fail(self, error: Exception, *, is_sent: bool) -> None:
+        outcome = AttemptOutcome.failed
+        if not is_sent:
+            outcome = AttemptOutcome.unreachable
+        self._tell(AttemptFailed(outcome, is_sent=is_sent, error=str(error)))
+
     def _release(self) -> None:
         if self._sender is not None:
             self._sender.kill(block=False)
--- a/packages/entry/src/buckthornpond_entry/direct/serving.py
+++ b/packages/entry/src/buckthornpond_entry/direct/serving.py
@@ -81,7 +81,16 @@
 
     def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
         connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        CallerTask(connection, f'{peer[0]}:{peer[1]}', self._front).run()
+        task = CallerTask(connection, f'{peer[0]}:{peer[1]}', self._front)
+        try:
+            task.run()
+        except Exception as error:
+            # Ends this connection only.
+            log_event(
+                EventCode.request_crashed,
+                path=f'{peer[0]}:{peer[1]}',
+                error=repr(error),
+            )
 
 
 class DirectEntry:
