--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -74,6 +74,14 @@
     When 60 short prompts are placed within 2 seconds
     Then the first engine got at most 2 of them
 
+  Scenario: a large fleet is weighed in part, and every target is found
+    Given a dispatcher before 1000 plain targets
+    When 3000 requests are placed one after the other
+    Then at least 900 targets got some of them
+    When all but the first target drain
+    And 5 requests are placed one after the other
+    Then the first target got all 5 of them
+
   Scenario: repeats end with the budget
     Given a dispatcher before 4 plain targets
     When 100 requests each ask for a repeat
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -162,7 +162,9 @@
         'At-Server',
     ],
 )
-_NUMBERS = st.integers().map(str) | st.just('9' * 5000) | st.text(max_size=9)
+_HUGE_NUMBER = '9' * 5000
+_WRITTEN_NUMBERS = st.integers().map(str)
+_NUMBERS = _WRITTEN_NUMBERS | st.just(_HUGE_NUMBER) | st.text(max_size=9)
 _REQUESTS = st.lists(_REQUEST_PARTS | st.binary(max_size=20), max_size=8)
 _ANSWERS = st.lists(_ANSWER_PARTS | st.binary(max_size=20), max_size=8)
 _FIELDS = st.lists(st.tuples(_FIELD_NAMES, _NUMBERS), max_size=6)
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -421,6 +421,29 @@
     assert any(found.target == 'target-0' for _, found in context.placed)
 
 
+@when('all but the first target drain')
+def drain_others(context: Any) -> None:
+    """Let all targets but one report that they leave."""
+    for record in context.records[1:]:
+        record.is_draining = True
+        context.dispatchers[0].apply(TargetFound(record, 3), context.now)
+    context.placed.clear()
+
+
+@then('at least {count:d} targets got some of them')
+def check_all_found(context: Any, count: int) -> None:
+    """Count the targets that got anything."""
+    found = {found.target for _, found in context.placed}
+    assert len(found) >= count, len(found)
+
+
+@then('the first target got all {count:d} of them')
+def check_only(context: Any, count: int) -> None:
+    """Check that the one target left was found."""
+    targets = [found.target for _, found in context.placed]
+    assert targets == ['target-0' for _ in range(count)], targets
+
+
 @then('at most {count:d} repeats are placed')
 def check_repeats(context: Any, count: int) -> None:
     """Count the repeats."""
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -90,18 +90,23 @@
 def check_settings_page(context: Any) -> None:
     """Compare keys and defaults of each class both ways."""
     text = (_ROOT / 'docs/SETTINGS.md').read_text()
-    schema = json.loads(
-        (
-            _ROOT / 'packages/core/src/buckthornpond_core/schema/settings.json'
-        ).read_text(),
+    folder = _ROOT / 'packages/core/src/buckthornpond_core/schema'
+    definitions: dict[str, Any] = {}
+    for name in ('settings', 'serving'):
+        schema = json.loads((folder / f'{name}.json').read_text())
+        definitions.update(schema['$defs'])
+    classes = (
+        'PlatformSettings',
+        'EntrySettings',
+        'AgentSettings',
+        'DirectSettings',
     )
-    classes = ('PlatformSettings', 'EntrySettings', 'AgentSettings')
     sections = text.split('\n## ')[1:]
     for name, section in zip(classes, sections, strict=True):
         rows = re.findall(r'^\| `(\w+)` \| [^|]*\| ([^|]*?) ?\|', section, re.M)
         wanted = {
             (key, json.dumps(found['default']) if 'default' in found else '')
-            for key, found in schema['$defs'][name]['properties'].items()
+            for key, found in definitions[name]['properties'].items()
         }
         assert set(rows) == wanted, set(rows) ^ wanted
 
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -318,14 +318,10 @@
     output_tokens: Annotated[
         int, Meta(description='The most tokens of the answer.', ge=0)
     ] = 0
-    expected_output_tokens: Annotated[
-        int, Meta(description="The caller's estimate, often far off.", ge=0)
-    ] = 0
     last_event_id: Annotated[
         str,
         Meta(description='Last event that a caller has of a broken stream.'),
     ] = ''
-    body_bytes: Annotated[int, Meta(ge=0)] = 0
 
 
 class AnswerFacts(Struct):
@@ -393,11 +389,9 @@
         ),
     ] = field(default_factory=list)
     organisation: str = ''
-    priority: Annotated[int, Meta(ge=0)] = 5
     forecast_ms: Annotated[
         float, Meta(description='When the first event is due.', ge=0.0)
     ] = 0.0
-    is_repeat: bool = False
     candidate_count: Annotated[int, Meta(ge=0)] = 0
     configuration_version: Annotated[int, Meta(ge=0)] = 0
     fleet_revision: Annotated[int, Meta(ge=0)] = 0
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -1,6 +1,6 @@
 """Decisions of one entry over all its requests."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 from types import MappingProxyType
 
@@ -50,8 +50,8 @@
 )
 # Prompt tokens whose answer is worth as much again as answering at all.
 _WEIGHT_TOKENS = 10_000
-_HIGHEST_PRIORITY = 0
-_LOWEST_PRIORITY = 9
+# Targets that are weighed for one attempt.
+_MOST_CANDIDATES = 96
 _INCARNATION_BITS = 52
 _RESTART_MARGIN = timedelta(seconds=1)
 
@@ -313,13 +313,29 @@
         admission: Admission,
         excluded: Collection[str],
         now: timedelta,
+    ) -> list[Candidate]:
+        found = self.fleet.list_service(admission.service)
+        if len(found) > _MOST_CANDIDATES:
+            # Costs the same however large the fleet is.
+            sample = self._random.sample(found, _MOST_CANDIDATES)
+            candidates = self._filter(sample, admission, excluded, now)
+            if candidates:
+                return candidates
+        return self._filter(found, admission, excluded, now)
+
+    def _filter(
+        self,
+        views: Iterable[TargetView],
+        admission: Admission,
+        excluded: Collection[str],
+        now: timedelta,
     ) -> list[Candidate]:
         near = self._settings.availability_zone
-        usable = self.fleet.list_usable(admission.service, now)
         return [
             Candidate(view, is_near=view.record.availability_zone == near)
-            for view in usable
-            if view.record.name not in excluded
+            for view in views
+            if self.fleet.is_usable(view, now)
+            and view.record.name not in excluded
             and self._is_home(admission, view)
         ]
 
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -108,6 +108,7 @@
 
     __slots__ = (
         '_begun',
+        '_services',
         '_targets',
         'confirmed',
         'evacuated_zones',
@@ -118,6 +119,7 @@
 
     def __init__(self) -> None:
         self._targets: dict[str, TargetView] = {}
+        self._services: dict[str, dict[str, TargetView]] = {}
         # When the source was first heard or missed.
         self._begun: timedelta | None = None
         self.evacuated_zones: set[str] = set()
@@ -147,19 +149,21 @@
                 return view
         return None
 
-    def list_usable(self, service: str, now: timedelta) -> list[TargetView]:
-        """Return targets of a service that may get new work.
+    def list_service(self, service: str) -> list[TargetView]:
+        """Return all known targets of a service.
 
         :param service: name of the service.
+        """
+        return list(self._services.get(service, {}).values())
+
+    def is_usable(self, view: TargetView, now: timedelta) -> bool:
+        """Tell whether a target may get new work.
+
+        :param view: the target.
         :param now: time on the monotonic clock.
         """
-        return [
-            view
-            for view in self
-            if view.record.service == service
-            and view.is_listed(now)
-            and view.record.availability_zone not in self.evacuated_zones
-        ]
+        zone = view.record.availability_zone
+        return view.is_listed(now) and zone not in self.evacuated_zones
 
     def put(
         self,
@@ -176,7 +180,9 @@
         view = self._targets.get(record.name)
         if view is None or view.record.started_ms != record.started_ms:
             view = TargetView(record)
-            self._targets[record.name] = view
+        self._drop(record.name)
+        self._targets[record.name] = view
+        self._services.setdefault(record.service, {})[record.name] = view
         view.record = record
         view.gone_at = None
         if record.cold_ms:
@@ -213,7 +219,7 @@
         if self.is_unsteady(now) and not view.record.is_draining:
             view.gone_at = self._grace_end(now)
             return False
-        self._targets.pop(name)
+        self._drop(name)
         return True
 
     def replace_all(
@@ -247,7 +253,7 @@
             if view.gone_at is not None and now >= view.gone_at
         ]
         for name in gone:
-            self._targets.pop(name)
+            self._drop(name)
         return gone
 
     def lose_source(self, now: timedelta) -> bool:
@@ -298,5 +304,10 @@
         """Return the names of all targets."""
         return self._targets.keys()
 
+    def _drop(self, name: str) -> None:
+        view = self._targets.pop(name, None)
+        if view is not None:
+            self._services[view.record.service].pop(name, None)
+
     def _grace_end(self, now: timedelta) -> timedelta:
         return (self.regained_at or now) + RETURN_GRACE
