Count the first event of another prompt among what more reading makes late

Parts for others are read first, and a placement counted only pauses of answers that were being written.

Change: a prompt that is still being read counts with its weight when more reading would make its first event late; hints tell how long that is off.

Ruled out: the forecast itself (368,962 tokens on 6 engines alone: 1,281 ms forecast, 1,313 ms seen).

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -26,6 +26,13 @@
     And the second places 6 short prompts
     Then none is on an engine that reads the long prompt
 
+  Scenario: a long prompt is not read where it makes another one late
+    Given 2 dispatchers before 20 engines
+    When the first places a prompt of 400000 tokens
+    And it tells the second
+    And the second places a prompt of 210000 tokens
+    Then it is read on engines that do not read the other
+
   Scenario: without hints an entry still places
     Given 2 dispatchers before 4 engines
     When the first places a prompt of 400000 tokens
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -237,6 +237,21 @@
         place(context, _SHORT_TOKENS, 1)
 
 
+@when('the second places a prompt of {tokens:d} tokens')
+def place_second_long(context: Any, tokens: int) -> None:
+    """Place a long prompt at the second dispatcher."""
+    context.long = place(context, tokens, 1)[1]
+
+
+@then('it is read on engines that do not read the other')
+def check_separate(context: Any) -> None:
+    """Compare the engines of both long prompts."""
+    names = {record.address: record.name for record in context.records}
+    readers = {names[each] for each in context.long.helper_addresses}
+    readers.add(context.long.target)
+    assert not readers & context.readers, (readers, context.readers)
+
+
 @when('{seconds:d} seconds pass')
 def pass_time(context: Any, seconds: int) -> None:
     """Let time pass without a hint."""
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -41,6 +41,13 @@
     writes: Annotated[
         bool, Meta(description='Whether this target writes the answer.')
     ]
+    due_ms: Annotated[
+        int,
+        Meta(
+            description='Time until the first event is late, nought if it is or has come.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class TargetHint(WireRecord):
--- a/packages/core/src/buckthornpond_core/serving/flights.py
+++ b/packages/core/src/buckthornpond_core/serving/flights.py
@@ -81,6 +81,7 @@
     """
 
     __slots__ = (
+        'due',
         'held_tokens',
         'is_reading',
         'read_ms',
@@ -104,6 +105,8 @@
         self.started = started
         self.writes = writes
         self.is_reading = True
+        # When the first event becomes late.
+        self.due = started + work.objective_ms * _MS
 
     def remaining_ms(self, now: timedelta) -> float:
         """Return how much reading is probably left.
@@ -126,6 +129,7 @@
     __slots__ = (
         '_costs',
         '_flights',
+        '_now',
         'flight_count',
         'held_tokens',
         'reading_ms',
@@ -140,6 +144,7 @@
     ) -> None:
         self._costs = costs
         self._flights = tuple(flights)
+        self._now = now
         self.flight_count = sum(flight.writes for flight in self._flights)
         self.reading_ms = sum(
             flight.remaining_ms(now) for flight in self._flights
@@ -186,7 +191,7 @@
         """
         before_ms = self.pause_ms(0)
         after_ms = self.pause_ms(read_ms)
-        return sum(
+        return self._delay_harm(read_ms) + sum(
             flight.work.weight
             * (
                 late_share(after_ms, flight.work.gap_ms)
@@ -196,6 +201,18 @@
             if flight.writes
         )
 
+    def _delay_harm(self, read_ms: float) -> float:
+        """Return the weight of first events that more reading makes late."""
+        lost = 0.0
+        for flight in self._flights:
+            left_ms = (flight.due - self._now) / _MS
+            if flight.is_reading and left_ms > 0:
+                lost += flight.work.weight * (
+                    late_share(self.reading_ms + read_ms, left_ms)
+                    - late_share(self.reading_ms, left_ms)
+                )
+        return lost
+
 
 def late_share(expected_ms: float, limit_ms: float) -> float:
     """Return how likely a time is over its limit, from 0 to 1.
--- a/packages/core/src/buckthornpond_core/serving/peers.py
+++ b/packages/core/src/buckthornpond_core/serving/peers.py
@@ -175,6 +175,7 @@
                 gap_ms=flight.work.gap_ms,
                 weight_percent=int(flight.work.weight * _PERCENT),
                 writes=flight.writes,
+                due_ms=max(int((flight.due - now) / _MS), 0),
             )
             for flight in view.flights.values()
         ],
@@ -186,7 +187,7 @@
         prompt_tokens=hint.held_tokens,
         output_tokens=0,
         gap_ms=hint.gap_ms,
-        objective_ms=0,
+        objective_ms=hint.due_ms,
         weight=hint.weight_percent / _PERCENT,
     )
     flight = Flight(
