--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -32,6 +32,7 @@
     And it tells the second
     And the second places a prompt of 210000 tokens
     Then it is read on engines that do not read the other
+    And reading 2000 ms more beside the first counts as harm here and there
 
   Scenario: without hints an entry still places
     Given 2 dispatchers before 4 engines
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -18,6 +18,7 @@
 )
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.serving.dispatcher import Admission, Dispatcher
+from buckthornpond_core.serving.flights import EngineLoad
 from buckthornpond_platform.records import read_configuration
 from buckthornpond_platform_standins.store import StoreStandIn
 from buckthornpond_platform_standins.worlds import HOST, KEY, make_config
@@ -252,6 +253,31 @@
     assert not readers & context.readers, (readers, context.readers)
 
 
+@then(
+    'reading {read_ms:d} ms more beside the first counts as harm here and there'
+)
+def check_delay(context: Any, read_ms: int) -> None:
+    """Weigh more reading where only a part of the first is read."""
+    address = context.first[1].helper_addresses[0]
+    for dispatcher in context.dispatchers:
+        load = _find_load(dispatcher, address, context.now)
+        assert load.harm(read_ms) > 1, load.harm(read_ms)
+        assert load.harm(10) < 1, load.harm(10)
+
+
+def _find_load(
+    dispatcher: Dispatcher,
+    address: str,
+    now: timedelta,
+) -> EngineLoad:
+    view = dispatcher.fleet.find_address(address)
+    assert view is not None
+    table = dispatcher.table
+    costs = table.services[_ENGINE_SERVICE].engine if table else None
+    assert costs is not None
+    return EngineLoad(costs, view.all_flights, now)
+
+
 @when('{seconds:d} seconds pass')
 def pass_time(context: Any, seconds: int) -> None:
     """Let time pass without a hint."""
