Blame the engine that gives no memory, not the one that would answer

Cause: when memory could not be set aside at one engine, the attempt failed as "unreachable" at the engine that was to answer. That one was paused and counted as cold, although it had not been asked, and the engine without room was chosen again. Found by reading.

Change: ReservationError names the engine and says whether it refused. A refusal is neutral (it has no room now), a broken order pauses that engine; the next attempt passes over it. The attempt itself was never sent, so no repeat is spent.

--- a/features/direct_tickets.feature
+++ b/features/direct_tickets.feature
@@ -58,3 +58,15 @@
     Then the answer is 503
     And each ticket is released within 1.5 seconds
     And no task of the entry failed
+
+  Scenario Outline: an engine that gives no memory is passed over, the others stay in use
+    Given an llm server that <fault>
+    When a caller streams prompts of 600000 tokens until that one was asked for memory
+    Then each caller has events 1 to 4 once each, and the end
+    And no engine but that one was paused
+    And nothing stays set aside
+
+    Examples:
+      | fault                  |
+      | refuses orders         |
+      | breaks off each order  |
--- a/features/steps/direct_ticket_steps.py
+++ b/features/steps/direct_ticket_steps.py
@@ -12,6 +12,8 @@
 _MEMORY_TOKENS = 450_000
 _OUTPUT_TOKENS = 40
 _LEASE_MS = 1900
+_MOST_STREAMS = 40
+_ORDER_FAULTS = {'refuses orders': 409, 'breaks off each order': 0}
 
 
 def _engines(context: Any) -> list[ServerStandIn]:
@@ -38,6 +40,26 @@
         server.order_status = 409
 
 
+@given('an llm server that {fault}')
+def break_orders(context: Any, fault: str) -> None:
+    """Let one engine give no memory."""
+    context.faulty = _engines(context)[0]
+    context.faulty.order_status = _ORDER_FAULTS[fault]
+
+
+@when(
+    'a caller streams prompts of {tokens:d} tokens until that one was asked '
+    'for memory'
+)
+def stream_until_asked(context: Any, tokens: int) -> None:
+    """Stream until placement has chosen the faulty engine as a holder."""
+    for _ in range(_MOST_STREAMS):
+        stream_long(context, tokens)
+        if context.faulty.orders:
+            return
+    raise AssertionError('the faulty engine was never asked')
+
+
 @when('a caller streams a prompt of {tokens:d} tokens')
 def stream_long(context: Any, tokens: int) -> None:
     """Ask for a stream with a long prompt."""
@@ -101,6 +123,26 @@
     assert rest <= _MEMORY_TOKENS, (reserved, rest)
 
 
+@then('each caller has events 1 to 4 once each, and the end')
+def check_each(context: Any) -> None:
+    """Check every answer."""
+    for answer in context.answers:
+        assert answer.status == 200, answer.status
+        assert not answer.error, answer.error
+        assert answer.events == [1, 2, 3, 4], answer.events
+
+
+@then('no engine but that one was paused')
+def check_pauses(context: Any) -> None:
+    """Check what the entry believes of the others."""
+    entry = context.world.entries[0]
+    now = context.world.clock.monotonic()
+    for view in entry.dispatcher.fleet:
+        if view.record.name != context.faulty.name:
+            assert not view.trust.is_paused(now), view.record.name
+            assert not view.is_cold(now), view.record.name
+
+
 @then('nothing stays set aside')
 def check_nothing(context: Any) -> None:
     """Wait for the releases."""
--- a/packages/core/src/buckthornpond_core/exceptions.py
+++ b/packages/core/src/buckthornpond_core/exceptions.py
@@ -73,6 +73,27 @@
         self.is_sent = is_sent
 
 
+class ReservationError(TargetError):
+    """A target did not set memory aside for a request, which was not sent.
+
+    :param target: name of the target.
+    :param is_refused: whether it answered that it has no room.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str,
+        target: str,
+        is_refused: bool,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer, is_sent=False)
+        self.target = target
+        self.is_refused = is_refused
+
+
 class PlatformError(BuckthornpondError):
     """The configuration service or the instance list did not answer."""
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -350,7 +350,14 @@
             self._runs += 1
             self._may_have_run = True
         effects: list[ExchangeEffect] = [StopAttempt()]
-        effects.extend(self._end_attempt(message.outcome, now, message.error))
+        effects.extend(
+            self._end_attempt(
+                message.outcome,
+                now,
+                message.error,
+                message.target,
+            ),
+        )
         may_repeat = self.admission.route.may_repeat or not message.is_sent
         if not may_repeat:
             return [*effects, *self._give_up('answer_lost')]
@@ -416,18 +423,20 @@
         outcome: AttemptOutcome,
         now: timedelta,
         error: str,
+        target: str = '',
     ) -> list[ExchangeEffect]:
         placement = self._placement
         if placement is None:
             return []
+        failed = target or placement.target
         elapsed_ms = (now - self._sent_at) // _MS
         self.history.append(
-            f'{placement.target} {outcome} {elapsed_ms} ms {error}'.strip(),
+            f'{failed} {outcome} {elapsed_ms} ms {error}'.strip(),
         )
-        self._excluded.append(placement.target)
+        self._excluded.append(failed)
         self._placement = None
         self._patience_until = None
-        report = _report(placement, outcome)
+        report = AttemptReport(target=failed, outcome=outcome.value)
         report.first_ms = self.first_ms or elapsed_ms
         if self._head is not None:
             report.faulty_address = self._head.facts.faulty_address
--- a/packages/core/src/buckthornpond_core/serving/messages.py
+++ b/packages/core/src/buckthornpond_core/serving/messages.py
@@ -42,9 +42,10 @@
     :param outcome: how the target failed.
     :param is_sent: whether any byte may have reached the target.
     :param error: what went wrong, with step and peer.
+    :param target: the target that failed, if not the one that was to answer.
     """
 
-    __slots__ = ('error', 'is_sent', 'outcome')
+    __slots__ = ('error', 'is_sent', 'outcome', 'target')
 
     def __init__(
         self,
@@ -52,10 +53,12 @@
         *,
         is_sent: bool,
         error: str,
+        target: str = '',
     ) -> None:
         self.outcome = outcome
         self.is_sent = is_sent
         self.error = error
+        self.target = target
 
 
 AttemptMessage: TypeAlias = (
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -6,7 +6,11 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from buckthornpond_core.exceptions import BuckthornpondError, TargetError
+from buckthornpond_core.exceptions import (
+    BuckthornpondError,
+    ReservationError,
+    TargetError,
+)
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import AnswerHead, StartAttempt
@@ -116,6 +120,8 @@
     def _run(self) -> None:
         try:
             self._serve()
+        except ReservationError as error:
+            self._fail_reservation(error)
         except TargetError as error:
             self._fail(error, is_sent=error.is_sent)
         except BuckthornpondError as error:
@@ -137,6 +143,19 @@
             outcome = AttemptOutcome.unreachable
         self._tell(AttemptFailed(outcome, is_sent=is_sent, error=str(error)))
 
+    def _fail_reservation(self, error: ReservationError) -> None:
+        outcome = AttemptOutcome.unreachable
+        if error.is_refused:
+            outcome = AttemptOutcome.refused
+        self._tell(
+            AttemptFailed(
+                outcome,
+                is_sent=False,
+                error=str(error),
+                target=error.target,
+            ),
+        )
+
     def _release(self) -> None:
         if self._sender is not None:
             self._sender.kill(block=False)
--- a/packages/entry/src/buckthornpond_entry/direct/tickets.py
+++ b/packages/entry/src/buckthornpond_entry/direct/tickets.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from buckthornpond_core._generated.serving import MemoryTicket
-from buckthornpond_core.exceptions import TargetError
+from buckthornpond_core.exceptions import ReservationError, TargetError
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import TargetOrder
@@ -27,6 +27,18 @@
 _LINE_END = '\r\n'
 
 
+class TicketAnswer:
+    """Whether memory was set aside at once.
+
+    :param error: why not, or nothing.
+    """
+
+    __slots__ = ('error',)
+
+    def __init__(self, error: ReservationError | None) -> None:
+        self.error = error
+
+
 class TicketTask:
     """Owns one reservation and the connection for its orders.
 
@@ -58,8 +70,8 @@
         # Whether an order got no answer, and may be carried out late.
         self._is_unanswered = False
         self._is_over = Event()
-        # Takes why the memory was not given, or nothing, once.
-        self.answers: Mailbox[str] = Mailbox()
+        # Takes one answer to the first order.
+        self.answers: Mailbox[TicketAnswer] = Mailbox()
         gevent.spawn(self._run)
 
     def end(self) -> None:
@@ -67,32 +79,40 @@
         self._is_over.set()
 
     def _run(self) -> None:
-        refusal = self._reserve()
-        self.answers.offer(refusal)
+        self.answers.offer(TicketAnswer(self._reserve()))
         while not self._is_over.wait(_RENEWAL_SECONDS):
-            refusal = self._reserve()
-            if refusal:
+            error = self._reserve()
+            if error is not None:
                 # The next one may come in time; else the target ends the
                 # request, which its answer shows.
                 log_event(
                     EventCode.reservation_failed,
                     request=self._attempt_id,
                     target=self._ticket.target,
-                    error=refusal,
+                    error=str(error),
                 )
         self._release()
 
-    def _reserve(self) -> str:
+    def _reserve(self) -> ReservationError | None:
         """Return why the memory was not given, or nothing."""
         try:
             status_code = self._send(
                 self._codec.write_reservation(self._ticket),
             )
         except TargetError as error:
-            return str(error)
+            return self._fail(error.message, is_refused=False)
         if status_code == HTTPStatus.OK:
-            return ''
-        return f'{self._ticket.target}: status {status_code}'
+            return None
+        return self._fail(f'status {status_code}', is_refused=True)
+
+    def _fail(self, message: str, *, is_refused: bool) -> ReservationError:
+        return ReservationError(
+            message,
+            step=_STEP,
+            peer=self._ticket.address,
+            target=self._ticket.target,
+            is_refused=is_refused,
+        )
 
     def _release(self) -> None:
         self._send_release()
@@ -161,23 +181,22 @@
     def reserve(self) -> None:
         """Wait until all of the memory is set aside.
 
-        :raises TargetError: when a target does not give it.
+        :raises ReservationError: when a target does not give it.
         """
         answers = [task.answers.receive() for task in self._tasks]
-        refusals = [answer for answer in answers if answer]
+        errors = [
+            answer.error
+            for answer in answers
+            if answer is not None and answer.error is not None
+        ]
         log_event(
             EventCode.memory_reserved,
             request=self._attempt_id,
             tickets={each.target: each.tokens for each in self._tickets},
-            refusals=refusals,
+            refusals=[str(error) for error in errors],
         )
-        if refusals:
-            raise TargetError(
-                refusals[0],
-                step=_STEP,
-                peer=self._tickets[0].address,
-                is_sent=False,
-            )
+        if errors:
+            raise errors[0]
 
     def release(self) -> None:
         """Give the memory back, without waiting for it."""
