Let longer prompts age in the engine's order, so that a drain costs no answer

Cause of the known red: engines served strictly shorter prompts first. With a third of the fleet away, prompts of 55,000 to 88,000 tokens were overtaken until their deadlines of 10 to 13 s.

Change: prompts below 16,384 tokens keep going first by length; the others are ranked by the time until which they yield, 60 ms a thousand tokens after they were accepted. The agent's forecast follows the same order.

--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission.py
@@ -348,9 +348,11 @@
 
     def _start(self, queued: QueuedAttempt, now: timedelta) -> StartCall:
         attempt = queued.attempt
+        priority = self._order.priority(queued)
         self._forecast.record_start(
             attempt.attempt_id,
             attempt.prompt_tokens,
+            priority,
             now,
         )
         self._ledger.reserve(attempt.attempt_id, queued.total_tokens)
@@ -359,7 +361,7 @@
             attempt,
             self._readiness.target.address,
             queued.deadline - now,
-            self._order.priority(attempt),
+            priority,
         )
 
     def _weigh(self) -> TargetLoad:
--- a/packages/core/src/buckthornpond_core/fairness.py
+++ b/packages/core/src/buckthornpond_core/fairness.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-from ._generated.messages import Attempt
 from .configuration import Configuration
 from .queueing import AdmissionOrder, QueuedAttempt, TargetLoad
 
@@ -72,9 +71,9 @@
             self._ledger.charge(chosen)
         return chosen
 
-    def priority(self, attempt: Attempt) -> int:
+    def priority(self, queued: QueuedAttempt) -> int:
         """Return the inner order's priority at the engine."""
-        return self._inner.priority(attempt)
+        return self._inner.priority(queued)
 
     def _find_next(self, waiting: _Waiting) -> list[str]:
         for name in self._configuration.rules.organisation_order:
--- a/packages/core/src/buckthornpond_core/forecasts.py
+++ b/packages/core/src/buckthornpond_core/forecasts.py
@@ -1,6 +1,6 @@
 """Forecast of when a target would finish a new attempt.
 
-The target serves prefill in the order of priority. The forecast follows what
+The target serves prefill in the order of priority, the lowest first. The forecast follows what
 is left of each prompt, learns the speeds from what ended, and counts on
 shorter prompts coming as often as of late.
 """
@@ -29,6 +29,7 @@
         self,
         attempt_id: str,
         prompt_tokens: int,
+        rank: int,
         now: timedelta,
     ) -> None:
         """Note that the target began the prefill of an attempt."""
@@ -72,6 +73,7 @@
         self,
         attempt_id: str,
         prompt_tokens: int,
+        rank: int,
         now: timedelta,
     ) -> None:
         """Ignore the start."""
@@ -109,17 +111,24 @@
     is only kept while nothing has come before it since.
     """
 
-    __slots__ = ('is_begun', 'remaining_tokens', 'served_since', 'tokens')
+    __slots__ = (
+        'is_begun',
+        'rank',
+        'remaining_tokens',
+        'served_since',
+        'tokens',
+    )
 
-    def __init__(self, tokens: int) -> None:
+    def __init__(self, tokens: int, rank: int) -> None:
         self.tokens = tokens
+        self.rank = rank
         self.remaining_tokens: float = tokens
         self.is_begun = False
         self.served_since: timedelta | None = None
 
 
 class PrefillForecast:
-    """Forecast for an engine that serves shorter prompts first."""
+    """Forecast for an engine that serves prompts by their rank."""
 
     __slots__ = (
         '_arrivals',
@@ -153,16 +162,18 @@
         self,
         attempt_id: str,
         prompt_tokens: int,
+        rank: int,
         now: timedelta,
     ) -> None:
         """Note that the target began the prefill of an attempt.
 
         :param attempt_id: the attempt.
         :param prompt_tokens: length of its prompt.
+        :param rank: its priority at the engine, the lowest being first.
         :param now: time on the monotonic clock.
         """
         self._advance(now)
-        self._prefills[attempt_id] = _Prefill(prompt_tokens)
+        self._prefills[attempt_id] = _Prefill(prompt_tokens, rank)
         self._arrivals[_class_of(prompt_tokens)].add(prompt_tokens, now)
         self._find_head(now)
 
@@ -250,14 +261,14 @@
     def _advance(self, now: timedelta) -> None:
         budget = (now - self._updated).total_seconds() * self.tokens_per_second
         self._updated = now
-        for prefill in sorted(self._prefills.values(), key=_length):
+        for prefill in sorted(self._prefills.values(), key=_rank):
             spent = min(budget, prefill.remaining_tokens)
             prefill.remaining_tokens -= spent
             budget -= spent
 
     def _find_head(self, now: timedelta) -> None:
         previous = self._prefills.get(self._head)
-        self._head = min(self._prefills, key=self._length_of, default='')
+        self._head = min(self._prefills, key=self._rank_of, default='')
         head = self._prefills.get(self._head)
         if head is None or head is previous:
             return
@@ -268,12 +279,12 @@
             head.remaining_tokens = head.tokens
             head.served_since = now
 
-    def _length_of(self, attempt_id: str) -> int:
-        return self._prefills[attempt_id].tokens
+    def _rank_of(self, attempt_id: str) -> int:
+        return self._prefills[attempt_id].rank
 
 
-def _length(prefill: _Prefill) -> int:
-    return prefill.tokens
+def _rank(prefill: _Prefill) -> int:
+    return prefill.rank
 
 
 def _class_of(tokens: int) -> int:
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/queueing.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ._generated.messages import Attempt
-from .priorities import EnginePriority, LengthPriority
+from .priorities import AgedLengthPriority, EnginePriority
 
 _REFUSAL_MARGIN_MS = 50
 REFUSAL_MARGIN = timedelta(milliseconds=_REFUSAL_MARGIN_MS)
@@ -94,10 +94,10 @@
         :param now: time on the monotonic clock.
         """
 
-    def priority(self, attempt: Attempt) -> int:
+    def priority(self, queued: QueuedAttempt) -> int:
         """Return the priority at the engine, the lowest being first.
 
-        :param attempt: the attempt that starts.
+        :param queued: the attempt that starts.
         """
 
 
@@ -115,7 +115,7 @@
         first = min(load.waiting, key=_arrival)
         return first if load.fits(first) else None
 
-    def priority(self, attempt: Attempt) -> int:
+    def priority(self, queued: QueuedAttempt) -> int:
         """Return the same priority for every attempt."""
         return 0
 
@@ -129,7 +129,7 @@
     __slots__ = ('_engine_priority',)
 
     def __init__(self, engine_priority: EnginePriority | None = None) -> None:
-        self._engine_priority = engine_priority or LengthPriority()
+        self._engine_priority = engine_priority or AgedLengthPriority()
 
     def choose(
         self,
@@ -144,9 +144,9 @@
         first = min(load.waiting, key=rank)
         return first if load.fits(first) else None
 
-    def priority(self, attempt: Attempt) -> int:
+    def priority(self, queued: QueuedAttempt) -> int:
         """Return the priority at the engine."""
-        return self._engine_priority.rank(attempt)
+        return self._engine_priority.rank(queued.attempt, queued.arrival)
 
 
 def aged_tokens(queued: QueuedAttempt, now: timedelta) -> float:
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -21,7 +21,11 @@
     RoundRobinPlacement,
     TwoChoicesPlacement,
 )
-from buckthornpond_core.priorities import EqualPriority, LengthPriority
+from buckthornpond_core.priorities import (
+    AgedLengthPriority,
+    EqualPriority,
+    LengthPriority,
+)
 from buckthornpond_core.queueing import (
     AdmissionOrder,
     FifoOrder,
@@ -77,12 +81,16 @@
     return ShortestFirstOrder(LengthPriority())
 
 
+def _aged(_configuration: Configuration) -> AdmissionOrder:
+    return ShortestFirstOrder(AgedLengthPriority())
+
+
 def _shortest(_configuration: Configuration) -> AdmissionOrder:
     return ShortestFirstOrder(EqualPriority())
 
 
 def _fair(configuration: Configuration) -> AdmissionOrder:
-    return FairOrder(ShortestFirstOrder(LengthPriority()), configuration)
+    return FairOrder(ShortestFirstOrder(AgedLengthPriority()), configuration)
 
 
 _SETS = (
@@ -145,7 +153,7 @@
     PolicySet(
         'prefill-forecast',
         placement=LeastPrefillPlacement,
-        order=_prioritised,
+        order=_aged,
         limit=_slow_start,
         forecast=PrefillForecast,
     ),
