Group the decisions of core by what they decide

Cause: core held some 45 flat modules, and a newcomer could not tell which decide for entries, which for agents and which for keys.

No behaviour changed.

--- a/features/specs/attempts.py
+++ b/features/specs/attempts.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from buckthornpond_core._generated.messages import Attempt
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.configuration.documents import Configuration
 
 _TIME_LIMIT = timedelta(minutes=10)
 
--- a/features/specs/fair_histories.py
+++ b/features/specs/fair_histories.py
@@ -7,12 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.queueing import (
+from buckthornpond_core.admission.queueing import (
     AdmissionOrder,
     QueuedAttempt,
     TargetLoad,
 )
+from buckthornpond_core.configuration.documents import Configuration
 from features.specs.fair_targets import accept_weights, make_queued
 
 _WEIGHTS = {'a': 1, 'b': 2, 'c': 5, 'd': 1}
--- a/features/specs/fair_targets.py
+++ b/features/specs/fair_targets.py
@@ -9,12 +9,12 @@
     Organisation,
     Rules,
 )
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.queueing import (
+from buckthornpond_core.admission.queueing import (
     AdmissionOrder,
     QueuedAttempt,
     TargetLoad,
 )
+from buckthornpond_core.configuration.documents import Configuration
 from features.specs.attempts import make_attempt
 
 TOKENS_PER_SECOND = 1000
--- a/features/specs/key_agents.py
+++ b/features/specs/key_agents.py
@@ -19,17 +19,17 @@
     TargetKind,
 )
 from buckthornpond_core._generated.messages import Attempt, Heartbeat
-from buckthornpond_core.admission import Admission, AgentLimits
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.admission.admission import Admission, AgentLimits
+from buckthornpond_core.admission.limits import FixedLimit
+from buckthornpond_core.admission.queueing import FifoOrder
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.effects import StartCall, ToCaller, ToHome, ToPeer
-from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
-from buckthornpond_core.key_times import KeyTimes
-from buckthornpond_core.keyed_attempts import KeyedAttempts
-from buckthornpond_core.limits import FixedLimit
-from buckthornpond_core.placement import LeastLoadedPlacement
-from buckthornpond_core.queueing import FifoOrder
-from buckthornpond_core.retries import RetryBudget
-from buckthornpond_core.routing import Router, RouterLimits
+from buckthornpond_core.keys.attempts import KeyedAttempts
+from buckthornpond_core.keys.homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.keys.times import KeyTimes
+from buckthornpond_core.routing.placement import LeastLoadedPlacement
+from buckthornpond_core.routing.retries import RetryBudget
+from buckthornpond_core.routing.router import Router, RouterLimits
 from buckthornpond_standins.records import CountingRecorder
 from features.specs.attempts import make_attempt
 
--- a/features/specs/key_histories.py
+++ b/features/specs/key_histories.py
@@ -7,12 +7,12 @@
 from hypothesis import strategies as st
 
 from buckthornpond_core._generated.messages import FenceReply, KeyState
-from buckthornpond_core.claims import AskHomes, KeyClaim, ReplayKey, RunKey
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
-from buckthornpond_core.key_times import KeyTimes
-from buckthornpond_core.keys import RecordedAnswer
-from buckthornpond_core.placement import join_key, rank_homes
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.keys.claims import AskHomes, KeyClaim, ReplayKey, RunKey
+from buckthornpond_core.keys.homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.keys.register import RecordedAnswer
+from buckthornpond_core.keys.times import KeyTimes
+from buckthornpond_core.routing.placement import join_key, rank_homes
 from features.specs.key_worlds import (
     ADDRESSES,
     FENCE_TIMEOUT,
--- a/features/specs/lossy_network.py
+++ b/features/specs/lossy_network.py
@@ -24,8 +24,12 @@
     Refused,
     Started,
 )
-from buckthornpond_core.admission import Admission, AgentLimits
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.admission.admission import Admission, AgentLimits
+from buckthornpond_core.admission.forecasts import PrefillForecast
+from buckthornpond_core.admission.limits import SlowStartLimit
+from buckthornpond_core.admission.priorities import LengthPriority
+from buckthornpond_core.admission.queueing import ShortestFirstOrder
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.credits import charge_bytes
 from buckthornpond_core.effects import (
     AgentEffect,
@@ -37,16 +41,12 @@
     ToPeer,
     WireMessage,
 )
-from buckthornpond_core.forecasts import PrefillForecast
-from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
-from buckthornpond_core.key_times import KeyTimes
-from buckthornpond_core.keyed_attempts import KeyedAttempts
-from buckthornpond_core.limits import SlowStartLimit
-from buckthornpond_core.placement import FittingPlacement
-from buckthornpond_core.priorities import LengthPriority
-from buckthornpond_core.queueing import ShortestFirstOrder
-from buckthornpond_core.retries import RetryBudget
-from buckthornpond_core.routing import Router, RouterLimits
+from buckthornpond_core.keys.attempts import KeyedAttempts
+from buckthornpond_core.keys.homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.keys.times import KeyTimes
+from buckthornpond_core.routing.placement import FittingPlacement
+from buckthornpond_core.routing.retries import RetryBudget
+from buckthornpond_core.routing.router import Router, RouterLimits
 from buckthornpond_runtime.documents import parse_inventory
 from buckthornpond_standins.records import CountingRecorder
 
--- a/features/specs/naive_keys.py
+++ b/features/specs/naive_keys.py
@@ -8,15 +8,15 @@
     FenceReply,
     KeyState,
 )
-from buckthornpond_core.claims import (
+from buckthornpond_core.keys.claims import (
     KeyClaim,
     KeyVerdict,
     RefuseKey,
     RunKey,
 )
-from buckthornpond_core.key_times import read_creation_time
-from buckthornpond_core.keys import RecordedAnswer
-from buckthornpond_core.placement import join_key
+from buckthornpond_core.keys.register import RecordedAnswer
+from buckthornpond_core.keys.times import read_creation_time
+from buckthornpond_core.routing.placement import join_key
 
 
 class ForgetfulKeyHome:
--- a/features/specs/spreading.py
+++ b/features/specs/spreading.py
@@ -18,9 +18,12 @@
     Document,
     DocumentName,
 )
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.dissemination import Dissemination, StartupHold
-from buckthornpond_core.readers import (
+from buckthornpond_core.configuration.dissemination import (
+    Dissemination,
+    StartupHold,
+)
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.configuration.readers import (
     ReaderLimits,
     ReadSchedule,
 )
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -19,8 +19,8 @@
     Refused,
     Started,
 )
-from buckthornpond_core.configuration import find_inventory_problems
-from buckthornpond_core.placement import join_key, rank_homes
+from buckthornpond_core.configuration.documents import find_inventory_problems
+from buckthornpond_core.routing.placement import join_key, rank_homes
 from features.specs.at_most_once import ASK, ATTEMPT
 from features.specs.attempts import make_attempt
 from features.specs.counts import only, report
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -21,9 +21,9 @@
     DocumentName,
     DocumentRequest,
 )
-from buckthornpond_core.acceptance import digest_content
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.readers import (
+from buckthornpond_core.configuration.acceptance import digest_content
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.configuration.readers import (
     EveryProcessReads,
     RankedReaders,
     ReaderLimits,
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -22,11 +22,11 @@
     Outcome,
     Refused,
 )
-from buckthornpond_core.admission import Admission, AgentLimits
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.admission.admission import Admission, AgentLimits
+from buckthornpond_core.admission.limits import FixedLimit
+from buckthornpond_core.admission.queueing import FifoOrder
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.effects import ToPeer
-from buckthornpond_core.limits import FixedLimit
-from buckthornpond_core.queueing import FifoOrder
 from buckthornpond_standins.fleets import call_json
 from buckthornpond_standins.keyed import build_keyed_attempts
 from buckthornpond_standins.records import CountingRecorder
--- a/features/steps/fairness_steps.py
+++ b/features/steps/fairness_steps.py
@@ -6,9 +6,9 @@
 
 from behave import given, step, then, when
 
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.fairness import FairOrder
-from buckthornpond_core.queueing import ShortestFirstOrder
+from buckthornpond_core.admission.fairness import FairOrder
+from buckthornpond_core.admission.queueing import ShortestFirstOrder
+from buckthornpond_core.configuration.documents import Configuration
 from features.specs.fair_histories import check_histories
 from features.specs.fair_targets import (
     TOKENS_PER_SECOND,
--- a/features/steps/key_process_steps.py
+++ b/features/steps/key_process_steps.py
@@ -7,7 +7,7 @@
 import gevent
 from behave import given, then, when
 
-from buckthornpond_core.placement import join_key, rank_homes
+from buckthornpond_core.routing.placement import join_key, rank_homes
 from buckthornpond_standins.callers import CallerResult, call_service
 from buckthornpond_standins.fleets import (
     CREDENTIAL,
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -15,9 +15,9 @@
     Hint,
     TargetPhase,
 )
-from buckthornpond_core.directories import AgentDirectory
-from buckthornpond_core.heartbeats import HeartbeatPace
-from buckthornpond_core.subsets import LinkPlan, ZoneSubset
+from buckthornpond_core.routing.directories import AgentDirectory
+from buckthornpond_core.routing.heartbeats import HeartbeatPace
+from buckthornpond_core.routing.subsets import LinkPlan, ZoneSubset
 from buckthornpond_runtime.codecs import decode_message, encode_message
 from buckthornpond_standins.fleets import Fleet
 
--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -6,16 +6,16 @@
 from zmq import green as zmq
 
 from buckthornpond_core._generated.settings import AgentSettings
-from buckthornpond_core.admission import Admission
+from buckthornpond_core.admission.admission import Admission
+from buckthornpond_core.admission.forecasts import PrefillForecast
+from buckthornpond_core.admission.limits import SlowStartLimit
+from buckthornpond_core.admission.queueing import ShortestFirstOrder
 from buckthornpond_core.bounds import AgentLimits
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.forecasts import PrefillForecast
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.journal import EventCode
-from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
-from buckthornpond_core.key_times import KeyTimes
-from buckthornpond_core.keyed_attempts import KeyedAttempts
-from buckthornpond_core.limits import SlowStartLimit
-from buckthornpond_core.queueing import ShortestFirstOrder
+from buckthornpond_core.keys.attempts import KeyedAttempts
+from buckthornpond_core.keys.homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.keys.times import KeyTimes
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.assembly import ExchangeAssembly
 from buckthornpond_runtime.clocks import SystemClock
--- a/packages/agent/src/buckthornpond_agent/tasks.py
+++ b/packages/agent/src/buckthornpond_agent/tasks.py
@@ -18,8 +18,8 @@
     Heartbeat,
 )
 from buckthornpond_core._generated.platform import LoadReport
-from buckthornpond_core.admission import Admission
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.admission.admission import Admission
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.effects import (
     AgentEffect,
     CancelCall,
--- a/packages/core/src/buckthornpond_core/__init__.py
+++ b/packages/core/src/buckthornpond_core/__init__.py
@@ -9,10 +9,11 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from .admission import Admission as Admission
+    from .admission.admission import Admission as Admission
+    from .admission.queueing import AdmissionOrder as AdmissionOrder
     from .bounds import AgentLimits as AgentLimits
     from .bounds import RouterLimits as RouterLimits
-    from .configuration import Configuration as Configuration
+    from .configuration.documents import Configuration as Configuration
     from .exceptions import BuckthornpondError as BuckthornpondError
     from .exceptions import InvalidDocumentError as InvalidDocumentError
     from .exceptions import MalformedMessageError as MalformedMessageError
@@ -20,11 +21,10 @@
     from .exceptions import TargetError as TargetError
     from .exceptions import TransportError as TransportError
     from .journal import EventCode as EventCode
-    from .placement import Placement as Placement
-    from .queueing import AdmissionOrder as AdmissionOrder
     from .refusals import REFUSALS as REFUSALS
     from .refusals import find_refusal as find_refusal
-    from .routing import Router as Router
+    from .routing.placement import Placement as Placement
+    from .routing.router import Router as Router
     from .types import Clock as Clock
     from .types import RandomSource as RandomSource
     from .types import Recorder as Recorder
@@ -32,10 +32,10 @@
 # Loaded on first use, so that a process pays for what it needs.
 _MODULES: Mapping[str, str] = MappingProxyType(
     {
-        'Admission': '.admission',
+        'Admission': '.admission.admission',
         'AgentLimits': '.bounds',
         'RouterLimits': '.bounds',
-        'Configuration': '.configuration',
+        'Configuration': '.configuration.documents',
         'BuckthornpondError': '.exceptions',
         'InvalidDocumentError': '.exceptions',
         'MalformedMessageError': '.exceptions',
@@ -43,11 +43,11 @@
         'TargetError': '.exceptions',
         'TransportError': '.exceptions',
         'EventCode': '.journal',
-        'Placement': '.placement',
-        'AdmissionOrder': '.queueing',
+        'Placement': '.routing.placement',
+        'AdmissionOrder': '.admission.queueing',
         'REFUSALS': '.refusals',
         'find_refusal': '.refusals',
-        'Router': '.routing',
+        'Router': '.routing.router',
         'Clock': '.types',
         'RandomSource': '.types',
         'Recorder': '.types',
--- a/packages/core/src/buckthornpond_core/admission.py
+++ b/packages/core/src/buckthornpond_core/admission/admission.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from ._generated.events import CallChunk, CallEnded, CallStarted
-from ._generated.messages import (
+from .._generated.events import CallChunk, CallEnded, CallStarted
+from .._generated.messages import (
     Accepted,
     Attempt,
     Cancel,
@@ -15,12 +15,10 @@
     Query,
     TargetPhase,
 )
-from ._generated.platform import LoadReport
-from .admission_checks import AdmissionChecks
-from .attempt_refusals import AttemptRefusals
-from .bounds import AgentLimits
-from .configuration import Configuration
-from .effects import (
+from .._generated.platform import LoadReport
+from ..bounds import AgentLimits
+from ..configuration.documents import Configuration
+from ..effects import (
     AgentEffect,
     CallMessage,
     GrantCall,
@@ -28,18 +26,18 @@
     ToPeer,
     WireMessage,
 )
-from .entry_watch import EntryWatch
-from .fate_answers import FateAnswers
-from .fates import AttemptFates
+from ..keys.attempts import KeyedAttempts, KeyStep
+from ..types import Recorder
+from .checks import AdmissionChecks
+from .entries import EntryWatch
+from .fates import AttemptFates, FateAnswers
 from .forecasts import Forecast, NoForecast
-from .held_attempts import HeldAttempts
-from .keyed_attempts import KeyedAttempts, KeyStep
-from .ledger import Ledger
-from .limits import TargetLimit
+from .held import HeldAttempts
+from .limits import Ledger, TargetLimit
 from .queueing import REFUSAL_MARGIN, AdmissionOrder, QueuedAttempt, TargetLoad
 from .readiness import Readiness
-from .running_attempts import RunningAttempt
-from .types import Recorder
+from .refusals import AttemptRefusals
+from .running import RunningAttempt
 from .warmth import WarmthWatch
 
 
--- a/packages/core/src/buckthornpond_core/admission_checks.py
+++ b/packages/core/src/buckthornpond_core/admission/checks.py
@@ -2,15 +2,15 @@
 
 from datetime import timedelta
 
-from ._generated.messages import Attempt, Refused, TargetPhase
-from .attempt_refusals import AttemptRefusals
-from .bounds import AgentLimits
+from .._generated.messages import Attempt, Refused, TargetPhase
+from ..bounds import AgentLimits
 from .fates import AttemptFates
 from .forecasts import Forecast
-from .held_attempts import HeldAttempts
+from .held import HeldAttempts
 from .limits import TargetLimit
 from .queueing import TargetLoad
 from .readiness import Readiness
+from .refusals import AttemptRefusals
 
 _SMALL_PARTS = 16
 
--- a/packages/core/src/buckthornpond_core/entry_watch.py
+++ b/packages/core/src/buckthornpond_core/admission/entries.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from ._generated.messages import Heartbeat
-from .bounds import AgentLimits
-from .effects import WireMessage
-from .heartbeats import extend_timeout
-from .journal import EventCode
-from .types import Recorder
+from .._generated.messages import Heartbeat
+from ..bounds import AgentLimits
+from ..effects import WireMessage
+from ..journal import EventCode
+from ..routing.heartbeats import extend_timeout
+from ..types import Recorder
 
 
 class EntryWatch:
--- a/packages/core/src/buckthornpond_core/fairness.py
+++ b/packages/core/src/buckthornpond_core/admission/fairness.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-from .configuration import Configuration
+from ..configuration.documents import Configuration
 from .queueing import AdmissionOrder, QueuedAttempt, TargetLoad
 
 # Virtual time is counted in whole parts of a token, so that it is exact.
--- a/packages/core/src/buckthornpond_core/held_attempts.py
+++ b/packages/core/src/buckthornpond_core/admission/held.py
@@ -2,10 +2,10 @@
 
 from datetime import timedelta
 
-from .effects import AgentEffect
-from .keyed_attempts import KeyedAttempts
+from ..effects import AgentEffect
+from ..keys.attempts import KeyedAttempts
 from .queueing import QueuedAttempt, TargetLoad
-from .running_attempts import RunningAttempt
+from .running import RunningAttempt
 
 
 class HeldAttempts:
--- a/packages/core/src/buckthornpond_core/priorities.py
+++ b/packages/core/src/buckthornpond_core/admission/priorities.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ._generated.messages import Attempt
+from .._generated.messages import Attempt
 
 _MS = timedelta(milliseconds=1)
 _TOKENS_PER_RANK = 256
--- a/packages/core/src/buckthornpond_core/queueing.py
+++ b/packages/core/src/buckthornpond_core/admission/queueing.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from ._generated.messages import Attempt
+from .._generated.messages import Attempt
 from .priorities import AgedLengthPriority, EnginePriority
 
 _REFUSAL_MARGIN_MS = 50
--- a/packages/core/src/buckthornpond_core/readiness.py
+++ b/packages/core/src/buckthornpond_core/admission/readiness.py
@@ -1,8 +1,8 @@
 """Readiness of an agent and its target for new work."""
 
-from ._generated.inventory import Target
-from ._generated.messages import TargetPhase
-from .configuration import Configuration
+from .._generated.inventory import Target
+from .._generated.messages import TargetPhase
+from ..configuration.documents import Configuration
 from .limits import TargetLimit
 
 
--- a/packages/core/src/buckthornpond_core/attempt_refusals.py
+++ b/packages/core/src/buckthornpond_core/admission/refusals.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Iterable
 
-from ._generated.events import CallEnded
-from ._generated.messages import Outcome, Refused
-from .effects import AgentEffect, ToPeer
-from .held_attempts import HeldAttempts
+from .._generated.events import CallEnded
+from .._generated.messages import Outcome, Refused
+from ..effects import AgentEffect, ToPeer
+from ..types import Recorder
+from .held import HeldAttempts
 from .queueing import QueuedAttempt
-from .running_attempts import RunningAttempt
-from .types import Recorder
+from .running import RunningAttempt
 
 _QUEUE_RETRY_AFTER_MS = 200
 
--- a/packages/core/src/buckthornpond_core/running_attempts.py
+++ b/packages/core/src/buckthornpond_core/admission/running.py
@@ -2,9 +2,9 @@
 
 from datetime import timedelta
 
-from ._generated.events import CallChunk, CallStarted
-from ._generated.messages import Chunk, Final, Started
-from .effects import AgentEffect, CancelCall, GrantCall, ToPeer, WireMessage
+from .._generated.events import CallChunk, CallStarted
+from .._generated.messages import Chunk, Final, Started
+from ..effects import AgentEffect, CancelCall, GrantCall, ToPeer, WireMessage
 from .queueing import QueuedAttempt
 
 _DETACHED_CREDIT_BYTES = 1 << 24
--- a/packages/core/src/buckthornpond_core/warmth.py
+++ b/packages/core/src/buckthornpond_core/admission/warmth.py
@@ -1,10 +1,10 @@
 """Signs that a target is cold, from outcomes and from its own report."""
 
-from ._generated.events import CallEnded
-from ._generated.platform import LoadReport
-from .journal import EventCode
+from .._generated.events import CallEnded
+from .._generated.platform import LoadReport
+from ..journal import EventCode
+from ..types import Recorder
 from .limits import TargetLimit
-from .types import Recorder
 
 
 class WarmthWatch:
--- a/packages/core/src/buckthornpond_core/dissemination.py
+++ b/packages/core/src/buckthornpond_core/configuration/dissemination.py
@@ -6,17 +6,17 @@
 
 from datetime import timedelta
 
-from ._generated.messages import (
+from .._generated.messages import (
     ConfigurationVersion,
     Document,
     DocumentName,
     DocumentRequest,
 )
+from ..effects import ToPeer
+from ..journal import EventCode
+from ..types import Recorder
 from .acceptance import DocumentStamp
-from .configuration import Configuration, version_of
-from .effects import ToPeer
-from .journal import EventCode
-from .types import Recorder
+from .documents import Configuration, version_of
 
 _PEER_MEMORY = timedelta(seconds=60)
 _REQUEST_TIMEOUT = timedelta(seconds=2)
--- a/packages/core/src/buckthornpond_core/configuration.py
+++ b/packages/core/src/buckthornpond_core/configuration/documents.py
@@ -1,13 +1,13 @@
 """Accepted configuration: validation, indexes and versions that only rise."""
 
-from ._generated.inventory import (
+from .._generated.inventory import (
     Instance,
     Inventory,
     Organisation,
     Rules,
     Service,
 )
-from ._generated.messages import ConfigurationVersion, DocumentName
+from .._generated.messages import ConfigurationVersion, DocumentName
 from .acceptance import (
     AcceptanceOrder,
     DocumentStamp,
--- a/packages/core/src/buckthornpond_core/readers.py
+++ b/packages/core/src/buckthornpond_core/configuration/readers.py
@@ -6,11 +6,11 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ._generated.events import ServiceRead
-from ._generated.messages import ConfigurationVersion, DocumentName
-from .configuration import Configuration
-from .effects import ReadService
-from .placement import rank_homes
+from .._generated.events import ServiceRead
+from .._generated.messages import ConfigurationVersion, DocumentName
+from ..effects import ReadService
+from ..routing.placement import rank_homes
+from .documents import Configuration
 
 _HASH_KEY = 'platform-reader'
 _MAX_STEPS = 10
--- a/packages/core/src/buckthornpond_core/keyed_attempts.py
+++ b/packages/core/src/buckthornpond_core/keys/attempts.py
@@ -5,9 +5,9 @@
 
 from xxhash import xxh3_64
 
-from ._generated.events import CallChunk, CallEnded, CallStarted
-from ._generated.inventory import Service
-from ._generated.messages import (
+from .._generated.events import CallChunk, CallEnded, CallStarted
+from .._generated.inventory import Service
+from .._generated.messages import (
     Accepted,
     Attempt,
     Chunk,
@@ -19,6 +19,10 @@
     Refused,
     Started,
 )
+from ..admission.queueing import QueuedAttempt
+from ..configuration.documents import Configuration
+from ..effects import AgentEffect, CallMessage, ToHome, ToPeer
+from ..types import Recorder
 from .claims import (
     AskHomes,
     KeyClaim,
@@ -28,11 +32,7 @@
     ReplayKey,
     RunKey,
 )
-from .configuration import Configuration
-from .effects import AgentEffect, CallMessage, ToHome, ToPeer
-from .keys import RecordedAnswer
-from .queueing import QueuedAttempt
-from .types import Recorder
+from .register import RecordedAnswer
 
 _RETRY_AFTER_MS = 1000
 
--- a/packages/core/src/buckthornpond_core/claims.py
+++ b/packages/core/src/buckthornpond_core/keys/claims.py
@@ -3,10 +3,10 @@
 from datetime import timedelta
 from typing import Protocol, TypeAlias
 
-from ._generated.inventory import Service
-from ._generated.messages import FenceKey, FenceReply, KeyState
-from .keys import RecordedAnswer
-from .placement import join_key
+from .._generated.inventory import Service
+from .._generated.messages import FenceKey, FenceReply, KeyState
+from ..routing.placement import join_key
+from .register import RecordedAnswer
 
 
 class KeyClaim:
--- a/packages/core/src/buckthornpond_core/homes.py
+++ b/packages/core/src/buckthornpond_core/keys/earlier_homes.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-from ._generated.inventory import Service
-from ._generated.messages import ConfigurationVersion
-from .configuration import Configuration
-from .key_times import Barrier
-from .placement import rank_home, rank_homes
+from .._generated.inventory import Service
+from .._generated.messages import ConfigurationVersion
+from ..configuration.documents import Configuration
+from ..routing.placement import rank_home, rank_homes
+from .times import Barrier
 
 _NO_VERSION = ConfigurationVersion(inventory_version=0, rules_version=0)
 
--- a/packages/core/src/buckthornpond_core/key_homes.py
+++ b/packages/core/src/buckthornpond_core/keys/homes.py
@@ -2,12 +2,14 @@
 
 from datetime import datetime, timedelta
 
-from ._generated.messages import (
+from .._generated.messages import (
     ConfigurationVersion,
     FenceKey,
     FenceReply,
     KeyState,
 )
+from ..configuration.documents import Configuration
+from ..routing.placement import find_home, join_key
 from .claims import (
     AskHomes,
     KeyClaim,
@@ -16,11 +18,9 @@
     ReplayKey,
     RunKey,
 )
-from .configuration import Configuration
-from .homes import Home, HomeDirectory
-from .key_times import Barrier, KeyTimes
-from .keys import KeyRecord, KeyRegister, RecordedAnswer
-from .placement import find_home, join_key
+from .earlier_homes import Home, HomeDirectory
+from .register import KeyRecord, KeyRegister, RecordedAnswer
+from .times import Barrier, KeyTimes
 
 
 class KeyLimits:
--- a/packages/core/src/buckthornpond_core/keys.py
+++ b/packages/core/src/buckthornpond_core/keys/register.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from datetime import timedelta
 
-from ._generated.messages import KeyState
+from .._generated.messages import KeyState
 
 _RUNNING_RETENTION = timedelta(minutes=1)
 
--- a/packages/core/src/buckthornpond_core/orders.py
+++ b/packages/core/src/buckthornpond_core/orders.py
@@ -5,7 +5,7 @@
 
 from ._generated.events import OrderWish
 from ._generated.platform import Order, OrderKind, OrderReport
-from .configuration import Configuration
+from .configuration.documents import Configuration
 from .journal import EventCode
 from .types import Recorder
 
--- a/packages/core/src/buckthornpond_core/answer_checks.py
+++ b/packages/core/src/buckthornpond_core/routing/answers.py
@@ -1,10 +1,10 @@
 """Checks of the answers that agents send, part by part."""
 
-from ._generated.messages import Chunk, Final, Started
-from .effects import RouterEffect, ToCaller
-from .held_requests import HeldRequest, HeldRequests
-from .request_endings import RequestEndings
-from .types import Recorder
+from .._generated.messages import Chunk, Final, Started
+from ..effects import RouterEffect, ToCaller
+from ..types import Recorder
+from .endings import RequestEndings
+from .held import HeldRequest, HeldRequests
 
 
 class AnswerChecks:
--- a/packages/core/src/buckthornpond_core/dispatching.py
+++ b/packages/core/src/buckthornpond_core/routing/dispatching.py
@@ -3,16 +3,16 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from ._generated.events import Submission
-from ._generated.inventory import Service
-from ._generated.messages import Attempt
-from .bounds import RouterLimits
-from .configuration import Configuration
+from .._generated.events import Submission
+from .._generated.inventory import Service
+from .._generated.messages import Attempt
+from ..bounds import RouterLimits
+from ..configuration.documents import Configuration
+from ..effects import RouterEffect, ToPeer
+from ..types import RandomSource
 from .directories import AgentDirectory
-from .effects import RouterEffect, ToPeer
-from .held_requests import HeldRequest, HeldRequests
+from .held import HeldRequest, HeldRequests
 from .placement import AgentView, Placement, find_home, join_key
-from .types import RandomSource
 
 _RETRY_BASE_MS = 20
 _RETRY_CAP_MS = 500
--- a/packages/core/src/buckthornpond_core/request_endings.py
+++ b/packages/core/src/buckthornpond_core/routing/endings.py
@@ -1,9 +1,9 @@
 """Ends of held requests, each with an honest refusal."""
 
-from ._generated.messages import Cancel, Refused
-from .effects import RouterEffect, ToCaller, ToPeer
-from .held_requests import HeldRequest, HeldRequests
-from .types import Recorder
+from .._generated.messages import Cancel, Refused
+from ..effects import RouterEffect, ToCaller, ToPeer
+from ..types import Recorder
+from .held import HeldRequest, HeldRequests
 
 _OVERLOAD_RETRY_AFTER_MS = 1000
 
--- a/packages/core/src/buckthornpond_core/failovers.py
+++ b/packages/core/src/buckthornpond_core/routing/failovers.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from ._generated.messages import (
+from .._generated.messages import (
     Hint,
     KeyState,
     Outcome,
@@ -10,15 +10,15 @@
     QueryReply,
     Refused,
 )
-from .configuration import Configuration
+from ..configuration.documents import Configuration
+from ..effects import RouterEffect, ToPeer
+from ..types import Recorder
 from .directories import AgentDirectory
 from .dispatching import Dispatcher
-from .effects import RouterEffect, ToPeer
-from .held_requests import HeldRequest, HeldRequests
+from .endings import RequestEndings
+from .held import HeldRequest, HeldRequests
 from .placement import AgentView
-from .request_endings import RequestEndings
-from .retry_rules import RetryRules
-from .types import Recorder
+from .retries import RetryRules
 
 # An agent that refuses for these takes no work by plan, so that the next
 # placement is not a retry that the budget has to bound.
--- a/packages/core/src/buckthornpond_core/held_requests.py
+++ b/packages/core/src/buckthornpond_core/routing/held.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from ._generated.events import Submission
-from ._generated.messages import Outcome
+from .._generated.events import Submission
+from .._generated.messages import Outcome
 
 _QUERY_MARGIN_MS = 250
 
--- a/packages/core/src/buckthornpond_core/placement.py
+++ b/packages/core/src/buckthornpond_core/routing/placement.py
@@ -6,10 +6,10 @@
 
 from xxhash import xxh3_64_intdigest
 
-from ._generated.events import Submission
-from ._generated.inventory import Target
-from ._generated.messages import Hint, TargetPhase
-from .types import RandomSource
+from .._generated.events import Submission
+from .._generated.inventory import Target
+from .._generated.messages import Hint, TargetPhase
+from ..types import RandomSource
 
 _CHOICES = 2
 
--- a/packages/core/src/buckthornpond_core/routing.py
+++ b/packages/core/src/buckthornpond_core/routing/router.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from ._generated.events import Submission
-from ._generated.messages import (
+from .._generated.events import Submission
+from .._generated.messages import (
     Chunk,
     Credit,
     Final,
@@ -13,22 +13,21 @@
     Refused,
     Started,
 )
-from .answer_checks import AnswerChecks
-from .bounds import RouterLimits
-from .configuration import Configuration
+from ..bounds import RouterLimits
+from ..configuration.documents import Configuration
+from ..effects import RouterEffect, ToPeer, WireMessage
+from ..journal import EventCode
+from ..types import RandomSource, Recorder
+from .answers import AnswerChecks
 from .directories import AgentDirectory
 from .dispatching import Dispatcher
-from .effects import RouterEffect, ToPeer, WireMessage
+from .endings import RequestEndings
 from .failovers import Failover
 from .heartbeats import HeartbeatPace
-from .held_requests import HeldRequest, HeldRequests
-from .journal import EventCode
+from .held import HeldRequest, HeldRequests
 from .placement import Placement
-from .request_endings import RequestEndings
-from .retries import RetryBudget
-from .retry_rules import RetryRules
+from .retries import RetryBudget, RetryRules
 from .subsets import LinkPlan, WholeService
-from .types import RandomSource, Recorder
 
 
 class Router:
--- a/packages/core/src/buckthornpond_core/subsets.py
+++ b/packages/core/src/buckthornpond_core/routing/subsets.py
@@ -5,8 +5,8 @@
 from itertools import chain, zip_longest
 from typing import Protocol
 
-from ._generated.inventory import Service
-from .configuration import Configuration
+from .._generated.inventory import Service
+from ..configuration.documents import Configuration
 from .placement import rank_homes
 
 
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -7,11 +7,11 @@
 
 from buckthornpond_core._generated.settings import EntrySettings
 from buckthornpond_core.bounds import RouterLimits
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.journal import EventCode
-from buckthornpond_core.placement import LeastPrefillPlacement
-from buckthornpond_core.retries import RetryBudget
-from buckthornpond_core.routing import Router
+from buckthornpond_core.routing.placement import LeastPrefillPlacement
+from buckthornpond_core.routing.retries import RetryBudget
+from buckthornpond_core.routing.router import Router
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.assembly import ExchangeAssembly
 from buckthornpond_runtime.clocks import SystemClock
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -120,10 +120,8 @@
     def _run(self) -> None:
         try:
             self._serve()
-        except ReservationError as error:
-            self._fail_reservation(error)
         except TargetError as error:
-            self._fail(error, is_sent=error.is_sent)
+            self._fail_call(error)
         except BuckthornpondError as error:
             self._fail(error, is_sent=True)
         except Exception as error:
@@ -143,7 +141,10 @@
             outcome = AttemptOutcome.unreachable
         self._tell(AttemptFailed(outcome, is_sent=is_sent, error=str(error)))
 
-    def _fail_reservation(self, error: ReservationError) -> None:
+    def _fail_call(self, error: TargetError) -> None:
+        if not isinstance(error, ReservationError):
+            self._fail(error, is_sent=error.is_sent)
+            return
         outcome = AttemptOutcome.unreachable
         if error.is_refused:
             outcome = AttemptOutcome.refused
--- a/packages/entry/src/buckthornpond_entry/front.py
+++ b/packages/entry/src/buckthornpond_entry/front.py
@@ -12,7 +12,7 @@
 from buckthornpond_core._generated.inventory import Organisation, TargetKind
 from buckthornpond_core._generated.messages import Outcome, Refused
 from buckthornpond_core._generated.settings import EntrySettings
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.effects import AnswerMessage
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.types import Clock
--- a/packages/entry/src/buckthornpond_entry/links.py
+++ b/packages/entry/src/buckthornpond_entry/links.py
@@ -6,11 +6,11 @@
 from zmq import green as zmq
 
 from buckthornpond_core._generated.settings import EntrySettings
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.directories import AgentDirectory
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.effects import ToPeer
-from buckthornpond_core.heartbeats import HeartbeatPace
-from buckthornpond_core.subsets import LinkPlan, ZoneSubset
+from buckthornpond_core.routing.directories import AgentDirectory
+from buckthornpond_core.routing.heartbeats import HeartbeatPace
+from buckthornpond_core.routing.subsets import LinkPlan, ZoneSubset
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Inbox
 from buckthornpond_runtime.transports import LinkTask, Received
--- a/packages/entry/src/buckthornpond_entry/tasks.py
+++ b/packages/entry/src/buckthornpond_entry/tasks.py
@@ -19,10 +19,10 @@
     Outcome,
     Refused,
 )
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.credits import UntakenAnswers
 from buckthornpond_core.effects import AnswerMessage, RouterEffect, ToPeer
-from buckthornpond_core.routing import Router
+from buckthornpond_core.routing.router import Router
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.documents import DocumentExchange
 from buckthornpond_runtime.metrics import Metrics
--- a/packages/runtime/src/buckthornpond_runtime/assembly.py
+++ b/packages/runtime/src/buckthornpond_runtime/assembly.py
@@ -7,9 +7,12 @@
 from buckthornpond_core._generated.events import ServiceRead
 from buckthornpond_core._generated.messages import DocumentName
 from buckthornpond_core._generated.settings import PlatformSettings
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.dissemination import Dissemination, StartupHold
-from buckthornpond_core.readers import (
+from buckthornpond_core.configuration.dissemination import (
+    Dissemination,
+    StartupHold,
+)
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.configuration.readers import (
     RankedReaders,
     ReaderLimits,
     ReadSchedule,
--- a/packages/runtime/src/buckthornpond_runtime/documents.py
+++ b/packages/runtime/src/buckthornpond_runtime/documents.py
@@ -12,17 +12,20 @@
     DocumentName,
     DocumentRequest,
 )
-from buckthornpond_core.acceptance import DocumentStamp, digest_content
-from buckthornpond_core.configuration import (
+from buckthornpond_core.configuration.acceptance import (
+    DocumentStamp,
+    digest_content,
+)
+from buckthornpond_core.configuration.dissemination import Dissemination
+from buckthornpond_core.configuration.documents import (
     Configuration,
     find_inventory_problems,
     find_rules_problems,
 )
-from buckthornpond_core.dissemination import Dissemination
+from buckthornpond_core.configuration.readers import ReadSchedule
 from buckthornpond_core.effects import ReadService, ToPeer
 from buckthornpond_core.exceptions import InvalidDocumentError
 from buckthornpond_core.journal import EventCode
-from buckthornpond_core.readers import ReadSchedule
 
 from .codecs import decode_document
 from .metrics import Metrics
--- a/packages/standins/src/buckthornpond_standins/bench.py
+++ b/packages/standins/src/buckthornpond_standins/bench.py
@@ -11,9 +11,9 @@
 from buckthornpond_core._generated.inventory import Rules
 from buckthornpond_core._generated.messages import Chunk, Final, Refused
 from buckthornpond_core._generated.platform import LoadReport
-from buckthornpond_core.admission import Admission
+from buckthornpond_core.admission.admission import Admission
 from buckthornpond_core.bounds import AgentLimits, RouterLimits
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_core.effects import (
     AgentEffect,
     CallMessage,
@@ -23,8 +23,8 @@
     ToCaller,
     ToPeer,
 )
-from buckthornpond_core.retries import RetryBudget
-from buckthornpond_core.routing import Router
+from buckthornpond_core.routing.retries import RetryBudget
+from buckthornpond_core.routing.router import Router
 
 from .engine import EngineCosts
 from .keyed import build_keyed_attempts
--- a/packages/standins/src/buckthornpond_standins/inventories.py
+++ b/packages/standins/src/buckthornpond_standins/inventories.py
@@ -9,7 +9,7 @@
 
 import click
 
-from buckthornpond_core.configuration import Configuration
+from buckthornpond_core.configuration.documents import Configuration
 from buckthornpond_runtime.documents import parse_inventory
 
 from .slopes import fit_costs
--- a/packages/standins/src/buckthornpond_standins/keyed.py
+++ b/packages/standins/src/buckthornpond_standins/keyed.py
@@ -2,10 +2,10 @@
 
 from datetime import UTC, datetime, timedelta
 
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.key_homes import FencingKeyHome, KeyLimits
-from buckthornpond_core.key_times import KeyTimes
-from buckthornpond_core.keyed_attempts import KeyedAttempts
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.keys.attempts import KeyedAttempts
+from buckthornpond_core.keys.homes import FencingKeyHome, KeyLimits
+from buckthornpond_core.keys.times import KeyTimes
 from buckthornpond_core.types import Recorder
 
 _WALL = datetime.fromtimestamp(0, UTC)
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -4,33 +4,37 @@
 from types import MappingProxyType
 
 from buckthornpond_core._generated.inventory import Target
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.fairness import FairOrder
-from buckthornpond_core.forecasts import (
+from buckthornpond_core.admission.fairness import FairOrder
+from buckthornpond_core.admission.forecasts import (
     Forecast,
     NoForecast,
     PrefillForecast,
 )
-from buckthornpond_core.limits import FixedLimit, SlowStartLimit, TargetLimit
-from buckthornpond_core.placement import (
-    FittingPlacement,
-    LeastLoadedPlacement,
-    LeastPrefillPlacement,
-    Placement,
-    RandomPlacement,
-    RoundRobinPlacement,
-    TwoChoicesPlacement,
+from buckthornpond_core.admission.limits import (
+    FixedLimit,
+    SlowStartLimit,
+    TargetLimit,
 )
-from buckthornpond_core.priorities import (
+from buckthornpond_core.admission.priorities import (
     AgedLengthPriority,
     EqualPriority,
     LengthPriority,
 )
-from buckthornpond_core.queueing import (
+from buckthornpond_core.admission.queueing import (
     AdmissionOrder,
     FifoOrder,
     ShortestFirstOrder,
 )
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.routing.placement import (
+    FittingPlacement,
+    LeastLoadedPlacement,
+    LeastPrefillPlacement,
+    Placement,
+    RandomPlacement,
+    RoundRobinPlacement,
+    TwoChoicesPlacement,
+)
 
 
 class PolicySet:
