--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -6,7 +6,11 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from buckthornpond_core.exceptions import BuckthornpondError, TargetError
+from buckthornpond_core.exceptions import (
+    BuckthornpondError,
+    ReservationError,
+    TargetError,
+)
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import AnswerHead, StartAttempt
@@ -117,7 +121,7 @@
         try:
             self._serve()
         except TargetError as error:
-            self._fail(error, is_sent=error.is_sent)
+            self._fail_call(error)
         except BuckthornpondError as error:
             self._fail(error, is_sent=True)
         except Exception as error:
@@ -137,6 +141,22 @@
             outcome = AttemptOutcome.unreachable
         self._tell(AttemptFailed(outcome, is_sent=is_sent, error=str(error)))
 
+    def _fail_call(self, error: TargetError) -> None:
+        if not isinstance(error, ReservationError):
+            self._fail(error, is_sent=error.is_sent)
+            return
+        outcome = AttemptOutcome.unreachable
+        if error.is_refused:
+            outcome = AttemptOutcome.refused
+        self._tell(
+            AttemptFailed(
+                outcome,
+                is_sent=False,
+                error=str(error),
+                target=error.target,
+            ),
+        )
+
     def _release(self) -> None:
         if self._sender is not None:
             self._sender.kill(block=False)
--- a/packages/standins/src/buckthornpond_standins/policies.py
+++ b/packages/standins/src/buckthornpond_standins/policies.py
@@ -4,15 +4,29 @@
 from types import MappingProxyType
 
 from buckthornpond_core._generated.inventory import Target
-from buckthornpond_core.configuration import Configuration
-from buckthornpond_core.fairness import FairOrder
-from buckthornpond_core.forecasts import (
+from buckthornpond_core.admission.fairness import FairOrder
+from buckthornpond_core.admission.forecasts import (
     Forecast,
     NoForecast,
     PrefillForecast,
 )
-from buckthornpond_core.limits import FixedLimit, SlowStartLimit, TargetLimit
-from buckthornpond_core.placement import (
+from buckthornpond_core.admission.limits import (
+    FixedLimit,
+    SlowStartLimit,
+    TargetLimit,
+)
+from buckthornpond_core.admission.priorities import (
+    AgedLengthPriority,
+    EqualPriority,
+    LengthPriority,
+)
+from buckthornpond_core.admission.queueing import (
+    AdmissionOrder,
+    FifoOrder,
+    ShortestFirstOrder,
+)
+from buckthornpond_core.configuration.documents import Configuration
+from buckthornpond_core.routing.placement import (
     FittingPlacement,
     LeastLoadedPlacement,
     LeastPrefillPlacement,
@@ -21,12 +35,6 @@
     RoundRobinPlacement,
     TwoChoicesPlacement,
 )
-from buckthornpond_core.priorities import EqualPriority, LengthPriority
-from buckthornpond_core.queueing import (
-    AdmissionOrder,
-    FifoOrder,
-    ShortestFirstOrder,
-)
 
 
 class PolicySet:
@@ -77,12 +85,16 @@
     return ShortestFirstOrder(LengthPriority())
 
 
+def _aged(_configuration: Configuration) -> AdmissionOrder:
+    return ShortestFirstOrder(AgedLengthPriority())
+
+
 def _shortest(_configuration: Configuration) -> AdmissionOrder:
     return ShortestFirstOrder(EqualPriority())
 
 
 def _fair(configuration: Configuration) -> AdmissionOrder:
-    return FairOrder(ShortestFirstOrder(LengthPriority()), configuration)
+    return FairOrder(ShortestFirstOrder(AgedLengthPriority()), configuration)
 
 
 _SETS = (
@@ -145,7 +157,7 @@
     PolicySet(
         'prefill-forecast',
         placement=LeastPrefillPlacement,
-        order=_prioritised,
+        order=_aged,
         limit=_slow_start,
         forecast=PrefillForecast,
     ),
