Learn the fleet from another entry while the store does not answer

The store turned 8 of 22 entries away; then all processes were killed. The eight came back without a configuration and refused 109 requests as no_configuration for two seconds, and before that 18 as configuration_stale, while fourteen entries knew everything.

Ruled out: a few readers that pass changes on always (a frozen reader delays drains for entries that can read themselves); the whole view in each hint (up to a megabyte in datagrams).

Change: an entry whose store is away asks another one, at each failed call and each 0.5 s, over the first internal port. A view is taken only while the store does not answer and only at a higher revision; versions only rise; changes that the store tells again up to that revision are passed over for 5 s; the age of what is known counts from whoever heard the store. The health listener and the new one share one page server; the store, orders and peers share one way of fetching a whole answer.

--- a/features/direct_fuzz.feature
+++ b/features/direct_fuzz.feature
@@ -24,3 +24,8 @@
   Scenario: a stream that goes on elsewhere gives each event once
     When 600 streams break at random places and go on at another target
     Then each gives its events, whole and in order
+
+  Scenario: views of the fleet of any content break nothing and never lead back
+    Given a dispatcher before 2 plain targets
+    When 600 views reach it while the store is lost
+    Then revision and version never fell
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -224,7 +224,7 @@
     context.fleet_seen = Fleet()
     now = timedelta(seconds=1)
     record = TargetRecord('a', 'llm', '1.1.1.1:1', 'zone-a')
-    context.fleet_seen.put(record, None, now)
+    context.fleet_seen.put(record)
     exchange = LoadExchange('me:1', 1, [])
 
     def check(example: Any) -> None:
--- /dev/null
+++ b/features/steps/direct_learning_steps.py
@@ -0,0 +1,266 @@
+"""Steps on what an entry learns of the fleet from others, without sockets."""
+
+import time
+from datetime import timedelta
+from typing import Any
+from unittest.mock import patch
+
+import msgspec
+from behave import given, then, when
+from hypothesis import strategies as st
+
+from buckthornpond_core._generated.serving import (
+    FleetView,
+    NotPlaced,
+    RequestFacts,
+    SourceConfirmed,
+    SourceLost,
+    SourceSnapshot,
+    TargetFound,
+    ZoneReturned,
+)
+from buckthornpond_core.serving.dispatcher import Dispatcher
+from buckthornpond_platform_standins.worlds import HOST
+from buckthornpond_runtime.clocks import SystemClock
+from features.steps.direct_fuzz_steps import run_generated
+from features.steps.direct_placement_steps import place
+
+_PEER = 'entry-9:1'
+
+
+def _dispatcher(context: Any) -> Dispatcher:
+    return context.dispatchers[0]
+
+
+@when('the store is {state:w}')
+def set_store(context: Any, state: str) -> None:
+    """Let the store answer, or not."""
+    change: SourceLost | SourceConfirmed = SourceConfirmed(2)
+    if state == 'lost':
+        change = SourceLost('no answer')
+    _dispatcher(context).apply(change, context.now)
+
+
+@when(
+    'a peer that follows revision {revision:d} tells that the first target '
+    'drains and zone-b is evacuated'
+)
+def tell_drain(context: Any, revision: int) -> None:
+    """Let another entry tell of a drain and an evacuation."""
+    records = [msgspec.structs.replace(each) for each in context.records]
+    records[0].is_draining = True
+    _tell(context, revision, records, ['zone-b'])
+
+
+@given('the store has told version {version:d}')
+def tell_store_version(context: Any, version: int) -> None:
+    """Let the store tell a configuration."""
+    _dispatcher(context).apply(
+        SourceSnapshot(
+            context.records, [], _configuration(context, version), 3
+        ),
+        context.now,
+    )
+
+
+@when('a peer that follows revision {revision:d} tells version {version:d}')
+def tell_version(context: Any, revision: int, version: int) -> None:
+    """Let another entry tell a configuration."""
+    _tell(context, revision, context.records, [], version)
+
+
+def _configuration(context: Any, version: int) -> Any:
+    table = _dispatcher(context).table
+    assert table is not None
+    return msgspec.structs.replace(table.configuration, version=version)
+
+
+def _tell(
+    context: Any,
+    revision: int,
+    records: Any,
+    zones: list[str],
+    version: int = 1,
+) -> None:
+    snapshot = SourceSnapshot(
+        records, zones, _configuration(context, version), revision
+    )
+    view = FleetView(revision, 100, snapshot)
+    _dispatcher(context).learn_fleet(view, _PEER, context.now, context.now)
+
+
+@when(
+    "the store answers with the first target's record of revision {found:d} "
+    "and zone-b's return of revision {returned:d}"
+)
+def answer_late(context: Any, found: int, returned: int) -> None:
+    """Let the store tell of changes."""
+    dispatcher = _dispatcher(context)
+    dispatcher.apply(TargetFound(context.records[0], found), context.now)
+    dispatcher.apply(ZoneReturned('zone-b', returned), context.now)
+
+
+@then('the first target gets nothing for {seconds:f} seconds')
+def check_nothing(context: Any, seconds: float) -> None:
+    """Place requests for some time."""
+    assert 'target-0' not in _place_for(context, seconds)
+
+
+@then('the first target gets requests again')
+def check_again(context: Any) -> None:
+    """Place requests."""
+    assert 'target-0' in _place_for(context, 0.4)
+
+
+def _place_for(context: Any, seconds: float) -> set[str]:
+    found = set()
+    for _ in range(round(seconds * 20)):
+        context.now += timedelta(milliseconds=50)
+        found.add(place(context, 0, path='/read/1')[1].target)
+    return found
+
+
+@then('zone-b is evacuated {state}')
+def check_zone(context: Any, state: str) -> None:
+    """Check what the dispatcher believes of the zone."""
+    is_evacuated = 'zone-b' in _dispatcher(context).fleet.evacuated_zones
+    assert is_evacuated == (state == 'still')
+
+
+@then('nothing was learned')
+def check_unlearned(context: Any) -> None:
+    """Check that the target and the zone are as before."""
+    fleet = _dispatcher(context).fleet
+    assert not fleet.evacuated_zones
+    assert not any(view.record.is_draining for view in fleet)
+    assert fleet.revision <= 2
+
+
+@then('version {version:d} is in force')
+def check_version(context: Any, version: int) -> None:
+    """Check the configuration."""
+    assert _dispatcher(context).configuration_version == version
+
+
+@when(
+    'a peer that heard the store {age_ms:d} ms ago tells that nothing has '
+    'changed'
+)
+def tell_nothing(context: Any, age_ms: int) -> None:
+    """Let another entry confirm the revision."""
+    dispatcher = _dispatcher(context)
+    view = FleetView(dispatcher.fleet.revision, age_ms, None)
+    dispatcher.learn_fleet(view, _PEER, context.now, context.now)
+
+
+@then('an unknown route is refused as "{reason}"')
+def check_reason(context: Any, reason: str) -> None:
+    """Ask on a route that the configuration lacks."""
+    facts = RequestFacts('r-1', HOST, 'GET', '/newer/1', '')
+    found = _dispatcher(context).admit(facts, context.now)
+    assert isinstance(found, NotPlaced)
+    assert found.reason == reason, found.reason
+
+
+@then('{seconds:d} seconds later it is refused as "{reason}"')
+def check_reason_later(context: Any, seconds: int, reason: str) -> None:
+    """Ask again when the confirmation is old."""
+    context.now += timedelta(seconds=seconds)
+    check_reason(context, reason)
+
+
+@given('the clock of a machine that was suspended for {seconds:d} seconds')
+def suspend(context: Any, seconds: int) -> None:
+    """Let the steady clock stand still while the boot clock went on."""
+    steady = SystemClock().monotonic().total_seconds()
+    context.suspended_seconds = 0
+    patches = (
+        patch.object(time, 'monotonic', lambda: steady),
+        patch.object(
+            time,
+            'clock_gettime',
+            lambda clock: (
+                steady
+                + context.suspended_seconds * (clock == time.CLOCK_BOOTTIME)
+            ),
+        ),
+    )
+    for each in patches:
+        each.start()
+        context.add_cleanup(each.stop)
+    context.suspension_seconds = seconds
+
+
+@when('the store was heard just before')
+def hear_before(context: Any) -> None:
+    """Suspend right after an answer of the store."""
+    clock = SystemClock()
+    _dispatcher(context).apply(SourceConfirmed(2), clock.monotonic())
+    context.suspended_seconds = context.suspension_seconds
+    context.now = clock.monotonic()
+
+
+_SMALL = st.integers(0, 9)
+_RECORD = st.fixed_dictionaries(
+    {
+        'name': st.sampled_from(['target-0', 'target-1', 'x']),
+        'service': st.sampled_from(['app', 'llm', '']),
+        'address': st.sampled_from(['10.0.0.0:80', '']),
+        'availability_zone': st.sampled_from(['zone-a', '']),
+    },
+    optional={
+        'started_ms': _SMALL,
+        'cold_ms': _SMALL,
+        'is_draining': st.booleans(),
+    },
+)
+_SNAPSHOT = st.fixed_dictionaries(
+    {
+        'targets': st.lists(_RECORD, max_size=3),
+        'evacuated_zones': st.lists(st.text(max_size=3), max_size=2),
+        'configuration': st.none() | st.fixed_dictionaries({'version': _SMALL}),
+        'revision': _SMALL,
+    },
+)
+_VIEWS = st.fixed_dictionaries(
+    {
+        'revision': _SMALL,
+        'source_age_ms': _SMALL,
+        'snapshot': st.none() | _SNAPSHOT | _SMALL,
+    },
+)
+
+
+@when('{count:d} views reach it while the store is lost')
+def feed_views(context: Any, count: int) -> None:
+    """Decode generated bytes and views, and learn from each."""
+    dispatcher = _dispatcher(context)
+    dispatcher.apply(SourceLost('no answer'), context.now)
+    context.seen = []
+
+    def check(example: Any) -> None:
+        told = example
+        if not isinstance(example, bytes):
+            told = msgspec.msgpack.encode(example)
+        try:
+            view = msgspec.msgpack.decode(told, type=FleetView)
+        except msgspec.MsgspecError:
+            return
+        dispatcher.learn_fleet(view, _PEER, context.now, context.now)
+        context.seen.append(
+            (dispatcher.fleet.revision, dispatcher.configuration_version),
+        )
+        dispatcher.show_fleet(0, context.now)
+
+    run_generated(count, _VIEWS | st.binary(max_size=30), check)
+
+
+@then('revision and version never fell')
+def check_rise(context: Any) -> None:
+    """Compare each state with the one before."""
+    assert context.seen
+    for number in (0, 1):
+        found = [each[number] for each in context.seen]
+        assert found == sorted(found)
+    highest = context.seen[-1][0]
+    assert highest == 9, highest
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -52,7 +52,7 @@
         listen_address='',
         administration_address='',
         source_address='store',
-        hint_address=f'entry-{number}:1',
+        exchange_address=f'entry-{number}:1',
         peer_addresses=seeds,
     )
     found = Dispatcher(settings, random.Random(number), SilentRecorder())
--- /dev/null
+++ b/features/steps/direct_sharing_steps.py
@@ -0,0 +1,206 @@
+"""Steps on entries that learn of the fleet from each other."""
+
+from typing import Any
+
+import gevent
+from behave import given, then, when
+from gevent.socket import create_connection, socket
+
+from buckthornpond_entry.direct.requests import CallerRequest
+from buckthornpond_platform_standins.listening import Listener, wait_until
+from buckthornpond_platform_standins.relays import Harm, Relay
+from buckthornpond_platform_standins.worlds import (
+    free_port,
+    make_config,
+    make_route,
+)
+from features.steps.direct_fleet_steps import (
+    app_server,
+    ask_reads,
+    check_all,
+    check_logged,
+)
+from features.steps.direct_steps import start_world
+
+_ANSWERS = {
+    'sends noise': b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n\xc1\xc1\xc1',
+    'sends another map': (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n\x81\xa3old\x01'
+    ),
+    'refuses': b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n',
+    'breaks off': b'HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n\x80',
+}
+
+
+def _exchange_address() -> str:
+    return f'127.0.0.1:{free_port()}'
+
+
+def _start_second(context: Any, peer: str) -> None:
+    context.entry = context.world.start_entry(
+        source_address=context.relay.address,
+        exchange_address=_exchange_address(),
+        peer_addresses=[peer],
+    )
+
+
+def _first_address(context: Any) -> str:
+    return context.world.settings[0].exchange_address
+
+
+def _add_relay(context: Any) -> None:
+    if not hasattr(context, 'relay'):
+        context.relay = Relay(context.world.store.address)
+        context.add_cleanup(context.relay.close)
+
+
+@given(
+    'an entry before {apps:d} app servers and {llms:d} llm servers that shares '
+    'what it knows'
+)
+def start_sharing(context: Any, apps: int, llms: int) -> None:
+    """Start an entry that others can ask."""
+    start_world(context, apps, llms, exchange_address=_exchange_address())
+
+
+@given('a second entry that knows the first')
+@when('a second entry starts that knows the first')
+def start_with_first(context: Any) -> None:
+    """Start an entry behind a relay to the store."""
+    _add_relay(context)
+    _start_second(context, _first_address(context))
+    if context.relay.harm is Harm.none:
+        wait_until(context.entry.is_ready)
+
+
+@when('a second entry starts that knows a peer which {fault}')
+def start_with_faulty(context: Any, fault: str) -> None:
+    """Start an entry whose only peer misbehaves."""
+    if fault == 'is not there':
+        _start_second(context, _exchange_address())
+        return
+
+    def answer(connection: socket, request: CallerRequest) -> bool:
+        connection.sendall(_ANSWERS[fault])
+        return False
+
+    listener = Listener(answer)
+    context.add_cleanup(listener.close)
+    _start_second(context, listener.address)
+
+
+@given("the second entry's path to the store is cut")
+@when("the second entry's path to the store is cut")
+def cut_store(context: Any) -> None:
+    """Let nothing pass the relay."""
+    _add_relay(context)
+    context.relay.harm_with(Harm.silence)
+
+
+@when("the second entry's path to the store is whole again")
+def heal_store(context: Any) -> None:
+    """Let everything pass again."""
+    context.relay.harm_with(Harm.none)
+
+
+@when('a route is added and credentials are changed')
+def change_configuration(context: Any) -> None:
+    """Write a configuration that the second entry cannot read."""
+    routes = [
+        *make_config(0)['routes'],
+        make_route('added', 'idempotent', 'app'),
+    ]
+    tenants = [{'name': 'north', 'apiKeys': ['secret-2'], 'priority': 1}]
+    context.world.configure(routes=routes, tenants=tenants)
+    context.world.settle()
+    context.key = 'secret-2'
+
+
+@when('the first entry is asked for {page}')
+def ask_page(context: Any, page: str) -> None:
+    """Send a question to the first entry."""
+    host, port = _first_address(context).rsplit(':', 1)
+    with create_connection((host, int(port))) as connection:
+        connection.sendall(f'GET {page} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+        context.first_line = connection.recv(1000).split(b'\r\n')[0].decode()
+
+
+@then('it says {status:d}')
+def check_page(context: Any, status: int) -> None:
+    """Check the status of the page."""
+    assert f' {status} ' in context.first_line, context.first_line
+
+
+@then('it becomes ready within {seconds:d} seconds')
+def check_ready_within(context: Any, seconds: int) -> None:
+    """Wait for the second entry."""
+    wait_until(context.entry.is_ready, seconds)
+
+
+@then('the second entry is not ready')
+def check_not_ready(context: Any) -> None:
+    """Check that nothing was learned."""
+    assert not context.entry.is_ready()
+
+
+@then('event {code:w} is logged within {seconds:d} seconds')
+def check_logged_within(context: Any, code: str, seconds: int) -> None:
+    """Wait for an event among the log lines."""
+    wanted = f'"message_type":"{code}"'.encode()
+
+    def is_logged() -> bool:
+        written = b''.join(context.log_lines).replace(b': ', b':')
+        return wanted in written
+
+    wait_until(is_logged, seconds)
+    check_logged(context, code)
+
+
+def _ask_second(context: Any, count: int) -> None:
+    for server in context.world.servers:
+        server.received.clear()
+    key = getattr(context, 'key', None)
+    if key is None:
+        ask_reads(context, count, 1)
+        return
+    client = context.world.connect(1, key)
+    context.statuses = [
+        client.ask('GET', '/added/1').status for _ in range(count)
+    ]
+
+
+@then('{count:d} reads at the second entry are all answered')
+def check_reads(context: Any, count: int) -> None:
+    """Ask for reads at the second entry."""
+    _ask_second(context, count)
+    check_all(context)
+
+
+@then('app server 1 gets none of {count:d} reads at the second entry')
+def check_drained(context: Any, count: int) -> None:
+    """Check that a draining server is left alone."""
+    _ask_second(context, count)
+    check_all(context)
+    assert not app_server(context, 1).received
+
+
+@then('an unknown route at the second entry is answered {status:d}')
+def check_unknown(context: Any, status: int) -> None:
+    """Ask on a route that no configuration has."""
+    answer = context.world.connect(1).ask('GET', '/newer/1')
+    assert answer.status == status, answer.status
+
+
+@then(
+    'the second entry serves the added route with the new credential within '
+    '{seconds:d} seconds'
+)
+def check_added(context: Any, seconds: int) -> None:
+    """Ask until the change has come."""
+
+    def is_served() -> bool:
+        gevent.sleep(0.05)
+        client = context.world.connect(1, context.key)
+        return client.ask('GET', '/added/1').status == 200
+
+    wait_until(is_served, seconds)
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -65,12 +65,18 @@
         """Do nothing; lines are at hand."""
 
 
-def start_world(context: Any, app_count: int, llm_count: int) -> World:
+def start_world(
+    context: Any,
+    app_count: int,
+    llm_count: int,
+    **changes: Any,
+) -> World:
     """Start a world with one entry.
 
     :param context: the scenario.
     :param app_count: servers of the plain service.
     :param llm_count: servers of the engine.
+    :param changes: settings of the entry that differ.
     """
     world = World()
     context.world = world
@@ -84,7 +90,7 @@
         world.add_server('app')
     for _ in range(llm_count):
         world.add_server('llm')
-    world.start()
+    world.start(**changes)
     return world
 
 
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -287,6 +287,35 @@
     revision: Annotated[int, Meta(ge=0)]
 
 
+class FleetView(Struct):
+    """
+    What an entry knows of the fleet, for one that does not hear the source.
+    """
+
+    revision: Annotated[
+        int,
+        Meta(
+            description="The source's revision that it follows, nought for none.",
+            ge=0,
+        ),
+    ]
+    source_age_ms: Annotated[
+        int,
+        Meta(
+            description='Time since the source confirmed that revision.', ge=0
+        ),
+    ]
+    snapshot: (
+        Annotated[
+            SourceSnapshot,
+            Meta(
+                description='The fleet, nothing if the one that asks knows as much.'
+            ),
+        ]
+        | None
+    )
+
+
 class SourceConfirmed(Struct):
     """
     The source answered; nothing else has changed.
@@ -488,10 +517,10 @@
             ge=0,
         ),
     ] = 5
-    hint_address: Annotated[
+    exchange_address: Annotated[
         str,
         Meta(
-            description='Where load hints of other entries arrive, empty for none.'
+            description='Where other entries send load hints and ask for the fleet, empty for neither.'
         ),
     ] = ''
     peer_addresses: Annotated[
--- a/packages/core/src/buckthornpond_core/journal.py
+++ b/packages/core/src/buckthornpond_core/journal.py
@@ -47,5 +47,7 @@
     source_regained = 622
     source_history_lost = 623
     record_unreadable = 624
+    fleet_learned = 625
+    peer_unanswered = 626
     settings_read = 631
     log_lines_dropped = 632
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -7,6 +7,7 @@
 from .._generated.serving import (
     AttemptReport,
     DirectSettings,
+    FleetView,
     MemoryTicket,
     NotPlaced,
     Organisation,
@@ -114,7 +115,7 @@
         self._budgets: dict[str, RepeatBudget] = {}
         self._ticket_count = 0
         self.exchange = LoadExchange(
-            settings.hint_address,
+            settings.exchange_address,
             int(random.random() * 2**_INCARNATION_BITS),
             settings.peer_addresses,
         )
@@ -146,6 +147,40 @@
         """
         self._follower.apply(change, now)
 
+    def choose_peer(self) -> str:
+        """Return an entry to ask for the fleet, or nothing.
+
+        There is none while the source answers.
+        """
+        if self._follower.hears_source:
+            return ''
+        known = self.exchange.addresses
+        return self._random.sample(known, 1)[0] if known else ''
+
+    def show_fleet(self, revision: int, now: timedelta) -> FleetView:
+        """Return what is known, for an entry that does not hear the source.
+
+        :param revision: the source's revision that the other one follows.
+        :param now: time on the monotonic clock.
+        """
+        return self._follower.show(revision, now)
+
+    def learn_fleet(
+        self,
+        view: FleetView,
+        peer: str,
+        asked: timedelta,
+        now: timedelta,
+    ) -> None:
+        """Take what another entry knows, unless the source answers.
+
+        :param view: what it knows.
+        :param peer: the other entry.
+        :param asked: when it was asked, on the monotonic clock.
+        :param now: time on the monotonic clock.
+        """
+        self._follower.learn(view, peer, asked, now)
+
     def forget_silent(self, now: timedelta) -> None:
         """Drop the load of entries that were not heard of late.
 
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -4,11 +4,7 @@
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
-from .._generated.serving import (
-    Service,
-    SourceSnapshot,
-    TargetRecord,
-)
+from .._generated.serving import SourceSnapshot, TargetRecord
 from .budgets import ColdLimit
 from .flights import Flight
 from .trust import Trust
@@ -17,7 +13,6 @@
 RETURN_GRACE = timedelta(seconds=2)
 # The source counts as unsteady for so long after it was lost.
 _UNSTEADY_TIME = timedelta(seconds=3)
-_MS = timedelta(milliseconds=1)
 _USUAL_WEIGHT = 0.2
 _USUAL_TIME = timedelta(seconds=5)
 
@@ -77,6 +72,16 @@
         self._usual_ms = usual_ms + _USUAL_WEIGHT * (first_ms - usual_ms)
         self._usual_at = now
 
+    def mark_cold(self, until: timedelta, allowed_per_second: float) -> None:
+        """Send little to the target for some time.
+
+        :param until: end of the time, on the monotonic clock.
+        :param allowed_per_second: what all entries together may send.
+        """
+        self.cold_until = max(self.cold_until, until)
+        if self.cold_limit is None:
+            self.cold_limit = ColdLimit(allowed_per_second)
+
     def is_cold(self, now: timedelta) -> bool:
         """Tell whether the target bears only a little.
 
@@ -165,17 +170,10 @@
         zone = view.record.availability_zone
         return view.is_listed(now) and zone not in self.evacuated_zones
 
-    def put(
-        self,
-        record: TargetRecord,
-        service: Service | None,
-        now: timedelta,
-    ) -> TargetView:
+    def put(self, record: TargetRecord) -> TargetView:
         """Take the record of a target.
 
         :param record: what it registered.
-        :param service: its service, if the configuration has it.
-        :param now: time on the monotonic clock.
         """
         view = self._targets.get(record.name)
         if view is None or view.record.started_ms != record.started_ms:
@@ -185,28 +183,8 @@
         self._services.setdefault(record.service, {})[record.name] = view
         view.record = record
         view.gone_at = None
-        if record.cold_ms:
-            self.mark_cold(view, service, now + record.cold_ms * _MS)
         return view
 
-    def mark_cold(
-        self,
-        view: TargetView,
-        service: Service | None,
-        until: timedelta,
-        allowed_per_second: float = 0,
-    ) -> None:
-        """Send little to a target for some time.
-
-        :param view: the target.
-        :param service: its service.
-        :param until: end of the time, on the monotonic clock.
-        :param allowed_per_second: what all entries together may send.
-        """
-        view.cold_until = max(view.cold_until, until)
-        if view.cold_limit is None:
-            view.cold_limit = ColdLimit(allowed_per_second)
-
     def remove(self, name: str, now: timedelta) -> bool:
         """Take the removal of a record and tell whether it holds at once.
 
@@ -222,16 +200,10 @@
         self._drop(name)
         return True
 
-    def replace_all(
-        self,
-        snapshot: SourceSnapshot,
-        services: dict[str, Service],
-        now: timedelta,
-    ) -> None:
+    def replace_all(self, snapshot: SourceSnapshot, now: timedelta) -> None:
         """Take everything that the source holds.
 
         :param snapshot: targets and evacuated availability zones.
-        :param services: services of the configuration in force.
         :param now: time on the monotonic clock.
         """
         present = {record.name for record in snapshot.targets}
@@ -239,7 +211,7 @@
             if name not in present:
                 self.remove(name, now)
         for record in snapshot.targets:
-            self.put(record, services.get(record.service), now)
+            self.put(record)
         self.evacuated_zones = set(snapshot.evacuated_zones)
 
     def forget_gone(self, now: timedelta) -> list[str]:
@@ -281,6 +253,15 @@
             self.regained_at = now
         return was_lost
 
+    def confirm_by_peer(self, revision: int, confirmed: timedelta) -> None:
+        """Note what another entry has heard of the source.
+
+        :param revision: the source's revision that the peer follows.
+        :param confirmed: when it heard of that at the latest.
+        """
+        self.revision = max(self.revision, revision)
+        self.confirmed = max(self.confirmed or confirmed, confirmed)
+
     def is_unsteady(self, now: timedelta) -> bool:
         """Tell whether the source is away or just came back.
 
@@ -310,4 +291,6 @@
             self._services[view.record.service].pop(name, None)
 
     def _grace_end(self, now: timedelta) -> timedelta:
+        if self.lost_at is not None:
+            return now + RETURN_GRACE
         return (self.regained_at or now) + RETURN_GRACE
--- a/packages/core/src/buckthornpond_core/serving/following.py
+++ b/packages/core/src/buckthornpond_core/serving/following.py
@@ -3,9 +3,12 @@
 from datetime import timedelta
 from typing import TypeAlias
 
+from msgspec.structs import replace
+
 from .._generated.serving import (
     ConfigurationRead,
     DirectSettings,
+    FleetView,
     Service,
     ServingConfiguration,
     SourceConfirmed,
@@ -13,6 +16,7 @@
     SourceSnapshot,
     TargetFound,
     TargetGone,
+    TargetRecord,
     ZoneEvacuated,
     ZoneReturned,
 )
@@ -21,6 +25,11 @@
 from .fleet import Fleet, TargetView
 from .routes import RouteTable
 
+_MS = timedelta(milliseconds=1)
+# The source has told again by then what was missed while it was away.
+_REPLAY_TIME = timedelta(seconds=5)
+_SINGLE_CHANGES = (TargetFound, TargetGone, ZoneEvacuated, ZoneReturned)
+
 FleetChange: TypeAlias = (
     ConfigurationRead
     | SourceConfirmed
@@ -40,13 +49,20 @@
     :param recorder: receives counters and log events.
     """
 
-    __slots__ = ('_recorder', 'fleet', 'settings', 'table')
+    __slots__ = ('_learned_revision', '_recorder', 'fleet', 'settings', 'table')
 
     def __init__(self, settings: DirectSettings, recorder: Recorder) -> None:
         self.fleet = Fleet()
         self.table: RouteTable | None = None
         self.settings = settings
         self._recorder = recorder
+        # Revision of what another entry told last.
+        self._learned_revision = 0
+
+    @property
+    def hears_source(self) -> bool:
+        """Tell whether the source answered the last call."""
+        return self.fleet.lost_at is None
 
     @property
     def version(self) -> int:
@@ -80,6 +96,65 @@
                 is_back_expected=False,
             )
 
+    def show(self, revision: int, now: timedelta) -> FleetView:
+        """Return what is known, for an entry that does not hear the source.
+
+        :param revision: the source's revision that the other one follows.
+        :param now: time on the monotonic clock.
+        """
+        fleet = self.fleet
+        snapshot = None
+        if self.table is not None and fleet.revision > revision:
+            snapshot = SourceSnapshot(
+                targets=[
+                    _renew(view, now)
+                    for view in fleet
+                    if view.record.is_draining or view.is_listed(now)
+                ],
+                evacuated_zones=sorted(fleet.evacuated_zones),
+                configuration=self.table.configuration,
+                revision=fleet.revision,
+            )
+        return FleetView(
+            revision=fleet.revision,
+            source_age_ms=fleet.age(now) // _MS,
+            snapshot=snapshot,
+        )
+
+    def learn(
+        self,
+        view: FleetView,
+        peer: str,
+        asked: timedelta,
+        now: timedelta,
+    ) -> None:
+        """Take what another entry knows, unless the source answers.
+
+        :param view: what it knows.
+        :param peer: the other entry.
+        :param asked: when it was asked, on the monotonic clock.
+        :param now: time on the monotonic clock.
+        """
+        revision = self.fleet.revision
+        if self.hears_source or not view.revision or view.revision < revision:
+            return
+        if view.revision > revision:
+            if view.snapshot is None:
+                return
+            self._learned_revision = view.revision
+            self._take_snapshot(view.snapshot, now)
+            self._recorder.log(
+                EventCode.fleet_learned,
+                peer=peer,
+                target_count=len(view.snapshot.targets),
+                evacuated_zones=view.snapshot.evacuated_zones,
+                version=self.version,
+                revision=view.revision,
+                source_age_ms=view.source_age_ms,
+            )
+        confirmed = asked - view.source_age_ms * _MS
+        self.fleet.confirm_by_peer(view.revision, confirmed)
+
     def mark_cold(
         self,
         view: TargetView,
@@ -96,7 +171,7 @@
         allowed = (
             rate * self.settings.cold_burst_ratio + self.settings.cold_allowance
         )
-        self.fleet.mark_cold(view, service, until, allowed)
+        view.mark_cold(until, allowed)
 
     def _lose_source(self, change: SourceLost, now: timedelta) -> None:
         if self.fleet.lose_source(now):
@@ -108,6 +183,8 @@
             )
 
     def _take(self, change: FleetChange, now: timedelta) -> None:
+        if self._is_replay(change, now):
+            return
         if isinstance(change, (TargetFound, TargetGone)):
             self._take_target(change, now)
         elif isinstance(change, (ZoneEvacuated, ZoneReturned)):
@@ -117,6 +194,16 @@
         elif isinstance(change, SourceSnapshot):
             self._take_snapshot(change, now)
 
+    def _is_replay(self, change: FleetChange, now: timedelta) -> bool:
+        """Tell whether another entry told of this change or a later one."""
+        if not isinstance(change, _SINGLE_CHANGES):
+            return False
+        regained = self.fleet.regained_at or now
+        return (
+            change.revision <= self._learned_revision
+            and now - regained < _REPLAY_TIME
+        )
+
     def _take_target(
         self,
         change: TargetFound | TargetGone,
@@ -145,7 +232,11 @@
     def _take_snapshot(self, change: SourceSnapshot, now: timedelta) -> None:
         if change.configuration is not None:
             self._accept(change.configuration)
-        self.fleet.replace_all(change, self.services, now)
+        self.fleet.replace_all(change, now)
+        for record in change.targets:
+            view = self.fleet.find(record.name)
+            if view is not None:
+                self._mark_record(view, now)
         self._recorder.log(
             EventCode.fleet_read,
             target_count=len(change.targets),
@@ -168,10 +259,7 @@
         record = change.record
         known = self.fleet.find(record.name)
         was_draining = known is not None and known.record.is_draining
-        service = self.services.get(record.service)
-        view = self.fleet.put(record, service, now)
-        if record.cold_ms:
-            self.mark_cold(view, service, view.cold_until)
+        self._mark_record(self.fleet.put(record), now)
         code = EventCode.target_found
         if record.is_draining and not was_draining:
             code = EventCode.target_draining
@@ -185,6 +273,12 @@
             revision=change.revision,
         )
 
+    def _mark_record(self, view: TargetView, now: timedelta) -> None:
+        cold_ms = view.record.cold_ms
+        if cold_ms:
+            service = self.services.get(view.record.service)
+            self.mark_cold(view, service, now + cold_ms * _MS)
+
     def _accept(self, configuration: ServingConfiguration) -> None:
         # Versions only rise, whatever order answers of the source come in.
         if self.table and configuration.version <= self.version:
@@ -196,3 +290,9 @@
             version=configuration.version,
             peer=self.settings.source_address,
         )
+
+
+def _renew(view: TargetView, now: timedelta) -> TargetRecord:
+    """Return the record with what is left of the time that it is cold."""
+    cold_ms = max((view.cold_until - now) // _MS, 0)
+    return replace(view.record, cold_ms=cold_ms)
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -14,6 +14,7 @@
     NotPlaced,
     Placement,
     RequestFacts,
+    SourceLost,
 )
 from buckthornpond_core.journal import EventCode
 from buckthornpond_core.serving.dispatcher import Admission, Dispatcher
@@ -26,6 +27,7 @@
 from buckthornpond_runtime.tasks import Inbox, Mailbox
 
 from .hints import AskHint, HintReply
+from .sharing import AskFleet, AskPeer, FleetTold, PeerTask
 
 _TICK_SECONDS = 0.5
 # A request that may run only once goes on connections used just now.
@@ -145,6 +147,8 @@
     | Ended
     | FirstByte
     | FleetChange
+    | FleetTold
+    | AskFleet
     | AskHint
     | LoadHint
     | Returned
@@ -168,6 +172,7 @@
         'hint_due',
         'limits',
         'mailbox',
+        'peers',
     )
 
     def __init__(
@@ -180,17 +185,21 @@
         self.limits = CallerLimits()
         # Set when other entries have to be told of the load.
         self.hint_due = Event()
+        # Asks other entries for the fleet while the source is away.
+        self.peers = PeerTask(self.mailbox, clock, metrics)
         self._dispatcher = dispatcher
         self._clock = clock
         self._metrics = metrics
         self._idle: dict[str, list[HttpConnection]] = {}
         self._handlers: dict[type, Callable[[Any, timedelta], None]] = {
             AskAdmission: self._answer,
+            AskFleet: self._share_fleet,
             AskHint: self._exchange_hints,
             AskTarget: self._answer,
             DirectSettings: self._change_settings,
             Ended: self._follow,
             FirstByte: self._follow,
+            FleetTold: self._share_fleet,
             LoadHint: self._exchange_hints,
             Returned: self._take_back,
         }
@@ -216,6 +225,7 @@
             if now >= next_tick:
                 next_tick = now + timedelta(seconds=_TICK_SECONDS)
                 self._close_idle(now)
+                self._ask_peer()
                 self._dispatcher.forget_silent(now)
             if self._dispatcher.exchange.has_changes:
                 self.hint_due.set()
@@ -226,6 +236,35 @@
 
     def _apply(self, message: FleetChange, now: timedelta) -> None:
         self._dispatcher.apply(message, now)
+        self._take_limits()
+        if isinstance(message, SourceLost):
+            self._ask_peer()
+
+    def _ask_peer(self) -> None:
+        address = self._dispatcher.choose_peer()
+        if address:
+            revision = self._dispatcher.fleet.revision
+            self.peers.mailbox.offer(AskPeer(address, revision))
+
+    def _share_fleet(
+        self,
+        message: AskFleet | FleetTold,
+        now: timedelta,
+    ) -> None:
+        if isinstance(message, AskFleet):
+            message.inbox.offer(
+                self._dispatcher.show_fleet(message.revision, now),
+            )
+            return
+        self._dispatcher.learn_fleet(
+            message.view,
+            message.peer,
+            message.asked,
+            now,
+        )
+        self._take_limits()
+
+    def _take_limits(self) -> None:
         table = self._dispatcher.table
         if table is not None:
             self.limits = table.configuration.limits
--- a/packages/entry/src/buckthornpond_entry/direct/hints.py
+++ b/packages/entry/src/buckthornpond_entry/direct/hints.py
@@ -73,14 +73,10 @@
 
     def receive(self) -> None:
         """Take hints until the process ends."""
-        decoder = msgspec.msgpack.Decoder(LoadHint)
-        while True:
-            datagram = self._receive()
-            try:
-                self._inbox.send(decoder.decode(datagram))
-            except msgspec.DecodeError:
-                # Counted, since anyone may send here as often as they like.
-                self._metrics.count('malformed_messages', 'hint')
+        try:
+            self._receive_all()
+        finally:
+            self._socket.close()
 
     def run(self) -> None:
         """Send hints until the process ends."""
@@ -93,6 +89,16 @@
             if reply is not None:
                 self._send(reply)
 
+    def _receive_all(self) -> None:
+        decoder = msgspec.msgpack.Decoder(LoadHint)
+        while True:
+            datagram = self._receive()
+            try:
+                self._inbox.send(decoder.decode(datagram))
+            except msgspec.DecodeError:
+                # Counted, since anyone may send here as often as they like.
+                self._metrics.count('malformed_messages', 'hint')
+
     def _receive(self) -> bytes:
         try:
             return self._socket.recv(_DATAGRAM_BYTES)
--- a/packages/entry/src/buckthornpond_entry/direct/serving.py
+++ b/packages/entry/src/buckthornpond_entry/direct/serving.py
@@ -27,6 +27,7 @@
 from .dispatch import DispatchMessage, DispatchTask
 from .front import Front
 from .hints import HintTask
+from .sharing import FleetPages
 
 _BACKLOG = 1024
 # Callers' connections and the attempts for them share the descriptors.
@@ -170,7 +171,7 @@
         self._start('dispatch', self._dispatch.run)
         self._start('source', partial(source.run, self._dispatch.mailbox))
         self._start_administration()
-        self._start_hints()
+        self._start_exchange()
         self._start_front()
 
     def stop_tasks(self) -> None:
@@ -184,11 +185,15 @@
     def _start(self, name: str, run: Callable[[], None]) -> None:
         self._supervisor.start(name, run)
 
-    def _start_hints(self) -> None:
-        if not self._settings.hint_address:
+    def _start_exchange(self) -> None:
+        address = self._settings.exchange_address
+        if not address:
             return
+        pages = FleetPages(self._dispatch.mailbox)
+        self._start('fleet pages', pages.make_task(address, self.metrics).run)
+        self._start('peers', self._dispatch.peers.run)
         task = HintTask(
-            self._settings.hint_address,
+            address,
             self._dispatch.mailbox,
             self.metrics,
             self._dispatch.hint_due,
--- a/packages/entry/src/buckthornpond_entry/direct/tickets.py
+++ b/packages/entry/src/buckthornpond_entry/direct/tickets.py
@@ -14,7 +14,6 @@
 from buckthornpond_core.serving.effects import TargetOrder
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
-from buckthornpond_runtime.responses import HttpResponse
 from buckthornpond_runtime.tasks import Mailbox
 
 _ORDER_TIMEOUT_MS = 400
@@ -135,16 +134,13 @@
         lines.extend(f'{name}: {text}' for name, text in order.fields)
         lines.extend((f'Content-Length: {len(order.body)}', '', ''))
         head = _LINE_END.join(lines).encode('latin-1')
-        response = HttpResponse(order.method)
         try:
-            connection.send(head + order.body)
-            while not response.is_complete:
-                connection.receive(response, _STEP)
+            answer = connection.fetch(order.method, head + order.body, _STEP)
         except TargetError:
             self._is_unanswered = True
             connection.close()
             raise
-        return response.status_code
+        return answer.status_code
 
     def _connect(self) -> HttpConnection:
         connection = self._connection
--- a/packages/runtime/src/buckthornpond_runtime/administration.py
+++ b/packages/runtime/src/buckthornpond_runtime/administration.py
@@ -1,7 +1,8 @@
-"""Health and metrics of a process over HTTP."""
+"""Pages of a process over HTTP: health, metrics, and what peers ask for."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from typing import TypeAlias
 
 from gevent import socket
 from gevent.server import StreamServer
@@ -13,46 +14,71 @@
 _MAX_REQUEST_BYTES = 16_384
 _READ_BYTES = 4096
 _CONNECTION_COUNT = 64
+_TEXT = 'text/plain; charset=utf-8'
+
+
+class PageAnswer:
+    """What a page says.
+
+    :param status: HTTP status.
+    :param content: the body.
+    :param content_type: its media type.
+    """
+
+    __slots__ = ('content', 'content_type', 'status')
+
+    def __init__(
+        self,
+        status: HTTPStatus,
+        content: bytes,
+        content_type: str = _TEXT,
+    ) -> None:
+        self.status = status
+        self.content = content
+        self.content_type = content_type
+
+
+Page: TypeAlias = Callable[[str], PageAnswer]
 
 
 class _Request:
-    """Path of one request, filled by the parser."""
+    """Path and query of one request, filled by the parser."""
 
-    __slots__ = ('is_complete', 'path')
+    __slots__ = ('is_complete', 'url')
 
     def __init__(self) -> None:
-        self.path = ''
+        self.url = ''
         self.is_complete = False
 
     def on_url(self, url: bytes) -> None:
-        """Keep the path without its query."""
-        self.path += url.decode('latin-1').partition('?')[0]
+        """Keep the path with its query."""
+        self.url += url.decode('latin-1')
 
     def on_message_complete(self) -> None:
         """Note the end of the request."""
         self.is_complete = True
 
 
-class AdministrationTask:
-    """Owns the listener for health checks and scrapes.
+class PageTask:
+    """Owns a listener for pages.
 
     It answers one request for each connection.
 
     :param address: IP number and port to listen on.
+    :param pages: what answers the query of each path.
     :param metrics: counters of the process.
-    :param is_ready: tells whether the process takes new work.
     """
 
-    __slots__ = ('_is_ready', '_metrics', '_server')
+    __slots__ = ('_metrics', '_pages', '_server')
 
     def __init__(
         self,
         address: str,
+        pages: Mapping[str, Page],
         metrics: Metrics,
-        is_ready: Callable[[], bool],
     ) -> None:
         self._metrics = metrics
-        self._is_ready = is_ready
+        self._pages = pages
         host, port = address.rsplit(':', 1)
         self._server = StreamServer(
             (host, int(port)),
@@ -71,27 +97,59 @@
     ) -> None:
         connection.settimeout(_REQUEST_TIMEOUT_SECONDS)
         try:
-            status, text = self._answer(connection)
-            connection.sendall(_render(status, text))
+            connection.sendall(_render(self._answer(connection)))
         except OSError:
             self._metrics.count('administration_errors', 'connection')
         finally:
             connection.close()
 
-    def _answer(self, connection: socket.socket) -> tuple[HTTPStatus, str]:
+    def _answer(self, connection: socket.socket) -> PageAnswer:
         try:
             request = _read_request(connection)
         except (HttpParserError, HttpParserUpgrade):
-            return HTTPStatus.BAD_REQUEST, 'bad request\n'
-        if request.path == '/livez':
-            return HTTPStatus.OK, 'live\n'
-        if request.path == '/readyz':
-            if self._is_ready():
-                return HTTPStatus.OK, 'ready\n'
-            return HTTPStatus.SERVICE_UNAVAILABLE, 'not ready\n'
-        if request.path == '/metrics':
-            return HTTPStatus.OK, self._metrics.render()
-        return HTTPStatus.NOT_FOUND, 'not found\n'
+            return PageAnswer(HTTPStatus.BAD_REQUEST, b'bad request\n')
+        path, _, query = request.url.partition('?')
+        page = self._pages.get(path)
+        if page is None:
+            return PageAnswer(HTTPStatus.NOT_FOUND, b'not found\n')
+        return page(query)
+
+
+class AdministrationTask(PageTask):
+    """Owns the listener for health checks and scrapes.
+
+    :param address: IP number and port to listen on.
+    :param metrics: counters of the process.
+    :param is_ready: tells whether the process takes new work.
+    """
+
+    __slots__ = ('_is_ready',)
+
+    def __init__(
+        self,
+        address: str,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._is_ready = is_ready
+        pages: Mapping[str, Page] = {
+            '/livez': _show_life,
+            '/readyz': self._show_readiness,
+            '/metrics': self._show_metrics,
+        }
+        super().__init__(address, pages, metrics)
+
+    def _show_readiness(self, query: str) -> PageAnswer:
+        if self._is_ready():
+            return PageAnswer(HTTPStatus.OK, b'ready\n')
+        return PageAnswer(HTTPStatus.SERVICE_UNAVAILABLE, b'not ready\n')
+
+    def _show_metrics(self, query: str) -> PageAnswer:
+        return PageAnswer(HTTPStatus.OK, self._metrics.render().encode())
+
+
+def _show_life(query: str) -> PageAnswer:
+    return PageAnswer(HTTPStatus.OK, b'live\n')
 
 
 def _read_request(connection: socket.socket) -> _Request:
@@ -107,12 +165,12 @@
     return request
 
 
-def _render(status: HTTPStatus, text: str) -> bytes:
-    content = text.encode()
+def _render(answer: PageAnswer) -> bytes:
+    status = answer.status
     head = (
         f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-        'content-type: text/plain; charset=utf-8\r\n'
-        f'content-length: {len(content)}\r\n'
+        f'content-type: {answer.content_type}\r\n'
+        f'content-length: {len(answer.content)}\r\n'
         'connection: close\r\n\r\n'
     )
-    return head.encode() + content
+    return head.encode() + answer.content
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -17,6 +17,30 @@
 _HIGHEST_STATUS = 599
 
 
+class FetchedAnswer:
+    """A whole answer.
+
+    :param response: its head.
+    :param content: its body.
+    """
+
+    __slots__ = ('content', 'response')
+
+    def __init__(self, response: HttpResponse, content: bytes) -> None:
+        self.response = response
+        self.content = content
+
+    @property
+    def status_code(self) -> int:
+        """Return the HTTP status."""
+        return self.response.status_code
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Tell whether the connection can serve another request."""
+        return self.response.keeps_alive and not self.response.has_extra
+
+
 class HttpConnection:
     """One connection to a server, owned by one task at a time.
 
@@ -109,6 +133,22 @@
             raise self.fail(str(error) or repr(error), step) from error
         self._yield_turn(len(received))
 
+    def fetch(self, method: str, request: bytes, step: str) -> FetchedAnswer:
+        """Send a request and return its answer, whole.
+
+        :param method: method of the request.
+        :param request: head and body.
+        :param step: what the caller is doing, for errors.
+        :raises TargetError: when no whole answer comes.
+        """
+        self.send(request)
+        response = HttpResponse(method)
+        content = bytearray()
+        while not response.is_complete:
+            self.receive(response, step)
+            content += response.take(response.held_bytes)
+        return FetchedAnswer(response, bytes(content))
+
     def close(self) -> None:
         """Close the connection, which cancels an unfinished call."""
         if self._socket is not None:
