Let entries pack no answers before they have met

All processes were killed, and what had waited came back within half a second. Each fresh entry kept its short answers together on one or two engines as if it were alone, and several chose the same ones: first events of 400 to 900 ms against a forecast of 4 to 117 ms.

Change: for 2.5 s after its start an entry with seeds spreads its answers.

Test: entries that have just started together (10 short prompts on one engine before, within its 8 now).

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -119,3 +119,13 @@
     When 2 short prompts have begun to write
     And 1.2 seconds later the short answer has fallen silent
     Then the engine is paused
+
+  Scenario: entries that have just started together do not crowd the same engines
+    Given 8 dispatchers before 12 engines that have just started
+    When each places 5 short prompts before any hears of another
+    Then no engine has more short prompts than the 8 that it works on
+
+  Scenario: entries that have met keep short answers together
+    Given 8 dispatchers before 12 engines
+    When the first places 5 short prompts that begin to write
+    Then they are on at most 2 engines
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -1,6 +1,7 @@
 """Steps on placement with a fake clock."""
 
 import random
+from collections import Counter
 from datetime import timedelta
 from typing import Any
 
@@ -26,6 +27,7 @@
 _SHORT_TOKENS = 5000
 _ENGINE_SERVICE = 'llm'
 _PLAIN_SERVICE = 'app'
+_AGE = timedelta(seconds=10)
 _NUMBERS = iter(range(1, 1_000_000))
 
 
@@ -44,8 +46,9 @@
     seeds: list[str],
     targets: list[TargetRecord],
     now: timedelta,
+    age: timedelta = _AGE,
 ) -> Dispatcher:
-    """Return a dispatcher that knows the targets."""
+    """Return a dispatcher that knows the targets, and has run for a while."""
     settings = DirectSettings(
         instance=f'entry-{number}',
         availability_zone='zone-a',
@@ -56,6 +59,7 @@
         peer_addresses=seeds,
     )
     found = Dispatcher(settings, random.Random(number), SilentRecorder())
+    found.exchange.count_entries(now - age)
     found.apply(ConfigurationRead(_configuration(), 1), now)
     for target in targets:
         found.apply(TargetFound(target, 2), now)
@@ -513,3 +517,43 @@
     view = context.dispatchers[0].fleet.find('target-0')
     assert view is not None
     assert view.trust.is_paused(context.now) == (state == 'paused')
+
+
+@given(
+    '{entries:d} dispatchers before {count:d} engines that have just started'
+)
+def given_fresh(context: Any, entries: int, count: int) -> None:
+    """Start dispatchers that have heard of nobody."""
+    _start(context, entries, _targets(_ENGINE_SERVICE, count))
+    context.dispatchers = [
+        make_dispatcher(
+            number,
+            ['entry-0:1', 'entry-1:1'],
+            context.records,
+            context.now,
+            timedelta(),
+        )
+        for number in range(entries)
+    ]
+
+
+@when('each places {count:d} short prompts before any hears of another')
+def place_each(context: Any, count: int) -> None:
+    """Place short prompts at every dispatcher, which begin to write."""
+    for _ in range(count):
+        for number, dispatcher in enumerate(context.dispatchers):
+            admission, found = place(context, _SHORT_TOKENS, number)
+            dispatcher.note_first_byte(admission.facts.attempt_id, found)
+
+
+@when('the first places {count:d} short prompts that begin to write')
+def place_first(context: Any, count: int) -> None:
+    """Place short prompts at one dispatcher."""
+    write_short(context, count)
+
+
+@then('no engine has more short prompts than the {count:d} that it works on')
+def check_crowd(context: Any, count: int) -> None:
+    """Count the prompts on each engine."""
+    counts = Counter(found.target for _, found in context.placed)
+    assert max(counts.values()) <= count, counts
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -251,7 +251,7 @@
             service,
             work,
             now,
-            entry_count=len(self.exchange.peers) + 1,
+            entry_count=self.exchange.count_entries(now),
         )
         if not choice.fits:
             return self._not_placed('memory_full', now)
--- a/packages/core/src/buckthornpond_core/serving/peers.py
+++ b/packages/core/src/buckthornpond_core/serving/peers.py
@@ -15,6 +15,9 @@
 _SILENCE = timedelta(seconds=3)
 _MS = timedelta(milliseconds=1)
 _PERCENT = 100
+# A fresh entry has met the others by then, through the seeds.
+_MEETING_TIME_MS = 2500
+_MEETING_TIME = timedelta(milliseconds=_MEETING_TIME_MS)
 # Peers to which hints are sent.
 _MEMBER_COUNT = 64
 
@@ -42,6 +45,7 @@
     """
 
     __slots__ = (
+        '_begun',
         '_changed',
         '_sequence',
         'address',
@@ -60,6 +64,7 @@
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.peers: dict[str, Peer] = {}
         self.incarnation = incarnation
+        self._begun: timedelta | None = None
         self._sequence = 0
         self._changed: set[str] = set()
 
@@ -74,6 +79,17 @@
         known = dict.fromkeys((*self.peers, *self.seeds))
         return list(known)[:_MEMBER_COUNT]
 
+    def count_entries(self, now: timedelta) -> int:
+        """Return the entries that are alive, nought before that is known.
+
+        :param now: time on the monotonic clock.
+        """
+        if self._begun is None:
+            self._begun = now
+        if self.seeds and now - self._begun < _MEETING_TIME:
+            return 0
+        return len(self.peers) + 1
+
     def note_change(self, target: str) -> None:
         """Note that this entry's load at a target changed.
 
@@ -94,6 +110,7 @@
         :param now: time on the monotonic clock.
         :param is_full: whether to list every target with load.
         """
+        self.count_entries(now)
         self._sequence += 1
         if is_full:
             views = [view for view in fleet if view.flights]
--- a/packages/core/src/buckthornpond_core/serving/placement.py
+++ b/packages/core/src/buckthornpond_core/serving/placement.py
@@ -118,7 +118,8 @@
         :param service: their service.
         :param work: the request.
         :param now: time on the monotonic clock.
-        :param entry_count: entries that place at the same time.
+        :param entry_count: entries that place at the same time, nought while
+            that is unknown.
         """
 
 
@@ -322,6 +323,9 @@
 
 
 def _packed_count(costs: EngineCosts, entry_count: int) -> int:
+    if not entry_count:
+        # Others may choose the same engines, and nobody would know.
+        return 0
     # The more entries choose before they hear of each other, the more room
     # has to stay.
     room = 1 + entry_count // _ENTRIES_PER_ROOM
