Tell whom an entry knows each second, busy or not

Cause: whole hints, which name the entries known, went out only after a second without any change of load. A busy entry never sent one.

Change: the exchange itself decides that a hint is whole, at the first one and each second, whatever has changed.

Test: entries that are never idle meet through a seed (fails on the former code after 4 s, 21 passed and 1 failed; now 22 passed).

--- a/features/direct_sharing.feature
+++ b/features/direct_sharing.feature
@@ -114,3 +114,8 @@
     And the clock of a machine that was suspended for 5 seconds
     When the store was heard just before
     Then an unknown route is refused as "configuration_stale"
+
+  Scenario: entries that are never idle meet through a seed
+    Given an entry before 3 app servers and 1 llm servers that shares what it knows
+    When two more entries start that know the first, and callers keep all of them busy
+    Then the two know each other within 4 seconds
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -28,6 +28,8 @@
 _ENGINE_SERVICE = 'llm'
 _PLAIN_SERVICE = 'app'
 _AGE = timedelta(seconds=10)
+# Hints list everything after so long.
+_FULL_INTERVAL = timedelta(seconds=1)
 _NUMBERS = iter(range(1, 1_000_000))
 
 
@@ -144,7 +146,9 @@
 def tell(context: Any, source: int, *, is_full: bool = False) -> None:
     """Let one dispatcher tell all others."""
     sender = context.dispatchers[source]
-    hint = sender.exchange.make(sender.fleet, context.now, is_full=is_full)
+    if is_full:
+        context.now += _FULL_INTERVAL
+    hint = sender.exchange.make(sender.fleet, context.now)
     for other in context.dispatchers:
         if other.exchange.address in sender.exchange.addresses:
             other.exchange.hear(hint, other.fleet, context.now)
@@ -294,9 +298,9 @@
 def reorder(context: Any) -> None:
     """Deliver the older hint last."""
     first, second = context.dispatchers
-    older = first.exchange.make(first.fleet, context.now, is_full=False)
+    older = first.exchange.make(first.fleet, context.now)
     end(context, context.first, 'answered')
-    newer = first.exchange.make(first.fleet, context.now, is_full=False)
+    newer = first.exchange.make(first.fleet, context.now)
     second.exchange.hear(newer, second.fleet, context.now)
     second.exchange.hear(older, second.fleet, context.now)
 
--- a/features/steps/direct_sharing_steps.py
+++ b/features/steps/direct_sharing_steps.py
@@ -204,3 +204,47 @@
         return client.ask('GET', '/added/1').status == 200
 
     wait_until(is_served, seconds)
+
+
+def _keep_busy(context: Any, number: int) -> None:
+    client = context.world.connect(number)
+    try:
+        while True:
+            client.ask('GET', '/read/1')
+            gevent.sleep(0.1)
+    finally:
+        client.connection.close()
+
+
+@when(
+    'two more entries start that know the first, and callers keep all of them '
+    'busy'
+)
+def start_busy(context: Any) -> None:
+    """Start entries, and ask each of them all the time."""
+    for _ in range(2):
+        entry = context.world.start_entry(
+            exchange_address=_exchange_address(),
+            peer_addresses=[_first_address(context)],
+        )
+        wait_until(entry.is_ready)
+    context.busy = [
+        gevent.spawn(_keep_busy, context, number)
+        for number, _ in enumerate(context.world.entries)
+    ]
+
+
+@then('the two know each other within {seconds:d} seconds')
+def check_met(context: Any, seconds: int) -> None:
+    """Wait until each of the two has heard of the other."""
+    second, third = (
+        each.dispatcher.exchange for each in context.world.entries[1:]
+    )
+
+    def have_met() -> bool:
+        return third.address in second.peers and second.address in third.peers
+
+    try:
+        wait_until(have_met, seconds)
+    finally:
+        gevent.killall(context.busy)
--- a/packages/core/src/buckthornpond_core/serving/peers.py
+++ b/packages/core/src/buckthornpond_core/serving/peers.py
@@ -15,6 +15,8 @@
 _SILENCE = timedelta(seconds=3)
 _MS = timedelta(milliseconds=1)
 _PERCENT = 100
+# Everything is told again so often, since datagrams get lost.
+_FULL_INTERVAL = timedelta(seconds=1)
 # A fresh entry has met the others by then, through the seeds.
 _MEETING_TIME_MS = 2500
 _MEETING_TIME = timedelta(milliseconds=_MEETING_TIME_MS)
@@ -47,6 +49,7 @@
     __slots__ = (
         '_begun',
         '_changed',
+        '_full_due',
         '_sequence',
         'address',
         'incarnation',
@@ -65,6 +68,7 @@
         self.peers: dict[str, Peer] = {}
         self.incarnation = incarnation
         self._begun: timedelta | None = None
+        self._full_due = timedelta()
         self._sequence = 0
         self._changed: set[str] = set()
 
@@ -97,21 +101,20 @@
         """
         self._changed.add(target)
 
-    def make(
-        self,
-        fleet: Fleet,
-        now: timedelta,
-        *,
-        is_full: bool,
-    ) -> LoadHint:
+    def make(self, fleet: Fleet, now: timedelta) -> LoadHint:
         """Return the hint that is due.
 
+        It lists every target with load, and the entries known, at the first
+        time and each second, and between these the targets that changed.
+
         :param fleet: targets and what this entry has there.
         :param now: time on the monotonic clock.
-        :param is_full: whether to list every target with load.
         """
         self.count_entries(now)
         self._sequence += 1
+        is_full = now >= self._full_due
+        if is_full:
+            self._full_due = now + _FULL_INTERVAL
         if is_full:
             views = [view for view in fleet if view.flights]
         else:
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -299,7 +299,7 @@
         if isinstance(message, LoadHint):
             exchange.hear(message, dispatcher.fleet, now)
             return
-        hint = exchange.make(dispatcher.fleet, now, is_full=message.is_full)
+        hint = exchange.make(dispatcher.fleet, now)
         message.inbox.send(HintReply(hint, exchange.addresses))
 
     def _follow(self, message: Ended | FirstByte, now: timedelta) -> None:
--- a/packages/entry/src/buckthornpond_entry/direct/hints.py
+++ b/packages/entry/src/buckthornpond_entry/direct/hints.py
@@ -13,8 +13,8 @@
 
 # Changes of this time go out together.
 _BATCH_SECONDS = 0.02
-# Everything is told again so often, since datagrams get lost.
-_FULL_SECONDS = 1
+# A hint goes out so often without a change, too.
+_SILENCE_SECONDS = 1
 _DATAGRAM_BYTES = 65_507
 
 
@@ -22,14 +22,12 @@
     """Ask for the hint that is due.
 
     :param inbox: where the answer goes.
-    :param is_full: whether to list every target with load.
     """
 
-    __slots__ = ('inbox', 'is_full')
+    __slots__ = ('inbox',)
 
-    def __init__(self, inbox: Inbox['HintReply'], *, is_full: bool) -> None:
+    def __init__(self, inbox: Inbox['HintReply']) -> None:
         self.inbox = inbox
-        self.is_full = is_full
 
 
 class HintReply:
@@ -81,10 +79,10 @@
     def run(self) -> None:
         """Send hints until the process ends."""
         while True:
-            is_full = not self._is_due.wait(_FULL_SECONDS)
+            self._is_due.wait(_SILENCE_SECONDS)
             gevent.sleep(_BATCH_SECONDS)
             self._is_due.clear()
-            self._inbox.send(AskHint(self._mailbox, is_full=is_full))
+            self._inbox.send(AskHint(self._mailbox))
             reply = self._mailbox.receive()
             if reply is not None:
                 self._send(reply)
