--- a/features/steps/direct_learning_steps.py
+++ b/features/steps/direct_learning_steps.py
@@ -86,7 +86,7 @@
         records, zones, _configuration(context, version), revision
     )
     view = FleetView(revision, 100, snapshot)
-    _dispatcher(context).learn_fleet(view, _PEER, context.now, context.now)
+    _dispatcher(context).follower.learn(view, _PEER, context.now, context.now)
 
 
 @when(
@@ -150,7 +150,7 @@
     """Let another entry confirm the revision."""
     dispatcher = _dispatcher(context)
     view = FleetView(dispatcher.fleet.revision, age_ms, None)
-    dispatcher.learn_fleet(view, _PEER, context.now, context.now)
+    dispatcher.follower.learn(view, _PEER, context.now, context.now)
 
 
 @then('an unknown route is refused as "{reason}"')
@@ -246,11 +246,11 @@
             view = msgspec.msgpack.decode(told, type=FleetView)
         except msgspec.MsgspecError:
             return
-        dispatcher.learn_fleet(view, _PEER, context.now, context.now)
+        dispatcher.follower.learn(view, _PEER, context.now, context.now)
         context.seen.append(
             (dispatcher.fleet.revision, dispatcher.configuration_version),
         )
-        dispatcher.show_fleet(0, context.now)
+        dispatcher.follower.show(0, context.now)
 
     run_generated(count, _VIEWS | st.binary(max_size=30), check)
 
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -7,7 +7,6 @@
 from .._generated.serving import (
     AttemptReport,
     DirectSettings,
-    FleetView,
     MemoryTicket,
     NotPlaced,
     Organisation,
@@ -92,13 +91,13 @@
     __slots__ = (
         '_budgets',
         '_choices',
-        '_follower',
         '_random',
         '_recorder',
         '_settings',
         '_ticket_count',
         'exchange',
         'fleet',
+        'follower',
     )
 
     def __init__(
@@ -107,8 +106,8 @@
         random: RandomSource,
         recorder: Recorder,
     ) -> None:
-        self._follower = FleetFollower(settings, recorder)
-        self.fleet = self._follower.fleet
+        self.follower = FleetFollower(settings, recorder)
+        self.fleet = self.follower.fleet
         self._settings = settings
         self._random = random
         self._recorder = recorder
@@ -127,7 +126,7 @@
     @property
     def table(self) -> RouteTable | None:
         """Return the lookups of the configuration in force."""
-        return self._follower.table
+        return self.follower.table
 
     @property
     def is_ready(self) -> bool:
@@ -137,7 +136,7 @@
     @property
     def configuration_version(self) -> int:
         """Return the version in force, nought before the first."""
-        return self._follower.version
+        return self.follower.version
 
     def apply(self, change: FleetChange, now: timedelta) -> None:
         """Take what the source of the fleet says.
@@ -145,42 +144,18 @@
         :param change: one message of the source.
         :param now: time on the monotonic clock.
         """
-        self._follower.apply(change, now)
+        self.follower.apply(change, now)
 
     def choose_peer(self) -> str:
         """Return an entry to ask for the fleet, or nothing.
 
         There is none while the source answers.
         """
-        if self._follower.hears_source:
+        if self.follower.hears_source:
             return ''
         known = self.exchange.addresses
         return self._random.sample(known, 1)[0] if known else ''
 
-    def show_fleet(self, revision: int, now: timedelta) -> FleetView:
-        """Return what is known, for an entry that does not hear the source.
-
-        :param revision: the source's revision that the other one follows.
-        :param now: time on the monotonic clock.
-        """
-        return self._follower.show(revision, now)
-
-    def learn_fleet(
-        self,
-        view: FleetView,
-        peer: str,
-        asked: timedelta,
-        now: timedelta,
-    ) -> None:
-        """Take what another entry knows, unless the source answers.
-
-        :param view: what it knows.
-        :param peer: the other entry.
-        :param asked: when it was asked, on the monotonic clock.
-        :param now: time on the monotonic clock.
-        """
-        self._follower.learn(view, peer, asked, now)
-
     def forget_silent(self, now: timedelta) -> None:
         """Drop the load of entries that were not heard of late.
 
@@ -194,7 +169,7 @@
         :param settings: settings of the process.
         """
         self._settings = settings
-        self._follower.settings = settings
+        self.follower.settings = settings
         self._budgets.clear()
 
     def admit(
@@ -310,11 +285,11 @@
     ) -> None:
         service = self._service(view.record.service)
         if report.cold_ms:
-            self._follower.mark_cold(view, service, now + report.cold_ms * _MS)
+            self.follower.mark_cold(view, service, now + report.cold_ms * _MS)
         if outcome is AttemptOutcome.unreachable and service.cold_ms:
             # It probably restarts, and will be cold then.
             cold_time = service.cold_ms * _MS + _RESTART_MARGIN
-            self._follower.mark_cold(view, service, now + cold_time)
+            self.follower.mark_cold(view, service, now + cold_time)
         if outcome is AttemptOutcome.silent and explain_silence(
             view.all_flights,
             now,
@@ -335,7 +310,7 @@
             )
 
     def _service(self, name: str) -> Service:
-        return self._follower.services.get(name) or Service(
+        return self.follower.services.get(name) or Service(
             name=name,
             engine=None,
         )
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -253,10 +253,10 @@
     ) -> None:
         if isinstance(message, AskFleet):
             message.inbox.offer(
-                self._dispatcher.show_fleet(message.revision, now),
+                self._dispatcher.follower.show(message.revision, now),
             )
             return
-        self._dispatcher.learn_fleet(
+        self._dispatcher.follower.learn(
             message.view,
             message.peer,
             message.asked,
