Pause engines that fall silent again, whatever explains it

A failed try is taken back: pausing no engine whose silence a known long read explains.

Conclusion: reverted, with its scenarios and counter.

--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -100,26 +100,6 @@
     When the first target says that it is another
     Then it gets nothing for 0.9 seconds
 
-  Scenario: an engine that is silent while it reads a long prompt is not paused
-    Given a dispatcher before 1 engines
-    When 1 short prompts have begun to write
-    And a prompt of 210000 tokens is placed
-    And 1.2 seconds later the short answer has fallen silent
-    Then the engine is not paused
-
-  Scenario: an engine that is silent for longer than the reading takes is paused
-    Given a dispatcher before 1 engines
-    When 1 short prompts have begun to write
-    And a prompt of 210000 tokens is placed
-    And 6.0 seconds later the short answer has fallen silent
-    Then the engine is paused
-
-  Scenario: an engine that is silent and reads nothing long is paused
-    Given a dispatcher before 1 engines
-    When 2 short prompts have begun to write
-    And 1.2 seconds later the short answer has fallen silent
-    Then the engine is paused
-
   Scenario: entries that have just started together do not crowd the same engines
     Given 8 dispatchers before 12 engines that have just started
     When each places 5 short prompts before any hears of another
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -19,7 +19,7 @@
 from ..types import RandomSource, Recorder
 from .budgets import RepeatBudget
 from .fleet import TargetView
-from .flights import Flight, Work, explain_silence
+from .flights import Flight, Work
 from .following import FleetChange, FleetFollower
 from .peers import LoadExchange
 from .placement import (
@@ -290,13 +290,6 @@
             # It probably restarts, and will be cold then.
             cold_time = service.cold_ms * _MS + _RESTART_MARGIN
             self.follower.mark_cold(view, service, now + cold_time)
-        if outcome is AttemptOutcome.silent and explain_silence(
-            view.all_flights,
-            now,
-        ):
-            # It reads a long prompt, and will write again.
-            self._recorder.count('explained_silences', outcome)
-            return
         if outcome is AttemptOutcome.answered and report.first_ms:
             view.learn_time(report.first_ms, now)
         if view.trust.record(outcome, now):
--- a/packages/core/src/buckthornpond_core/serving/flights.py
+++ b/packages/core/src/buckthornpond_core/serving/flights.py
@@ -13,11 +13,6 @@
 _PAIRS_UNIT = 1_000_000
 _CONTEXT_UNIT = 1000
 _MS = timedelta(milliseconds=1)
-# Shorter reading does not keep an engine silent.
-_LONG_READ_MS = 300
-# How far reading may take longer than forecast.
-_READ_SLACK = 1.2
-_READ_SLACK_MS = 300
 # Forecasts below this part of a limit keep it, above the other they miss it.
 _SAFE_SHARE = 0.6
 _CERTAIN_SHARE = 1.1
@@ -123,21 +118,6 @@
         return max(self.read_ms - (now - self.started) / _MS, 0.0)
 
 
-def explain_silence(flights: Iterable[Flight], now: timedelta) -> bool:
-    """Tell whether reading may keep an engine from writing for so long.
-
-    :param flights: what is known to run there.
-    :param now: time on the monotonic clock.
-    """
-    reading = [flight for flight in flights if flight.is_reading]
-    read_ms = sum(flight.read_ms for flight in reading)
-    if read_ms < _LONG_READ_MS:
-        return False
-    last_start = max(flight.started for flight in reading)
-    end = last_start + (read_ms * _READ_SLACK + _READ_SLACK_MS) * _MS
-    return now < end
-
-
 class EngineLoad:
     """Flights at one engine, as this entry knows them.
 
