--- a/features/direct_placement.feature
+++ b/features/direct_placement.feature
@@ -99,3 +99,13 @@
     Given a dispatcher before 2 plain targets
     When the first target says that it is another
     Then it gets nothing for 0.9 seconds
+
+  Scenario: entries that have just started together do not crowd the same engines
+    Given 8 dispatchers before 12 engines that have just started
+    When each places 5 short prompts before any hears of another
+    Then no engine has more short prompts than the 8 that it works on
+
+  Scenario: entries that have met keep short answers together
+    Given 8 dispatchers before 12 engines
+    When the first places 5 short prompts that begin to write
+    Then they are on at most 2 engines
--- a/packages/core/src/buckthornpond_core/serving/peers.py
+++ b/packages/core/src/buckthornpond_core/serving/peers.py
@@ -15,6 +15,11 @@
 _SILENCE = timedelta(seconds=3)
 _MS = timedelta(milliseconds=1)
 _PERCENT = 100
+# Everything is told again so often, since datagrams get lost.
+_FULL_INTERVAL = timedelta(seconds=1)
+# A fresh entry has met the others by then, through the seeds.
+_MEETING_TIME_MS = 2500
+_MEETING_TIME = timedelta(milliseconds=_MEETING_TIME_MS)
 # Peers to which hints are sent.
 _MEMBER_COUNT = 64
 
@@ -42,7 +47,9 @@
     """
 
     __slots__ = (
+        '_begun',
         '_changed',
+        '_full_due',
         '_sequence',
         'address',
         'incarnation',
@@ -60,6 +67,8 @@
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.peers: dict[str, Peer] = {}
         self.incarnation = incarnation
+        self._begun: timedelta | None = None
+        self._full_due = timedelta()
         self._sequence = 0
         self._changed: set[str] = set()
 
@@ -74,6 +83,17 @@
         known = dict.fromkeys((*self.peers, *self.seeds))
         return list(known)[:_MEMBER_COUNT]
 
+    def count_entries(self, now: timedelta) -> int:
+        """Return the entries that are alive, nought before that is known.
+
+        :param now: time on the monotonic clock.
+        """
+        if self._begun is None:
+            self._begun = now
+        if self.seeds and now - self._begun < _MEETING_TIME:
+            return 0
+        return len(self.peers) + 1
+
     def note_change(self, target: str) -> None:
         """Note that this entry's load at a target changed.
 
@@ -81,20 +101,20 @@
         """
         self._changed.add(target)
 
-    def make(
-        self,
-        fleet: Fleet,
-        now: timedelta,
-        *,
-        is_full: bool,
-    ) -> LoadHint:
+    def make(self, fleet: Fleet, now: timedelta) -> LoadHint:
         """Return the hint that is due.
 
+        It lists every target with load, and the entries known, at the first
+        time and each second, and between these the targets that changed.
+
         :param fleet: targets and what this entry has there.
         :param now: time on the monotonic clock.
-        :param is_full: whether to list every target with load.
         """
+        self.count_entries(now)
         self._sequence += 1
+        is_full = now >= self._full_due
+        if is_full:
+            self._full_due = now + _FULL_INTERVAL
         if is_full:
             views = [view for view in fleet if view.flights]
         else:
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -253,10 +253,10 @@
     ) -> None:
         if isinstance(message, AskFleet):
             message.inbox.offer(
-                self._dispatcher.show_fleet(message.revision, now),
+                self._dispatcher.follower.show(message.revision, now),
             )
             return
-        self._dispatcher.learn_fleet(
+        self._dispatcher.follower.learn(
             message.view,
             message.peer,
             message.asked,
@@ -299,7 +299,7 @@
         if isinstance(message, LoadHint):
             exchange.hear(message, dispatcher.fleet, now)
             return
-        hint = exchange.make(dispatcher.fleet, now, is_full=message.is_full)
+        hint = exchange.make(dispatcher.fleet, now)
         message.inbox.send(HintReply(hint, exchange.addresses))
 
     def _follow(self, message: Ended | FirstByte, now: timedelta) -> None:
