Refuse keys whose creation time lies ahead of the home's clock

Cause: a UUIDv7 key created two clock skews ahead was not trusted, so a home that had run for the retention took it for an opaque key and ran it. After a restart with nothing kept, ten seconds later, the same time was trusted and lay after the start, so the key ran again. A home can believe a key's own time after a restart only if no incarnation runs a key before that time.

Change: a UUIDv7 key that is ahead of the home's clock by more than the skew is refused as key_not_yet_valid, with Retry-After; it runs once its time has come. Ruled out: treating such keys as opaque after a restart (the new incarnation can't tell them from new ones) and a quarantine of all keys (takes the use of UUIDv7 away).

The reference model of the generated histories had the same fault: it also ran such keys as opaque. It now refuses them; its check that no key runs twice is unchanged.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -46,6 +46,11 @@
     And it runs a UUIDv7 key created 2001 ms after its start at once
     And it refuses a UUIDv7 key older than the retry window as "key_expired"
 
+  Scenario: a key whose creation time lies ahead never runs before that time
+    Given a home that ran for a retry window
+    Then a UUIDv7 key created 4000 ms ahead is refused as "key_not_yet_valid"
+    And the same key runs once after 2000 ms, also if the home restarts before or after
+
   Scenario: a repeated key gets the recorded response
     Given an agent that ran a key with a response of 100 bytes
     When the key is used again
--- a/features/specs/naive_key_homes.py
+++ b/features/specs/naive_key_homes.py
@@ -160,7 +160,9 @@
     def _decide_new(self, claim: KeyClaim, now: timedelta) -> str:
         created = read_creation_time(claim.idempotency_key)
         wall = self._origin + now
-        if created is not None and created <= wall + claim.clock_skew:
+        if created is not None:
+            if created > wall + claim.clock_skew:
+                return 'key_not_yet_valid'
             if created + claim.retry_window + claim.clock_skew < wall:
                 return 'key_expired'
             if created > self._origin + self._start + claim.clock_skew:
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -1,5 +1,6 @@
 """Steps that test keys and outcome queries on the decision classes."""
 
+from datetime import timedelta
 from typing import Any
 
 from behave import given, then, when
@@ -296,6 +297,39 @@
     report(f'UUIDv7 keys: refused for {span_ms} ms after a restart')
 
 
+@given('a home that ran for a retry window')
+def make_settled_home(context: Any) -> None:
+    """Start a home whose earlier runs of opaque keys are all forgotten."""
+    restart_home(context)
+    context.agent.tick(RETENTION)
+    context.wall_now = WALL_START + RETENTION
+
+
+@then('a UUIDv7 key created {ahead_ms:d} ms ahead is refused as "{reason}"')
+def check_key_ahead(context: Any, ahead_ms: int, reason: str) -> None:
+    """Use a key whose creation time lies beyond the clock skew."""
+    context.key = make_time_key(context.wall_now + ahead_ms * MILLISECOND, 1)
+    actual = get_refusal_reason(context.agent, context.key)
+    assert actual == reason, actual
+
+
+@then(
+    'the same key runs once after {span_ms:d} ms, also if the home restarts'
+    ' before or after'
+)
+def check_key_once(context: Any, span_ms: int) -> None:
+    """Use the key at its time, and again at two restarted homes."""
+    context.agent.tick(span_ms * MILLISECOND)
+    assert not get_refusal_reason(context.agent, context.key)
+    for restarted_ms, ran_before in ((span_ms - 1, False), (span_ms, True)):
+        restarted = timedelta(milliseconds=restarted_ms) + RETENTION
+        agent = AgentHarness('plain-a', START + restarted)
+        agent.apply_documents(make_inventory(1, _NAMES[:1], _NAMES[:1]))
+        agent.tick(MILLISECOND)
+        reason = get_refusal_reason(agent, context.key)
+        assert (reason == 'key_unknown') == ran_before, (restarted_ms, reason)
+
+
 @then('it refuses an opaque key for {span_ms:d} ms')
 def check_opaque_key(context: Any, span_ms: int) -> None:
     """Check the last refusal after the start and the first run."""
--- a/packages/core/src/buckthornpond_core/keys/fencing_home.py
+++ b/packages/core/src/buckthornpond_core/keys/fencing_home.py
@@ -19,7 +19,7 @@
     RunKey,
 )
 from .earlier_homes import HomeDirectory, HomeInstance
-from .key_clock import Cutoff, KeyClock
+from .key_clock import Cutoff, KeyClock, read_creation_time
 from .register import KeyRecord, KeyRegister, RecordedResponse
 
 
@@ -60,9 +60,9 @@
 class FencingKeyHome:
     """Runs a key at most once across restarts and moves of its home.
 
-    A key runs here only if this instance is its home, if the key cannot
-    have been used before this incarnation started, and if each earlier
-    home has fenced it or cannot have run it.
+    A key runs here only if this instance is its home, if its creation time
+    has come, if it cannot have been used before this incarnation started,
+    and if each earlier home has fenced it or cannot have run it.
 
     :param instance: the agent's instance.
     :param configuration: configuration in force.
@@ -136,11 +136,9 @@
         record = self._register.find(claim.key)
         if record is not None:
             return _decide_repeated(claim, record)
-        created = self._read_creation_time(claim)
-        if created is not None and self._is_expired(claim, created):
-            return RefuseKey(claim, 'key_expired')
-        if not self._is_after_cutoff(claim, self._start_cutoff):
-            return RefuseKey(claim, 'key_unknown')
+        refusal_reason = self._find_refusal_reason(claim)
+        if refusal_reason is not None:
+            return RefuseKey(claim, refusal_reason)
         pending = _PendingClaim(claim, now + self._fence_timeout)
         return self._run_or_request_fences(pending)
 
@@ -299,6 +297,20 @@
             for cutoff in cutoffs
         )
 
+    def _find_refusal_reason(self, claim: KeyClaim) -> str | None:
+        """Return why a key without a record may not run, or ``None``."""
+        created = read_creation_time(claim.idempotency_key)
+        if created is not None:
+            # If it ran before its time, a later incarnation would trust that
+            # time and take the key for one that cannot have run before.
+            if self._key_clock.is_ahead(created, claim.clock_skew):
+                return 'key_not_yet_valid'
+            if self._is_expired(claim, created):
+                return 'key_expired'
+        if self._is_after_cutoff(claim, self._start_cutoff):
+            return None
+        return 'key_unknown'
+
     def _is_home(self, claim: KeyClaim) -> bool:
         service = self._configuration.services.get(claim.service.name)
         if service is None or self._instance not in service.instances:
@@ -311,11 +323,6 @@
             request.configuration,
         )
 
-    def _read_creation_time(self, claim: KeyClaim) -> datetime | None:
-        return self._key_clock.read_trusted_creation_time(
-            claim.idempotency_key, claim.clock_skew
-        )
-
     def _is_expired(self, claim: KeyClaim, created: datetime) -> bool:
         return (
             created + claim.retry_window + claim.clock_skew
@@ -330,7 +337,9 @@
     def _is_after_cutoff(self, claim: KeyClaim, cutoff: Cutoff) -> bool:
         return self._key_clock.is_after_cutoff(
             cutoff,
-            self._read_creation_time(claim),
+            self._key_clock.read_trusted_creation_time(
+                claim.idempotency_key, claim.clock_skew
+            ),
             retention=claim.retention,
             clock_skew=claim.clock_skew,
         )
--- a/packages/core/src/buckthornpond_core/keys/key_clock.py
+++ b/packages/core/src/buckthornpond_core/keys/key_clock.py
@@ -82,6 +82,14 @@
         deadline = _UNIX_EPOCH + timedelta(milliseconds=deadline_wall_ms)
         return self.wall_time > deadline + clock_skew
 
+    def is_ahead(self, created: datetime, clock_skew: timedelta) -> bool:
+        """Return whether a creation time lies in the future.
+
+        :param created: creation time of a key.
+        :param clock_skew: largest difference between two wall clocks.
+        """
+        return created > self.wall_time + clock_skew
+
     def read_trusted_creation_time(
         self,
         idempotency_key: str,
@@ -93,7 +101,7 @@
         :param clock_skew: largest difference between two wall clocks.
         """
         created = read_creation_time(idempotency_key)
-        if created is None or created > self.wall_time + clock_skew:
+        if created is None or self.is_ahead(created, clock_skew):
             return None
         return created
 
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -75,6 +75,11 @@
         'key_done': RefusalKind(409, 'Already run'),
         'key_expired': RefusalKind(409, 'Key older than the retry window'),
         'key_fenced': RefusalKind(409, 'Key barred by another home'),
+        'key_not_yet_valid': RefusalKind(
+            409,
+            'Key created in the future',
+            may_retry=True,
+        ),
         'key_reused': RefusalKind(422, 'Key used for another request'),
         'key_running': RefusalKind(409, 'Still running', may_retry=True),
         'key_unknown': RefusalKind(409, 'Outcome unknown'),
--- a/packages/core/src/buckthornpond_core/routing/retries.py
+++ b/packages/core/src/buckthornpond_core/routing/retries.py
@@ -22,6 +22,7 @@
         'key_done',
         'key_expired',
         'key_fenced',
+        'key_not_yet_valid',
         'key_reused',
         'key_running',
         'key_unknown',
