--- a/features/steps/direct_process_steps.py
+++ b/features/steps/direct_process_steps.py
@@ -19,7 +19,6 @@
     API_KEY,
     HOST,
     STREAM_PATH,
-    LocalCluster,
 )
 from buckthornpond_platform_standins.processes import (
     SETTINGS_PATH_VARIABLE,
@@ -27,24 +26,11 @@
     EntryProcess,
     try_fetch,
 )
+from features.specs.process_worlds import ProcessWorld
 
 _READ_PATH = '/read/1'
 
 
-class ProcessWorld(LocalCluster):
-    """Store, servers and one entry process."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.process: EntryProcess | None = None
-
-    def close(self) -> None:
-        """Stop the process, the servers and the store."""
-        if self.process is not None:
-            self.process.stop()
-        super().close()
-
-
 def ask_status(address: str, path: str) -> int:
     """Return the status of a health check, zero without a response."""
     return try_fetch(address, path).status
--- /dev/null
+++ b/features/steps/endless_input_steps.py
@@ -0,0 +1,452 @@
+"""Steps for peers of an entry process that never stop sending."""
+
+import itertools
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+import psutil
+from behave import given, then, when
+from gevent.socket import AF_INET, SOCK_DGRAM, socket
+
+from buckthornpond_core._generated.hints import LoadHint
+from buckthornpond_core.input_limits import InputLimitError
+from buckthornpond_core.serving.events import EventAssembler
+from buckthornpond_platform_standins.clients import Client, ClientResponse
+from buckthornpond_platform_standins.endless import (
+    EndlessPart,
+    EndlessServer,
+    connect_endless,
+)
+from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.local_clusters import (
+    API_KEY,
+    HOST,
+    find_free_port,
+    make_config,
+    make_route,
+)
+from buckthornpond_platform_standins.processes import EntryProcess, try_fetch
+from buckthornpond_platform_standins.store import StoreFault
+from features.specs.counts import report
+from features.specs.process_worlds import ProcessWorld
+
+_MEBIBYTE = 1_048_576
+_SAMPLE_INTERVAL_SECONDS = 0.02
+_READ_INTERVAL_SECONDS = 0.03
+_FAULTY_NAME = 'i-endless'
+_METHODS = {'read': 'GET', 'write': 'POST', 'stream': 'POST'}
+_PEER_HOST = '127.0.0.9'
+_HEAD = (
+    f'POST /write/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: 1\r\n'
+    f'Authorization: Token {API_KEY}\r\n'
+).encode()
+_CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n' % _HEAD
+# What a caller sends once, and what it repeats.
+_CALLER_PARTS = {
+    'a request line': (b'GET /', b'a'),
+    'a header field': (b'GET / HTTP/1.1\r\nX-A: ', b'a'),
+    'header fields': (b'GET / HTTP/1.1\r\n', b'X-A: a\r\n'),
+    'blank lines': (b'', b'\r\n'),
+    'a chunk size': (_CHUNKED, b'0'),
+    'a chunk extension': (b'%b2;' % _CHUNKED, b'a'),
+    'trailers': (b'%b2\r\nok\r\n0\r\n' % _CHUNKED, b'X-A: a\r\n'),
+    'a body': (b'%bContent-Length: 99999999\r\n\r\n' % _HEAD, b'a'),
+}
+
+
+class ResourceUsage:
+    """Memory and processor time of a process while a fault lasts."""
+
+    def __init__(self, process_id: int) -> None:
+        self._process = psutil.Process(process_id)
+        self._first_bytes = self._process.memory_info().rss
+        self._peak_bytes = self._first_bytes
+        self._first_seconds = self._processor_seconds()
+        self._sampler = gevent.spawn(self._sample)
+
+    @property
+    def grown_mebibytes(self) -> float:
+        """Return the growth of the memory up to its peak."""
+        return (self._peak_bytes - self._first_bytes) / _MEBIBYTE
+
+    @property
+    def used_seconds(self) -> float:
+        """Return the processor time since the start."""
+        return self._processor_seconds() - self._first_seconds
+
+    def stop(self) -> None:
+        """End the measurement of the memory."""
+        self._sampler.kill()
+
+    def _sample(self) -> None:
+        while True:
+            used_bytes = self._process.memory_info().rss
+            self._peak_bytes = max(self._peak_bytes, used_bytes)
+            gevent.sleep(_SAMPLE_INTERVAL_SECONDS)
+
+    def _processor_seconds(self) -> float:
+        times = self._process.cpu_times()
+        return float(times.user + times.system)
+
+
+class OtherCallers:
+    """Callers that read from a sound service while a fault lasts."""
+
+    def __init__(self, address: str) -> None:
+        self._client = Client(address, HOST, API_KEY)
+        self.responses: list[ClientResponse] = []
+        self._reader = gevent.spawn(self._read)
+
+    def stop(self) -> None:
+        """Wait until some reads have been answered, then end."""
+        wait_until(lambda: len(self.responses) >= 10)
+        self._reader.kill()
+
+    def _read(self) -> None:
+        while True:
+            self.responses.append(self._client.fetch('GET', '/read/1'))
+            gevent.sleep(_READ_INTERVAL_SECONDS)
+
+
+def _observe(context: Any, act: Callable[[], None]) -> None:
+    """Act while others are served, and measure the entry meanwhile."""
+    usage = ResourceUsage(context.process.process.pid)
+    others = OtherCallers(context.process.address)
+    act()
+    others.stop()
+    context.other_responses = others.responses
+    _end_measurement(context, usage)
+
+
+def _end_measurement(context: Any, usage: ResourceUsage) -> None:
+    usage.stop()
+    context.grown_mebibytes = usage.grown_mebibytes
+    context.used_seconds = usage.used_seconds
+    report(
+        f'memory grew by {context.grown_mebibytes:.1f} MiB,'
+        f' {context.used_seconds:.2f} s of processor time'
+    )
+
+
+def _start_faulty_service(context: Any, part: str, *, is_slow: bool) -> None:
+    cluster = context.cluster
+    server = EndlessServer(EndlessPart(part))
+    server.is_slow = is_slow
+    cluster.peers.append(server)
+    context.faulty_server = server
+    default = make_config(1)
+    faulty_routes = [
+        make_route('bad-read', 'idempotent', 'bad'),
+        make_route('bad-write', 'non_idempotent', 'bad'),
+        make_route('bad-stream', 'streaming', 'bad', streamResume=True),
+    ]
+    cluster.configure(
+        routes=[*default['routes'], *faulty_routes],
+        services=[
+            *default['services'],
+            {'name': 'bad', 'coldStartS': 0, 'coldPerS': 0},
+        ],
+    )
+    entry = {**cluster.servers[0].entry(), 'service': 'bad'}
+    cluster.store.put(
+        f'servers/{_FAULTY_NAME}', {**entry, 'address': server.address}
+    )
+    wait_until(
+        lambda: any(
+            event['event'] == 'target_found'
+            and event.get('target') == _FAULTY_NAME
+            for event in context.process.read_events()
+        ),
+    )
+
+
+@given('a faulty service whose servers send {part} without end')
+def start_fast_service(context: Any, part: str) -> None:
+    """Start a server that sends as fast as it can."""
+    _start_faulty_service(context, part, is_slow=False)
+
+
+@given('a faulty service whose servers slowly send {part} without end')
+def start_slow_service(context: Any, part: str) -> None:
+    """Start a server that sends a byte now and then."""
+    _start_faulty_service(context, part, is_slow=True)
+
+
+@when(
+    '{count:d} callers send a {kind} to the faulty service'
+    ' while others are served'
+)
+def send_to_faulty(context: Any, count: int, kind: str) -> None:
+    """Send requests at the same time and wait for their answers."""
+
+    def act() -> None:
+        fields = {'X_Token_Count': '100,40'} if kind == 'stream' else {}
+        callers = [
+            gevent.spawn(
+                Client(context.process.address, HOST, API_KEY).fetch,
+                _METHODS[kind],
+                f'/bad-{kind}/1',
+                **fields,
+            )
+            for _ in range(count)
+        ]
+        gevent.joinall(callers)
+        context.faulty_responses = [caller.value for caller in callers]
+        context.answered_at = time.monotonic()
+        # Sockets in the pool are looked at regularly.
+        gevent.sleep(1)
+
+    _observe(context, act)
+
+
+@when(
+    '{count:d} callers {pace} send {part} without end while others are served'
+)
+def send_as_callers(context: Any, count: int, pace: str, part: str) -> None:
+    """Send requests that do not end."""
+    prefix, filler = _CALLER_PARTS[part]
+
+    def act() -> None:
+        context.caller_records = []
+        ends = []
+        context.answered_at = time.monotonic()
+        for _ in range(count):
+            record, ended = connect_endless(
+                context.process.address,
+                prefix,
+                filler,
+                is_slow=pace == 'slowly',
+            )
+            context.caller_records.append(record)
+            ends.append(ended)
+        gevent.wait(ends, timeout=8)
+        context.ended_at = time.monotonic()
+
+    _observe(context, act)
+
+
+@given('an entry process whose only peer answers without end')
+def start_with_peer(context: Any) -> None:
+    """Start an entry whose peer sends an endless fleet view."""
+    cluster = ProcessWorld()
+    context.cluster = cluster
+    context.fleet = cluster
+    cluster.add_server('app')
+    cluster.configure()
+    port = find_free_port()
+    context.peer = EndlessServer(EndlessPart.unsized_body, _PEER_HOST, port)
+    cluster.peers.append(context.peer)
+    cluster.process = EntryProcess(
+        cluster.store.address,
+        seeds=[f'{_PEER_HOST}:1'],
+        exchange_port=port,
+    )
+    context.process = cluster.process
+    cluster.process.start()
+
+
+@when(
+    'the store stops answering for {seconds:d} seconds while others are served'
+)
+def silence_store(context: Any, seconds: int) -> None:
+    """Let the store reset each connection."""
+
+    def act() -> None:
+        context.cluster.store.trouble = StoreFault.reset
+        context.cluster.store.drop_connections()
+        gevent.sleep(seconds)
+
+    _observe(context, act)
+
+
+@when(
+    '{kind} arrive as fast as they can be sent for {seconds:d} seconds'
+    ' while others are served'
+)
+def send_datagrams(context: Any, kind: str, seconds: int) -> None:
+    """Flood the port for hints."""
+    port = context.process.settings['internalPorts'][0]
+    numbers = itertools.count()
+
+    def flood() -> None:
+        deadline = time.monotonic() + seconds
+        with socket(AF_INET, SOCK_DGRAM) as sender:
+            while time.monotonic() < deadline:
+                for _ in range(20):
+                    sender.sendto(
+                        _make_datagram(kind, next(numbers)), ('127.0.0.1', port)
+                    )
+                gevent.sleep(0)
+
+    _observe(context, flood)
+
+
+def _make_datagram(kind: str, number: int) -> bytes:
+    if kind == 'datagrams of noise':
+        return b'\xc1' * 1000
+    first = number * 50
+    members = [
+        f'127.{each >> 16 & 255}.{each >> 8 & 255}.{each & 255}:9'
+        for each in range(first, first + 50)
+    ]
+    if kind == 'hints with unusable addresses':
+        members = ['x', 'a:b', '1.2.3.4:99999', '999.1.1.1:80', 'host:80']
+    return msgspec.msgpack.encode(
+        LoadHint(
+            sender=members[number % len(members)],
+            incarnation=number,
+            sequence=number,
+            is_full=True,
+            targets=[],
+            members=members,
+        ),
+    )
+
+
+@given('an entry process whose store answers without end')
+def start_with_store(context: Any) -> None:
+    """Start an entry before an endless store."""
+    cluster = ProcessWorld()
+    context.cluster = cluster
+    context.fleet = cluster
+    context.peer = EndlessServer(EndlessPart.unsized_body)
+    cluster.peers.append(context.peer)
+    cluster.process = EntryProcess(context.peer.address)
+    context.process = cluster.process
+    cluster.process.launch()
+    wait_until(
+        lambda: try_fetch(cluster.process.ready_address, '/livez').status == 200
+    )
+
+
+@when('the entry runs for {seconds:d} seconds')
+def run_entry(context: Any, seconds: int) -> None:
+    """Measure the entry for a while."""
+    usage = ResourceUsage(context.process.process.pid)
+    gevent.sleep(seconds)
+    _end_measurement(context, usage)
+
+
+@then('the answers are {answer}')
+def check_answers(context: Any, answer: str) -> None:
+    """Compare the status of each answer, or that it is incomplete."""
+    for response in context.faulty_responses:
+        if answer == 'incomplete':
+            assert response.status == 200, response.status
+            assert response.error, response.body[-100:]
+        else:
+            assert response.status == int(answer), (
+                response.status,
+                response.error,
+                response.body[:100],
+            )
+            assert not response.error, response.error
+        if answer == '200':
+            assert response.body == b'ok', response.body[:100]
+
+
+@then('all connections to the faulty service end within {seconds:d} seconds')
+def check_ended(context: Any, seconds: int) -> None:
+    """Wait until no connection is open."""
+    assert context.faulty_server.connections
+    wait_until(lambda: not context.faulty_server.open_count, seconds)
+
+
+@then('none of them took more than {mebibytes:d} MiB')
+def check_sent(context: Any, mebibytes: int) -> None:
+    """Compare the most bytes that a connection took, with kernel buffers."""
+    sent_bytes = context.faulty_server.largest_sent_bytes
+    assert sent_bytes <= mebibytes * _MEBIBYTE, sent_bytes
+
+
+@then('no answer of the {peer} took more than {mebibytes:d} MiB')
+def check_peer_sent(context: Any, peer: str, mebibytes: int) -> None:
+    """Compare the most bytes that a connection took, with kernel buffers."""
+    assert context.peer.connections
+    sent_bytes = context.peer.largest_sent_bytes
+    assert sent_bytes <= mebibytes * _MEBIBYTE, sent_bytes
+
+
+@then(
+    'the memory of the entry grew by at most {mebibytes:d} MiB and it used'
+    ' at most {seconds:d} seconds of processor time'
+)
+def check_usage(context: Any, mebibytes: int, seconds: int) -> None:
+    """Compare the measured usage with its bounds."""
+    assert context.grown_mebibytes <= mebibytes, context.grown_mebibytes
+    assert context.used_seconds <= seconds, context.used_seconds
+
+
+@then('the others were served in time')
+def check_others(context: Any) -> None:
+    """Check that each read was answered within the route's time limit."""
+    statuses = {response.status for response in context.other_responses}
+    assert statuses == {200}, statuses
+
+
+@then('the entry counts "{counter}" and logs "{text}"')
+def check_reason(context: Any, counter: str, text: str) -> None:
+    """Look for the reason in the metrics and in the log."""
+    wait_until(lambda: text in context.process.log_path.read_text())
+    metrics = context.process.read_metrics()
+    assert counter in metrics, metrics
+
+
+@then('their connections end within {seconds:d} seconds')
+def check_callers_ended(context: Any, seconds: int) -> None:
+    """Check that the entry closed each connection in time."""
+    assert all(each.is_closed for each in context.caller_records)
+    assert context.ended_at - context.answered_at <= seconds
+
+
+@then('none of theirs took more than {mebibytes:d} MiB')
+def check_callers_sent(context: Any, mebibytes: int) -> None:
+    """Compare the most bytes that a connection took, with kernel buffers."""
+    sent_bytes = max(each.sent_bytes for each in context.caller_records)
+    assert sent_bytes <= mebibytes * _MEBIBYTE, sent_bytes
+
+
+@then(
+    'the entry answers health checks, and a request is refused with {status:d}'
+)
+def check_refused(context: Any, status: int) -> None:
+    """Check that a process without a configuration still responds."""
+    assert try_fetch(context.process.ready_address, '/livez').status == 200
+    client = Client(context.process.address, HOST, API_KEY)
+    assert client.fetch('GET', '/read/1').status == status
+
+
+class SearchedBuffer(bytearray):  # noqa: WPS600
+    """Buffer that counts how many bytes were searched."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.searched_bytes = 0
+
+    def rfind(self, sub: Any, start: Any = 0, end: Any = None) -> int:
+        """Search backwards and count the searched bytes."""
+        self.searched_bytes += len(self) - start
+        return super().rfind(sub, start)
+
+
+@when('an event of 1 MiB arrives in pieces of {length:d} bytes')
+def feed_long_event(context: Any, length: int) -> None:
+    """Feed an event without an end until it exceeds its limit."""
+    assembler = EventAssembler()
+    context.buffer = SearchedBuffer()
+    assembler._partial = context.buffer  # noqa: SLF001
+    try:
+        while True:
+            assembler.feed(b'a' * length)
+    except InputLimitError:
+        assert len(context.buffer) > _MEBIBYTE
+
+
+@then('each byte was searched at most {count:d} times')
+def check_searched(context: Any, count: int) -> None:
+    """Compare the searched bytes with the length of the event."""
+    searched_bytes = context.buffer.searched_bytes
+    assert searched_bytes <= count * len(context.buffer), searched_bytes
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeAlias
 
 from msgspec import Meta, field
 
@@ -63,13 +63,25 @@
     attempts: list[AttemptHint]
 
 
+Member: TypeAlias = Annotated[
+    str,
+    Meta(
+        pattern='^(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])([.](25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])){3}:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$'
+    ),
+]
+
+
 class LoadHint(WireRecord):
     """
     Load of an entry at targets where it changed, or at all targets.
     """
 
     sender: Annotated[
-        str, Meta(description='Address at which the sender receives hints.')
+        str,
+        Meta(
+            description='Address at which the sender receives hints.',
+            pattern='^(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])([.](25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])){3}:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$',
+        ),
     ]
     incarnation: Annotated[
         int, Meta(description='Changes with each start of the sender.', ge=0)
@@ -85,7 +97,7 @@
     ]
     targets: list[TargetHint]
     members: Annotated[
-        list[str],
+        list[Member],
         Meta(
             description='Addresses of entries that recent hints to the sender came from or listed.'
         ),
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -468,7 +468,7 @@
     outcome: Annotated[
         str,
         Meta(
-            description='One of answered, refused, failed, silent, unreachable, moved, abandoned.'
+            description='One of answered, refused, failed, limit_exceeded, response_too_large, silent, unreachable, moved, abandoned.'
         ),
     ]
     first_ms: Annotated[
--- a/packages/core/src/buckthornpond_core/exceptions.py
+++ b/packages/core/src/buckthornpond_core/exceptions.py
@@ -59,6 +59,7 @@
     """A call to a target failed.
 
     :param is_sent: whether the target may have received any byte of it.
+    :param exceeds_limit: whether the target sent more than a limit allows.
     """
 
     def __init__(
@@ -68,9 +69,11 @@
         step: str,
         peer: str,
         is_sent: bool,
+        exceeds_limit: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.is_sent = is_sent
+        self.exceeds_limit = exceeds_limit
 
 
 class ReservationError(TargetError):
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -62,6 +62,7 @@
         'entry_failed': RefusalKind(500, 'Entry failed', may_retry=True),
         'entry_full': RefusalKind(503, 'Entry is full', may_retry=True),
         'entry_stopping': RefusalKind(503, 'Entry is stopping', may_retry=True),
+        'framing_too_large': RefusalKind(400, 'Chunk framing too large'),
         'head_timeout': RefusalKind(408, 'Request head too slow'),
         'head_too_large': RefusalKind(431, 'Request head too large'),
         'invalid_body': RefusalKind(400, 'Request body invalid'),
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -282,6 +282,16 @@
             outcome = AttemptOutcome.failed
         self._apply_report(view, outcome, report, now)
 
+    def record_unexpected_input(self, address: str, now: timedelta) -> None:
+        """Record that a target sent bytes that belong to no request.
+
+        :param address: address of the target.
+        :param now: time on the monotonic clock.
+        """
+        view = self.fleet.find_address(address)
+        if view is not None:
+            self._record_outcome(view, AttemptOutcome.failed, now)
+
     def _apply_report(
         self,
         view: TargetView,
@@ -298,6 +308,11 @@
             self.follower.mark_cold(view, service, now + cold_time)
         if outcome is AttemptOutcome.answered and report.first_ms:
             view.record_latency(report.first_ms, now)
+        self._record_outcome(view, outcome, now)
+
+    def _record_outcome(
+        self, view: TargetView, outcome: AttemptOutcome, now: timedelta
+    ) -> None:
         if view.health.record(outcome, now):
             self._recorder.count('target_pauses', outcome)
             self._recorder.log(
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -1,8 +1,19 @@
 """Splitting of an event stream, so that another target can continue it."""
 
+import re
+
+from ..input_limits import (
+    MAX_EMPTY_EVENT_BYTES,
+    MAX_EVENT_BYTES,
+    MAX_STREAM_BYTES,
+    InputLimit,
+    InputLimitError,
+)
+
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _ID_LINE = b'\nid:'
+_DATA_LINE = re.compile(rb'^data(?::|$)', re.MULTILINE)
 _MAX_NUMBER_DIGITS = 18
 
 
@@ -13,11 +24,28 @@
         empty for the start.
     """
 
-    __slots__ = ('_partial', '_skip_up_to', 'last_event_id')
+    __slots__ = (
+        '_empty_bytes',
+        '_highest_number',
+        '_partial',
+        '_received_bytes',
+        '_searched_bytes',
+        '_skip_up_to',
+        'has_progressed',
+        'last_event_id',
+    )
 
     def __init__(self, last_event_id: str = '') -> None:
         self.last_event_id = last_event_id
-        self._partial = b''
+        # Whether the events returned last hold one that the caller can use:
+        # with data and, if the stream is numbered, with a higher number.
+        self.has_progressed = False
+        self._highest_number = _parse_number(last_event_id)
+        self._partial = bytearray()
+        # Bytes of the partial event that hold no end of an event.
+        self._searched_bytes = 0
+        self._received_bytes = 0
+        self._empty_bytes = 0
         self._skip_up_to: int | None = None
 
     @property
@@ -29,27 +57,46 @@
         """Return the complete events that were not returned before.
 
         :param received: next bytes of the stream.
+        :raises InputLimitError: when an event or the stream is too long, or
+            the stream goes on without usable events.
         """
-        buffered = self._partial + received
-        end = buffered.rfind(_EVENT_END)
-        if end < 0:
-            self._partial = buffered
+        self._received_bytes += len(received)
+        if self._received_bytes > MAX_STREAM_BYTES:
+            raise _limit_error(InputLimit.stream, MAX_STREAM_BYTES)
+        events = self._split_off_complete(received)
+        if not events:
+            if len(self._partial) > MAX_EVENT_BYTES:
+                raise _limit_error(InputLimit.event, MAX_EVENT_BYTES)
             return b''
-        end += len(_EVENT_END)
-        self._partial = buffered[end:]
-        return self._drop_repeated(buffered[:end])
+        selected = self._drop_repeated(events)
+        self._record_progress(selected)
+        return selected
 
     def resume(self) -> None:
         """Continue with the response of another target.
 
         Drops a partial event, and skips numbered events returned before.
         """
-        self._partial = b''
+        self._partial.clear()
+        self._searched_bytes = 0
+        self._empty_bytes = 0
         self._skip_up_to = _parse_number(self.last_event_id)
 
+    def _split_off_complete(self, received: bytes) -> bytes:
+        partial = self._partial
+        partial += received
+        end = partial.rfind(_EVENT_END, self._searched_bytes)
+        events = b''
+        if end >= 0:
+            end += len(_EVENT_END)
+            events = bytes(partial[:end])
+            del partial[:end]  # noqa: WPS420
+        # The end of an event may itself be split.
+        self._searched_bytes = max(len(partial) - 1, 0)
+        return events
+
     def _drop_repeated(self, events: bytes) -> bytes:
         if self._skip_up_to is None:
-            self._update_last_id(events)
             return events
         kept = []
         for event in events.split(_EVENT_END)[:-1]:
@@ -57,14 +104,29 @@
             if number is not None and number <= self._skip_up_to:
                 continue
             kept.append(event + _EVENT_END)
-        selected = b''.join(kept)
-        self._update_last_id(selected)
-        return selected
+        return b''.join(kept)
 
-    def _update_last_id(self, events: bytes) -> None:
+    def _record_progress(self, events: bytes) -> None:
         found = _find_id(events)
+        self.has_progressed = self._is_usable(events, found)
         if found:
             self.last_event_id = found
+        if self.has_progressed:
+            self._empty_bytes = 0
+            return
+        self._empty_bytes += len(events)
+        if self._empty_bytes > MAX_EMPTY_EVENT_BYTES:
+            raise _limit_error(InputLimit.empty_events, MAX_EMPTY_EVENT_BYTES)
+
+    def _is_usable(self, events: bytes, last_id: str) -> bool:
+        number = _parse_number(last_id)
+        if number is None:
+            is_numbered = self._highest_number is not None
+            return not is_numbered and bool(_DATA_LINE.search(events))
+        if self._highest_number is not None and number <= self._highest_number:
+            return False
+        self._highest_number = number
+        return True
 
 
 def _find_id(events: bytes) -> str:
@@ -84,3 +146,7 @@
     if len(text) > _MAX_NUMBER_DIGITS or not text.isascii():
         return None
     return int(text) if text.isdigit() else None
+
+
+def _limit_error(limit: InputLimit, max_bytes: int) -> InputLimitError:
+    return InputLimitError(limit, max_bytes, step='read events', peer='server')
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from .._generated.serving import AttemptReport, Placement, PlacementFailure
+from ..input_limits import MAX_RESPONSE_BODY_BYTES, InputLimitError
 from .dispatcher import AdmittedRequest
 from .effects import (
     AbortResponse,
@@ -29,23 +30,16 @@
     AttemptHead,
     AttemptMessage,
 )
+from .response_checks import find_head_fault, is_success
+from .timeouts import find_event_timeout, find_first_byte_timeout
 
 _MS = timedelta(milliseconds=1)
 _NOT_RUN_RETRY_AFTER_MS = 200
 # With less time before the deadline no further attempt is started.
 _MIN_ATTEMPT_TIME_MS = 30
 _MIN_ATTEMPT_TIME = _MIN_ATTEMPT_TIME_MS * _MS
-# Limits of the wait for a response or event; after a longer wait, a request
-# that may be retried moves to another target.
-_FIRST_EVENT_MARGIN_MS = 700
-_FIRST_EVENT_FORECAST_FACTOR = 3
-_PLAIN_OBJECTIVE_FACTOR = 1.5
-_MIN_PLAIN_TIMEOUT_MS = 150
-_MIN_EVENT_GAP_TIMEOUT_MS = 1000
-_EVENT_GAP_FACTOR = 4
 # Sends allowed beyond the route's runs, since a target may refuse to run one.
 _EXTRA_SEND_COUNT = 2
-_MAX_BUFFERED_BODY_BYTES = 8_388_608
 # Statuses that claim that the request did not run, and have to prove it.
 _NOT_RUN_STATUSES = frozenset(
     (
@@ -57,6 +51,13 @@
 )
 
 
+_RESPONSE_TOO_LARGE = AttemptFailed(
+    AttemptOutcome.response_too_large,
+    is_sent=True,
+    error=f'body exceeds {MAX_RESPONSE_BODY_BYTES} bytes',
+)
+
+
 class RequestExchange:
     """State of one request and its attempts.
 
@@ -73,6 +74,7 @@
         '_error_response',
         '_excluded',
         '_head',
+        '_is_first_byte_reported',
         '_last_event_at',
         '_may_have_run',
         '_placement',
@@ -108,6 +110,7 @@
         self._error_response: SendResponse | None = None
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
+        self._is_first_byte_reported = False
         self._sent_at = timedelta()
         self._excluded: list[str] = []
         self._run_count = 0
@@ -116,6 +119,21 @@
         self.is_awaiting_placement = False
         self._may_have_run = False
 
+    @property
+    def is_streaming(self) -> bool:
+        """Return whether the response is forwarded while it arrives."""
+        head = self._head
+        return (
+            head is not None
+            and self.admission.route.is_stream
+            and is_success(head.metadata.status_code)
+        )
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of the response held until it is complete."""
+        return len(self._body)
+
     @property
     def wake_at(self) -> timedelta:
         """Return the time on the monotonic clock when :meth:`tick` is due."""
@@ -210,11 +228,14 @@
         self._placement = placement
         self._head = None
         self._body = bytearray()
+        self._is_first_byte_reported = False
         self._sent_at = now
         self._send_count += 1
         if self.is_response_started:
             self._assembler.resume()
-        self._silence_deadline = self._first_byte_deadline(placement, now)
+        if self.admission.route.may_repeat:
+            timeout = find_first_byte_timeout(self.admission.route, placement)
+            self._silence_deadline = now + timeout
         return [
             StartAttempt(
                 placement,
@@ -224,46 +245,16 @@
             ),
         ]
 
-    def _first_byte_deadline(
-        self,
-        placement: Placement,
-        now: timedelta,
-    ) -> timedelta | None:
-        route = self.admission.route
-        if not route.may_repeat:
-            return None
-        if route.is_stream:
-            timeout_ms = (
-                _FIRST_EVENT_MARGIN_MS
-                + _FIRST_EVENT_FORECAST_FACTOR * placement.forecast_ms
-            )
-        else:
-            timeout_ms = max(
-                route.objective_ms * _PLAIN_OBJECTIVE_FACTOR,
-                _MIN_PLAIN_TIMEOUT_MS,
-            )
-        return now + timeout_ms * _MS
-
     def _handle_head(
         self,
         head: ResponseHead,
         now: timedelta,
     ) -> list[ExchangeEffect]:
-        metadata = head.metadata
-        expected_id = self.admission.metadata.attempt_id
-        if metadata.attempt_id and metadata.attempt_id != expected_id:
-            return self._fail_attempt(
-                _invalid_response('response to another request'), now
-            )
-        if _is_success(metadata.status_code):
-            if not metadata.is_signed:
-                return self._fail_attempt(
-                    _invalid_response('unsigned response'), now
-                )
-            if metadata.is_encoded:
-                return self._fail_attempt(
-                    _invalid_response('encoded response body'), now
-                )
+        fault = find_head_fault(
+            head.metadata, self.admission.metadata.attempt_id
+        )
+        if fault:
+            return self._fail_attempt(_invalid_response(fault), now)
         self._head = head
         return []
 
@@ -272,42 +263,46 @@
         content: bytes,
         now: timedelta,
     ) -> list[ExchangeEffect]:
-        if not self._is_streaming():
+        if not self.is_streaming:
             self._body += content
-            if len(self._body) > _MAX_BUFFERED_BODY_BYTES:
-                return self._fail_attempt(
-                    _invalid_response('response body too large'), now
-                )
+            if len(self._body) > MAX_RESPONSE_BODY_BYTES:
+                return self._fail_attempt(_RESPONSE_TOO_LARGE, now)
             return []
-        events = self._assembler.feed(content)
+        try:
+            events = self._assembler.feed(content)
+        except InputLimitError as error:
+            return self._fail_attempt(_exceeded_limit(error), now)
         if not events:
             return []
-        self._record_event_gap(now)
-        route = self.admission.route
-        timeout_ms = max(
-            _MIN_EVENT_GAP_TIMEOUT_MS, _EVENT_GAP_FACTOR * route.event_gap_ms
-        )
-        if route.may_repeat:
-            self._silence_deadline = now + timeout_ms * _MS
-        return [*self._start_stream(now), SendEvents(events)]
+        effects = self._start_stream(now)
+        if self._assembler.has_progressed:
+            effects.extend(self._record_event(now))
+        return [*effects, SendEvents(events)]
 
-    def _record_event_gap(self, now: timedelta) -> None:
+    def _record_event(self, now: timedelta) -> list[ExchangeEffect]:
+        """Record an event that the caller can use.
+
+        Comments and repeated events leave the limit on silence as it is, so
+        that a stalled target does not keep its stream by sending them.
+        """
         if self._last_event_at is not None:
             gap_ms = (now - self._last_event_at) // _MS
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_at = now
+        route = self.admission.route
+        if route.may_repeat:
+            self._silence_deadline = now + find_event_timeout(route)
+        if self._placement is None or self._is_first_byte_reported:
+            return []
+        self._is_first_byte_reported = True
+        return [ReportFirstByte(self._placement)]
 
     def _start_stream(self, now: timedelta) -> list[ExchangeEffect]:
-        effects: list[ExchangeEffect] = []
-        if self._placement is not None and not self._body:
-            # A non-empty body marks that the first byte is reported.
-            self._body = bytearray(b'.')
-            effects.append(ReportFirstByte(self._placement))
-        if not self.is_response_started and self._head is not None:
-            self.is_response_started = True
-            self.first_ms = (now - self._sent_at) // _MS
-            effects.append(SendHead(self._head))
-        return effects
+        if self.is_response_started or self._head is None:
+            return []
+        self.is_response_started = True
+        self.first_ms = (now - self._sent_at) // _MS
+        return [SendHead(self._head)]
 
     def _handle_end(self, now: timedelta) -> list[ExchangeEffect]:
         head = self._head
@@ -315,7 +310,7 @@
             return self._fail_attempt(
                 _invalid_response('response without a head'), now
             )
-        if self._is_streaming():
+        if self.is_streaming:
             return self._end_stream(now)
         metadata = head.metadata
         if metadata.is_not_run or metadata.status_code == _MISDIRECTED:
@@ -337,9 +332,7 @@
         return self._fail_attempt(message, now)
 
     def _end_stream(self, now: timedelta) -> list[ExchangeEffect]:
-        if self._assembler.has_partial_event or not (
-            self.is_response_started or self._body
-        ):
+        if self._assembler.has_partial_event or self._last_event_at is None:
             return self._fail_attempt(
                 _invalid_response(
                     'stream ended inside an event or without one'
@@ -474,14 +467,6 @@
             report.cold_ms = self._head.metadata.cold_ms
         return [ReportAttempt(placement, report)]
 
-    def _is_streaming(self) -> bool:
-        head = self._head
-        return (
-            head is not None
-            and self.admission.route.is_stream
-            and _is_success(head.metadata.status_code)
-        )
-
     def _may_replace(self, now: timedelta) -> bool:
         route = self.admission.route
         return (
@@ -499,14 +484,16 @@
 _MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
 
 
-def _is_success(status_code: int) -> bool:
-    return HTTPStatus.OK <= status_code < HTTPStatus.MULTIPLE_CHOICES
-
-
 def _invalid_response(error: str) -> AttemptFailed:
     return AttemptFailed(AttemptOutcome.failed, is_sent=True, error=error)
 
 
+def _exceeded_limit(error: InputLimitError) -> AttemptFailed:
+    return AttemptFailed(
+        AttemptOutcome.limit_exceeded, is_sent=True, error=error.message
+    )
+
+
 def _build_report(
     placement: Placement, outcome: AttemptOutcome
 ) -> AttemptReport:
--- a/packages/core/src/buckthornpond_core/serving/health.py
+++ b/packages/core/src/buckthornpond_core/serving/health.py
@@ -16,6 +16,9 @@
     answered = 'answered'
     refused = 'refused'
     failed = 'failed'
+    limit_exceeded = 'limit_exceeded'
+    # Bounded in itself, so that one such response pauses no target.
+    response_too_large = 'response_too_large'
     silent = 'silent'
     unreachable = 'unreachable'
     moved = 'moved'
@@ -27,6 +30,7 @@
 )
 _PAUSING_OUTCOMES = frozenset(
     (
+        AttemptOutcome.limit_exceeded,
         AttemptOutcome.moved,
         AttemptOutcome.silent,
         AttemptOutcome.unreachable,
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -22,6 +22,8 @@
 _DISCOVERY_TIME = timedelta(milliseconds=_DISCOVERY_TIME_MS)
 # Maximum number of peers and seeds to which hints are sent.
 _MAX_RECIPIENTS = 64
+# Bounds the memory that hints with invented senders and members can take.
+_MAX_PEERS = 4096
 
 
 class Peer:
@@ -138,7 +140,7 @@
         :param fleet: targets at which the load is recorded.
         :param now: time on the monotonic clock.
         """
-        if hint.sender == self.address:
+        if hint.sender == self.address or not self._accepts_peer(hint.sender):
             return
         peer = self.peers.get(hint.sender)
         if peer is None or peer.incarnation != hint.incarnation:
@@ -150,7 +152,8 @@
         peer.last_heard_at = now
         self._record_load(hint, fleet, now)
         for member in hint.members:
-            if member != self.address and member not in self.peers:
+            is_new = member != self.address and member not in self.peers
+            if is_new and self._accepts_peer(member):
                 # Removed after a while unless it sends a hint itself.
                 self.peers[member] = Peer(-1)
                 self.peers[member].last_heard_at = now
@@ -171,6 +174,10 @@
             for view in fleet:
                 view.peer_attempts.pop(address, None)
 
+    def _accepts_peer(self, address: str) -> bool:
+        """Return whether an address is, or may become, one of a peer."""
+        return address in self.peers or len(self.peers) < _MAX_PEERS
+
     def _record_load(
         self,
         hint: LoadHint,
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/response_checks.py
@@ -0,0 +1,33 @@
+"""Checks on the head of a target's response."""
+
+from http import HTTPStatus
+
+from .._generated.serving import ResponseMetadata
+
+
+def is_success(status_code: int) -> bool:
+    """Return whether a status reports success.
+
+    :param status_code: HTTP status.
+    """
+    return HTTPStatus.OK <= status_code < HTTPStatus.MULTIPLE_CHOICES
+
+
+def find_head_fault(metadata: ResponseMetadata, attempt_id: str) -> str:
+    """Return why a response must not reach the caller, or an empty string.
+
+    :param metadata: properties that the response states.
+    :param attempt_id: identifies the request.
+    """
+    if metadata.attempt_id and metadata.attempt_id != attempt_id:
+        return 'response to another request'
+    if not is_success(metadata.status_code):
+        return ''
+    if not metadata.attempt_id:
+        # It may be the late copy of an earlier response.
+        return 'response without an attempt ID'
+    if not metadata.is_signed:
+        return 'unsigned response'
+    if metadata.is_encoded:
+        return 'encoded response body'
+    return ''
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -142,6 +142,15 @@
         self._notify(AttemptFailed(outcome, is_sent=is_sent, error=str(error)))
 
     def _report_target_error(self, error: TargetError) -> None:
+        if error.exceeds_limit:
+            self._notify(
+                AttemptFailed(
+                    AttemptOutcome.limit_exceeded,
+                    is_sent=True,
+                    error=str(error),
+                ),
+            )
+            return
         if not isinstance(error, ReservationError):
             self._report_failure(error, is_sent=error.is_sent)
             return
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -33,11 +33,9 @@
     PeerQueryTask,
 )
 from .hints import HintReply, HintRequest
+from .idle_connections import IdleConnections
 
 _TICK_INTERVAL_SECONDS = 0.5
-# A request that may run only once reuses only connections idle for less.
-_RUN_ONCE_IDLE_LIMIT = timedelta(seconds=1)
-_MAX_IDLE_PER_TARGET = 8
 
 
 class AdmissionRequest:
@@ -199,7 +197,7 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._metrics = metrics
-        self._idle_connections: dict[str, list[HttpConnection]] = {}
+        self._idle_connections = IdleConnections(metrics)
         self._handlers: dict[type, Callable[[Any, timedelta], None]] = {
             AdmissionRequest: self._handle_request,
             FleetViewRequest: self._exchange_fleet_views,
@@ -221,7 +219,7 @@
     @property
     def idle_connection_count(self) -> int:
         """Number of idle connections to targets."""
-        return sum(len(idle) for idle in self._idle_connections.values())
+        return len(self._idle_connections)
 
     def run(self) -> None:
         """Process messages until the process ends."""
@@ -233,7 +231,7 @@
                 self._handle(message, now)
             if now >= next_tick:
                 next_tick = now + timedelta(seconds=_TICK_INTERVAL_SECONDS)
-                self._close_expired(now)
+                self._close_unusable_connections(now)
                 self._query_peer()
                 self._dispatcher.drop_silent_peers(now)
             if self._dispatcher.load_exchange.has_pending_hint:
@@ -249,6 +247,12 @@
         if isinstance(message, SourceLost):
             self._query_peer()
 
+    def _close_unusable_connections(self, now: timedelta) -> None:
+        addresses = {view.record.address for view in self._dispatcher.fleet}
+        offenders = self._idle_connections.close_unusable(addresses, now)
+        for address in offenders:
+            self._dispatcher.record_unexpected_input(address, now)
+
     def _query_peer(self) -> None:
         address = self._dispatcher.choose_peer()
         if address:
@@ -290,7 +294,7 @@
         message: ConnectionReturned,
         now: timedelta,
     ) -> None:
-        self._add_idle(message.connection, now)
+        self._idle_connections.add(message.connection, now)
 
     def _handle_request(
         self,
@@ -346,7 +350,7 @@
             self._metrics.count('failed_placements', decision.reason)
             message.inbox.send(PlacementReply(decision))
             return
-        connection = self._pop_idle(
+        connection = self._idle_connections.pop(
             decision.address,
             now,
             is_run_once=not admission.route.may_repeat,
@@ -366,45 +370,3 @@
             source_age_ms=decision.source_age_ms,
         )
         message.inbox.send(PlacementReply(decision, connection))
-
-    def _pop_idle(
-        self,
-        address: str,
-        now: timedelta,
-        *,
-        is_run_once: bool,
-    ) -> HttpConnection | None:
-        idle = self._idle_connections.get(address, [])
-        while idle:
-            connection = idle.pop()
-            idle_time = now - connection.idle_since
-            limit = connection.idle_limit
-            if is_run_once:
-                limit = min(limit, _RUN_ONCE_IDLE_LIMIT)
-            if idle_time < limit and connection.is_usable():
-                return connection
-            connection.close()
-        return None
-
-    def _add_idle(self, connection: HttpConnection, now: timedelta) -> None:
-        idle = self._idle_connections.setdefault(connection.address, [])
-        if len(idle) >= _MAX_IDLE_PER_TARGET:
-            connection.close()
-            return
-        connection.idle_since = now
-        idle.append(connection)
-
-    def _close_expired(self, now: timedelta) -> None:
-        addresses = {view.record.address for view in self._dispatcher.fleet}
-        for address, idle in list(self._idle_connections.items()):
-            kept = []
-            for connection in idle:
-                idle_time = now - connection.idle_since
-                if address in addresses and idle_time < connection.idle_limit:
-                    kept.append(connection)
-                else:
-                    connection.close()
-            if kept:
-                self._idle_connections[address] = kept
-            else:
-                self._idle_connections.pop(address)
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -33,6 +33,7 @@
 # The other descriptors are for the connections to targets.
 _CALLER_DESCRIPTOR_SHARE = 0.5
 _BODY_MEMORY_SHARE = 0.25
+_RESPONSE_MEMORY_SHARE = 0.125
 # By then, load balancers have seen the entry as not ready.
 _NOTICE_PERIOD = timedelta(seconds=3)
 _STOP_MARGIN_MS = 700
@@ -138,6 +139,9 @@
             clock=clock,
             metrics=self.metrics,
             body_budget_bytes=int(settings.memory_bytes * _BODY_MEMORY_SHARE),
+            response_budget_bytes=int(
+                settings.memory_bytes * _RESPONSE_MEMORY_SHARE
+            ),
         )
 
     def change_settings(self, settings: DirectSettings) -> None:
@@ -231,6 +235,10 @@
             'held_body_bytes',
             lambda: self._frontend.held_body_bytes,
         )
+        self.metrics.add_gauge(
+            'held_response_bytes',
+            lambda: self._frontend.held_response_bytes,
+        )
         self.metrics.add_gauge(
             'idle_connections',
             lambda: self._dispatch.idle_connection_count,
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -20,6 +20,7 @@
     StopAttempt,
 )
 from buckthornpond_core.serving.exchange import RequestExchange
+from buckthornpond_core.serving.health import AttemptOutcome
 from buckthornpond_core.serving.messages import AttemptBody, AttemptFailed
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
@@ -43,6 +44,12 @@
 _STREAM_LABEL = 'stream'
 _WHOLE_LABEL = 'whole'
 _STREAM_STATUS_CODE = 200
+# Says nothing about the target: the process holds too many responses.
+_RESPONSE_BUDGET_FULL = AttemptFailed(
+    AttemptOutcome.abandoned,
+    is_sent=True,
+    error='held responses exceed the memory budget',
+)
 
 CallerMessage: TypeAlias = (
     BadRequest
@@ -70,6 +77,7 @@
         '_effect_handlers',
         '_exchange',
         '_frontend',
+        '_held_response_bytes',
         '_idle_connection',
         '_mailbox',
         '_request',
@@ -93,6 +101,7 @@
         self._mailbox = mailbox
         self._attempt: AttemptTask | None = None
         self._attempt_count = 0
+        self._held_response_bytes = 0
         self._idle_connection: HttpConnection | None = None
         self._disconnected: CallerDisconnected | None = None
         # Messages of the reader to process after this request.
@@ -118,6 +127,20 @@
 
         :param arrival: when the request was read, on the monotonic clock.
         """
+        try:
+            self._run()
+        finally:
+            self._frontend.held_response_bytes -= self._held_response_bytes
+        kind = _WHOLE_LABEL
+        if self._exchange.is_response_started:
+            kind = _STREAM_LABEL
+        self._frontend.metrics.observe(
+            'request_time',
+            kind,
+            self._frontend.clock.monotonic() - arrival,
+        )
+
+    def _run(self) -> None:
         exchange = self._exchange
         clock = self._frontend.clock
         self._execute(exchange.start())
@@ -129,12 +152,6 @@
             if message is None or now >= exchange.deadline:
                 self._execute(exchange.tick(now))
             self._check_writer(now)
-        kind = _STREAM_LABEL if exchange.is_response_started else _WHOLE_LABEL
-        self._frontend.metrics.observe(
-            'request_time',
-            kind,
-            clock.monotonic() - arrival,
-        )
 
     def _wait_seconds(self) -> float | None:
         if self._exchange.is_done:
@@ -176,14 +193,30 @@
     ) -> list[ExchangeEffect]:
         if self._attempt is None or message.number != self._attempt_count:
             return []
-        if isinstance(message.message, AttemptBody):
+        progress = message.message
+        if isinstance(progress, AttemptBody):
             self._attempt.acknowledge_part()
-        elif isinstance(message.message, AttemptFailed):
-            self._frontend.metrics.count(
-                'failed_attempts',
-                message.message.outcome,
-            )
-        return self._exchange.handle_attempt_message(message.message, now)
+            if self._exceeds_budget(progress):
+                progress = _RESPONSE_BUDGET_FULL
+        if isinstance(progress, AttemptFailed):
+            self._frontend.metrics.count('failed_attempts', progress.outcome)
+        effects = self._exchange.handle_attempt_message(progress, now)
+        self._update_held_bytes()
+        return effects
+
+    def _exceeds_budget(self, part: AttemptBody) -> bool:
+        if self._exchange.is_streaming:
+            return False
+        frontend = self._frontend
+        held_bytes = frontend.held_response_bytes + len(part.content)
+        return held_bytes > frontend.response_budget_bytes
+
+    def _update_held_bytes(self) -> None:
+        held_bytes = self._exchange.buffered_bytes
+        self._frontend.held_response_bytes += (
+            held_bytes - self._held_response_bytes
+        )
+        self._held_response_bytes = held_bytes
 
     def _check_writer(self, now: timedelta) -> None:
         if self._writer.error and self._disconnected is None:
--- a/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
+++ b/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
@@ -11,7 +11,7 @@
 from buckthornpond_core.exceptions import TargetError
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.administration import EndpointResponse, EndpointTask
-from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.connections import FetchLimits, HttpConnection
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Inbox, Mailbox
@@ -25,6 +25,9 @@
 # Longest wait for the next bytes of a fleet view.
 _READ_TIMEOUT_MS = 800
 _READ_TIMEOUT = timedelta(milliseconds=_READ_TIMEOUT_MS)
+_FETCH_TIME_LIMIT = timedelta(seconds=5)
+_MAX_VIEW_BYTES = 16_777_216
+_FETCH_LIMITS = FetchLimits(_FETCH_TIME_LIMIT, _MAX_VIEW_BYTES)
 _MAX_REVISION_DIGITS = 18
 
 
@@ -174,7 +177,9 @@
         f'GET {_PATH}?{query.revision} HTTP/1.1\r\n'
         f'Host: {query.address}\r\n\r\n'
     )
-    response = connection.fetch('GET', head.encode('ascii'), _STEP)
+    response = connection.fetch(
+        'GET', head.encode('ascii'), _STEP, _FETCH_LIMITS
+    )
     if response.status_code != HTTPStatus.OK:
         raise connection.make_error(f'status {response.status_code}', _STEP)
     return msgspec.msgpack.decode(response.content, type=FleetView)
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -15,6 +15,8 @@
     :param clock: source of time.
     :param metrics: counters of the process.
     :param body_budget_bytes: maximum size of all request bodies in memory.
+    :param response_budget_bytes: maximum size of all responses that are held
+        until they are complete.
     """
 
     __slots__ = (
@@ -24,9 +26,11 @@
         'dispatch',
         'held_body_bytes',
         'held_count',
+        'held_response_bytes',
         'is_stopping',
         'metrics',
         'rejects_new_requests',
+        'response_budget_bytes',
     )
 
     def __init__(
@@ -37,13 +41,16 @@
         clock: Clock,
         metrics: Metrics,
         body_budget_bytes: int,
+        response_budget_bytes: int,
     ) -> None:
         self.dispatch = dispatch
         self.codec = codec
         self.clock = clock
         self.metrics = metrics
         self.body_budget_bytes = body_budget_bytes
+        self.response_budget_bytes = response_budget_bytes
         self.held_body_bytes = 0
+        self.held_response_bytes = 0
         self.held_count = 0
         # The entry is not ready, and each response closes its connection.
         self.is_stopping = False
--- a/packages/entry/src/buckthornpond_entry/direct/hints.py
+++ b/packages/entry/src/buckthornpond_entry/direct/hints.py
@@ -16,6 +16,10 @@
 # Longest time between two hints when the load does not change.
 _MAX_INTERVAL_SECONDS = 1
 _MAX_DATAGRAM_BYTES = 65_507
+# Other tasks run after this many datagrams, however many more wait.
+_MAX_BURST_COUNT = 64
+# Pause after a burst, in which the kernel drops what its buffer cannot hold.
+_BURST_SECONDS = 0.01
 
 
 class HintRequest:
@@ -90,12 +94,19 @@
     def _receive_all(self) -> None:
         decoder = msgspec.msgpack.Decoder(LoadHint)
         while True:
-            datagram = self._receive()
-            try:
-                self._inbox.send(decoder.decode(datagram))
-            except msgspec.DecodeError:
-                # Not logged: any host can send datagrams at any rate.
-                self._metrics.count('malformed_messages', 'hint')
+            for _ in range(_MAX_BURST_COUNT):
+                self._receive_one(decoder)
+            gevent.sleep(_BURST_SECONDS)
+
+    def _receive_one(self, decoder: msgspec.msgpack.Decoder[LoadHint]) -> None:
+        datagram = self._receive()
+        if not datagram:
+            return
+        try:
+            self._inbox.send(decoder.decode(datagram))
+        except msgspec.MsgspecError:
+            # Not logged: any host can send datagrams at any rate.
+            self._metrics.count('malformed_messages', 'hint')
 
     def _receive(self) -> bytes:
         try:
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -1,5 +1,7 @@
 """Reading side of a caller's connection."""
 
+from datetime import timedelta
+from enum import Enum
 from typing import TypeAlias
 
 import gevent
@@ -13,13 +15,24 @@
 from .requests import CallerRequest, RequestParser
 
 _READ_BYTES = 65_536
-_MS_PER_SECOND = 1000
+_MS = timedelta(milliseconds=1)
+# Longest time that a caller may take to send one body.
+_MAX_BODY_TIME = timedelta(seconds=60)
+_MIN_WAIT_SECONDS = 0.001
 # Bounds the requests that a caller may pipeline on one connection.
 _MAX_PIPELINED_COUNT = 2
 _CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STEP = 'read request'
 
 
+class _ReadStep(Enum):
+    """What the next bytes from the caller belong to."""
+
+    idle = 'idle'
+    head = 'head'
+    body = 'body'
+
+
 class CallerDisconnected:
     """Tells the caller task that its connection was closed or timed out.
 
@@ -71,11 +84,13 @@
     __slots__ = (
         '_can_read',
         '_connection',
+        '_deadline',
         '_frontend',
         '_inbox',
         '_parser',
         '_peer',
         '_queued_count',
+        '_read_step',
         'is_serving',
     )
 
@@ -94,6 +109,8 @@
         self._can_read = Event()
         self._can_read.set()
         self._queued_count = 0
+        self._read_step = _ReadStep.idle
+        self._deadline: timedelta | None = None
         # Read timeouts are ignored while a request is served.
         self.is_serving = False
 
@@ -133,17 +150,49 @@
                 return self._handle_timeout()
 
     def _receive(self) -> bytes | None:
-        limits = self._frontend.dispatch.limits
-        wait_ms = limits.idle_ms
-        if self._parser.has_started:
-            wait_ms = limits.head_ms
-        with gevent.Timeout.start_new(wait_ms / _MS_PER_SECOND) as timeout:
+        with gevent.Timeout.start_new(self._find_wait_seconds()) as timeout:
             try:
-                return self._connection.recv(_READ_BYTES)
+                received = self._connection.recv(_READ_BYTES)
             except gevent.Timeout as expired:
                 if expired is not timeout:
                     raise
-        return None
+                return None
+        if len(received) == _READ_BYTES:
+            # A socket that is always readable would starve other greenlets.
+            gevent.sleep(0)
+        return received
+
+    def _find_wait_seconds(self) -> float:
+        """Return the time until the next read times out.
+
+        Idle time and pauses within a body are limited one by one. A head and
+        a whole body have a deadline, which a caller that sends a byte now and
+        then cannot put off.
+        """
+        limits = self._frontend.dispatch.limits
+        now = self._frontend.clock.monotonic()
+        step = self._find_read_step()
+        if step is not self._read_step:
+            self._read_step = step
+            self._deadline = None
+            if step is _ReadStep.head:
+                self._deadline = now + limits.head_ms * _MS
+            elif step is _ReadStep.body:
+                self._deadline = now + _MAX_BODY_TIME
+        wait_ms = limits.idle_ms
+        if step is not _ReadStep.idle:
+            wait_ms = limits.head_ms
+        wait = wait_ms * _MS
+        if self._deadline is not None:
+            wait = min(wait, self._deadline - now)
+        return max(wait.total_seconds(), _MIN_WAIT_SECONDS)
+
+    def _find_read_step(self) -> _ReadStep:
+        if not self._parser.has_started:
+            return _ReadStep.idle
+        if self._parser.is_head_complete:
+            return _ReadStep.body
+        return _ReadStep.head
 
     def _parse(self, received: bytes) -> None:
         parser = self._parser
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -11,6 +11,7 @@
 
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.exceptions import InvalidRequestError
+from buckthornpond_core.input_limits import FramingMeter
 
 _STEP = 'read request'
 
@@ -52,11 +53,13 @@
     __slots__ = (
         '_body',
         '_fields',
+        '_framing',
         '_limits',
         '_on_request',
         '_parser',
         '_path',
         '_peer',
+        '_received_body_bytes',
         '_received_head_bytes',
         '_request',
         'expects_continue',
@@ -76,6 +79,8 @@
         self._path = b''
         self._fields: list[tuple[str, str]] = []
         self._body = bytearray()
+        self._received_body_bytes = 0
+        self._framing = FramingMeter()
         self._received_head_bytes = 0
         self._request: CallerRequest | None = None
         self.has_started = False
@@ -96,23 +101,18 @@
             exceed a limit.
         """
         self._limits = limits
+        earlier_body_bytes = self._received_body_bytes
+        earlier_request = self._request
         if not self.is_head_complete:
             self._received_head_bytes += len(received)
-        try:
-            self._parser.feed_data(received)
-        except HttpParserUpgrade as error:
-            raise self._fail(
-                'invalid_request',
-                'protocol upgrades are not supported',
-            ) from error
-        except HttpParserError as error:
-            # httptools wraps exceptions of the callbacks below.
-            cause = error.__context__
-            if isinstance(cause, InvalidRequestError):
-                raise cause from error
-            raise self._fail('invalid_request', str(error)) from error
+        self._parse(received)
         if not self.is_head_complete:
             self._check_head()
+        elif self._request is earlier_request:
+            self._check_framing(
+                len(received),
+                self._received_body_bytes - earlier_body_bytes,
+            )
 
     # Callbacks of httptools.
 
@@ -151,6 +151,7 @@
         :raises InvalidRequestError: when the body exceeds its limit.
         """
         self._body += part
+        self._received_body_bytes += len(part)
         limits = self._limits
         if limits is not None and len(self._body) > limits.body_bytes:
             raise self._fail('body_too_large', 'body exceeds the size limit')
@@ -166,12 +167,28 @@
         self._path = b''
         self._fields = []
         self._body = bytearray()
+        self._framing = FramingMeter()
         self._received_head_bytes = 0
         self.has_started = False
         self.is_head_complete = False
         self.expects_continue = False
         self._on_request(request)
 
+    def _parse(self, received: bytes) -> None:
+        try:
+            self._parser.feed_data(received)
+        except HttpParserUpgrade as error:
+            raise self._fail(
+                'invalid_request',
+                'protocol upgrades are not supported',
+            ) from error
+        except HttpParserError as error:
+            # httptools wraps exceptions of the callbacks above.
+            cause = error.__context__
+            if isinstance(cause, InvalidRequestError):
+                raise cause from error
+            raise self._fail('invalid_request', str(error)) from error
+
     def _check_head(self) -> None:
         limits = self._limits
         head_bytes = len(self._path) + sum(
@@ -182,6 +199,13 @@
         if limits is not None and head_bytes > limits.head_bytes:
             raise self._fail('head_too_large', 'head exceeds the size limit')
 
+    def _check_framing(self, received_bytes: int, body_bytes: int) -> None:
+        if not self._framing.record(received_bytes, body_bytes):
+            raise self._fail(
+                'framing_too_large',
+                'chunk sizes, extensions and trailers exceed the size limit',
+            )
+
     def _fail(self, reason: str, message: str) -> InvalidRequestError:
         return InvalidRequestError(
             reason,
--- a/packages/entry/src/buckthornpond_entry/direct/reservations.py
+++ b/packages/entry/src/buckthornpond_entry/direct/reservations.py
@@ -12,12 +12,14 @@
 from buckthornpond_core.exceptions import ReservationError, TargetError
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import TargetControlRequest
-from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.connections import FetchLimits, HttpConnection
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.tasks import Mailbox
 
 _REQUEST_TIMEOUT_MS = 400
 _REQUEST_TIMEOUT = timedelta(milliseconds=_REQUEST_TIMEOUT_MS)
+_MAX_RESPONSE_BYTES = 65_536
+_FETCH_LIMITS = FetchLimits(_REQUEST_TIMEOUT, _MAX_RESPONSE_BYTES)
 # Three renewals are due within one lease.
 _RENEWAL_INTERVAL_SECONDS = 0.5
 # A target may still execute an unanswered request within this time.
@@ -141,6 +143,7 @@
                 request.method,
                 head + request.body,
                 _STEP,
+                _FETCH_LIMITS,
             )
         except TargetError:
             self._has_unanswered_request = True
--- a/packages/runtime/src/buckthornpond_runtime/administration.py
+++ b/packages/runtime/src/buckthornpond_runtime/administration.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import TypeAlias
 
-from gevent import socket
+from gevent import Timeout, socket
 from gevent.server import StreamServer
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
@@ -103,7 +103,8 @@
 
     def _respond(self, connection: socket.socket) -> EndpointResponse:
         try:
-            request = _read_request(connection)
+            with Timeout(_REQUEST_TIMEOUT_SECONDS, TimeoutError()):
+                request = _read_request(connection)
         except (HttpParserError, HttpParserUpgrade):
             return EndpointResponse(HTTPStatus.BAD_REQUEST, b'bad request\n')
         path, _, query = request.url.partition('?')
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -2,11 +2,13 @@
 
 import select
 import socket as standard_socket
+from collections.abc import Iterable
 from datetime import timedelta
 
-from gevent import sleep, socket
+from gevent import Timeout, sleep, socket
 
 from buckthornpond_core.exceptions import BuckthornpondError, TargetError
+from buckthornpond_core.input_limits import InputLimit, InputLimitError
 
 from .responses import HttpResponse
 
@@ -43,6 +45,20 @@
         )
 
 
+class FetchLimits:
+    """Limits on a response that is read as a whole.
+
+    :param time_limit: longest wait for the complete response.
+    :param max_content_bytes: largest accepted body.
+    """
+
+    __slots__ = ('max_content_bytes', 'time_limit')
+
+    def __init__(self, time_limit: timedelta, max_content_bytes: int) -> None:
+        self.time_limit = time_limit
+        self.max_content_bytes = max_content_bytes
+
+
 class HttpConnection:
     """One connection to a server, owned by one task at a time.
 
@@ -107,6 +123,21 @@
         # Readable means unexpected bytes, or that the server closed it.
         return not poller.poll(0)
 
+    def has_input(self) -> bool:
+        """Return whether a readable connection holds bytes, not its end."""
+        if self._socket is None:
+            return False
+        flags = standard_socket.MSG_PEEK | standard_socket.MSG_DONTWAIT
+        try:
+            return bool(self._socket.recv(1, flags))
+        except OSError:
+            # The server reset the connection.
+            return False
+
+    def fileno(self) -> int:
+        """Return the file descriptor of an open connection, else -1."""
+        return -1 if self._socket is None else self._socket.fileno()
+
     def send(self, content: bytes) -> None:
         """Send bytes.
 
@@ -133,24 +164,39 @@
         try:
             received = self._socket.recv(_READ_BYTES)
             response.feed(received)
+        except InputLimitError as error:
+            raise self.make_error(
+                error.message, step, exceeds_limit=True
+            ) from error
         except (OSError, BuckthornpondError) as error:
             raise self.make_error(str(error) or repr(error), step) from error
         self._yield_if_due(len(received))
 
-    def fetch(self, method: str, request: bytes, step: str) -> FetchedResponse:
+    def fetch(
+        self,
+        method: str,
+        request: bytes,
+        step: str,
+        limits: FetchLimits,
+    ) -> FetchedResponse:
         """Send a request and return its complete response.
 
         :param method: method of the request.
         :param request: head and body.
         :param step: operation of the caller, named in errors.
-        :raises TargetError: when no complete response arrives.
+        :param limits: limits on the response.
+        :raises TargetError: when no complete response arrives within them.
         """
-        self.send(request)
-        response = HttpResponse(method)
-        content = bytearray()
-        while not response.is_complete:
-            self.receive(response, step)
-            content += response.take(response.buffered_bytes)
+        expired = self.make_error('response not complete in time', step)
+        with Timeout(limits.time_limit.total_seconds(), expired):
+            self.send(request)
+            response = HttpResponse(method)
+            content = bytearray()
+            while not response.is_complete:
+                self.receive(response, step)
+                content += response.take(response.buffered_bytes)
+                if len(content) > limits.max_content_bytes:
+                    raise self._make_content_error(step, limits)
         return FetchedResponse(response, bytes(content))
 
     def close(self) -> None:
@@ -165,18 +211,30 @@
         step: str,
         *,
         is_sent: bool = True,
+        exceeds_limit: bool = False,
     ) -> TargetError:
         """Return the error of a call on this connection.
 
         :param message: description of the failure.
         :param step: operation that failed.
         :param is_sent: whether the server may have received a byte.
+        :param exceeds_limit: whether it sent more than a limit allows.
         """
         return TargetError(
             message,
             step=step,
             peer=self.address,
             is_sent=is_sent,
+            exceeds_limit=exceeds_limit,
+        )
+
+    def _make_content_error(
+        self, step: str, limits: FetchLimits
+    ) -> TargetError:
+        return self.make_error(
+            f'{InputLimit.body} exceeds {limits.max_content_bytes} bytes',
+            step,
+            exceeds_limit=True,
         )
 
     def _yield_if_due(self, length_bytes: int) -> None:
@@ -322,3 +380,17 @@
             peer=self._address,
             is_sent=self.is_sent,
         )
+
+
+def find_readable(
+    connections: Iterable[HttpConnection],
+) -> list[HttpConnection]:
+    """Return the idle connections with input, at their end, or broken.
+
+    :param connections: open connections without a request.
+    """
+    by_descriptor = {each.fileno(): each for each in connections}
+    poller = select.poll()
+    for descriptor in by_descriptor:
+        poller.register(descriptor, select.POLLIN)
+    return [by_descriptor[found] for found, _ in poller.poll(0)]
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -7,9 +7,15 @@
 )
 
 from buckthornpond_core.exceptions import BuckthornpondError
+from buckthornpond_core.input_limits import (
+    MAX_FRAMING_BYTES,
+    MAX_HEAD_BYTES,
+    FramingMeter,
+    InputLimit,
+    InputLimitError,
+)
 
 _LOWEST_FINAL_STATUS = 200
-_MAX_HEAD_BYTES = 65_536
 _MAX_BUFFERED_BYTES = 1_048_576
 _EVENT_END = b'\n\n'
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -36,9 +42,12 @@
     __slots__ = (
         '_body',
         '_fields',
+        '_framing',
         '_head_bytes',
         '_method',
         '_parser',
+        '_received_body_bytes',
+        '_searched_bytes',
         'fields',
         'has_trailing_bytes',
         'is_complete',
@@ -58,6 +67,10 @@
         self._method = method
         self._fields: dict[str, str] = {}
         self._head_bytes = 0
+        self._framing = FramingMeter()
+        self._received_body_bytes = 0
+        # Bytes of the buffered body that hold no end of an event.
+        self._searched_bytes = 0
         self._body = bytearray()
         self._parser = HttpResponseParser(self)
 
@@ -86,17 +99,21 @@
 
         :param received: received bytes, empty once the peer has closed.
         :raises MalformedResponseError: when they are not HTTP, or end early.
+        :raises InputLimitError: when a part of the response is too long.
         """
         if not received:
             self._finish()
             return
+        had_head = self.is_head_complete
+        earlier_body_bytes = self._received_body_bytes
         self._parse(received)
         if not self.is_head_complete:
-            self._head_bytes += len(received)
-        if self._head_bytes > _MAX_HEAD_BYTES:
-            raise MalformedResponseError('response head too long')
-        if len(self._body) > _MAX_BUFFERED_BYTES:
-            raise MalformedResponseError('buffered body or event too long')
+            self._check_head(len(received))
+        elif had_head and not self.is_complete:
+            self._check_body(
+                len(received),
+                self._received_body_bytes - earlier_body_bytes,
+            )
 
     def take_events(self, limit_bytes: int) -> bytes:
         """Return the complete buffered server-sent events, or ``b''``.
@@ -105,8 +122,10 @@
         """
         end = self._body.rfind(_EVENT_END, 0, limit_bytes)
         if end < 0:
-            end = self._body.find(_EVENT_END)
+            end = self._body.find(_EVENT_END, self._searched_bytes)
         if end < 0:
+            # The end of an event may itself be split.
+            self._searched_bytes = max(len(self._body) - 1, 0)
             return b''
         return self.take(end + len(_EVENT_END))
 
@@ -119,6 +138,7 @@
 
         :param length_bytes: most bytes to return.
         """
+        self._searched_bytes = 0
         taken = bytes(self._body[:length_bytes])
         del self._body[:length_bytes]
         return taken
@@ -142,7 +162,8 @@
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Store a header field."""
-        if self.has_trailing_bytes:
+        if self.is_head_complete or self.has_trailing_bytes:
+            # Trailer fields are ignored.
             return
         text = field.decode('latin-1')
         self._fields[name.decode('latin-1').lower()] = text
@@ -161,6 +182,7 @@
         """Append a part of the body to the buffer."""
         if not self.has_trailing_bytes:
             self._body += part
+            self._received_body_bytes += len(part)
 
     def on_message_complete(self) -> None:
         """Mark a response that is not interim as complete."""
@@ -172,6 +194,17 @@
     def _is_bodiless(self) -> bool:
         return self._method == 'HEAD' or self.status_code in _BODILESS_STATUSES
 
+    def _check_head(self, received_bytes: int) -> None:
+        self._head_bytes += received_bytes
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise _limit_error(InputLimit.head, MAX_HEAD_BYTES)
+
+    def _check_body(self, received_bytes: int, body_bytes: int) -> None:
+        if not self._framing.record(received_bytes, body_bytes):
+            raise _limit_error(InputLimit.framing, MAX_FRAMING_BYTES)
+        if len(self._body) > _MAX_BUFFERED_BYTES:
+            raise _limit_error(InputLimit.event, _MAX_BUFFERED_BYTES)
+
     def _finish(self) -> None:
         if self.is_complete:
             return
@@ -189,3 +222,9 @@
             self.has_trailing_bytes = True
             if not self.is_complete:
                 raise MalformedResponseError(str(error)) from error
+
+
+def _limit_error(limit: InputLimit, max_bytes: int) -> InputLimitError:
+    return InputLimitError(
+        limit, max_bytes, step='parse response', peer='server'
+    )
