--- a/features/direct_fuzz.feature
+++ b/features/direct_fuzz.feature
@@ -13,6 +13,16 @@
       | 600   | header fields     |
       | 600   | settings files    |
 
+  Scenario Outline: input that never ends is rejected or consumed, and little of it is held
+    When <count> inputs that never end are given to the reader of <source>
+    Then the reader held at most <kibibytes> KiB, and rejected at least <rejected>
+
+    Examples:
+      | count | source            | kibibytes | rejected |
+      | 200   | callers' requests | 4160      | 150      |
+      | 200   | targets' answers  | 1088      | 100      |
+      | 200   | event streams     | 1088      | 100      |
+
   Scenario: hints with any content add or remove no target
     When the load exchange receives 600 datagrams
     Then no target was added or removed
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -1,6 +1,7 @@
 """Steps that feed generated input to the parsers of an entry."""
 
 import base64
+import itertools
 import json
 import tempfile
 from collections.abc import Callable
@@ -26,6 +27,11 @@
 from buckthornpond_platform.records import read_configuration, read_target
 from buckthornpond_platform.settings import load_settings
 from buckthornpond_runtime.responses import HttpResponse
+from features.specs.endless_readers import (
+    EndlessRequest,
+    EndlessResponse,
+    EndlessStream,
+)
 
 _LIMITS = CallerLimits()
 _REQUEST_PARTS = st.sampled_from(
@@ -202,6 +208,58 @@
     assert sum(context.counts.values()) >= 100, context.counts
 
 
+_ENDLESS_BLOCK_BYTES = 65_536
+_ENDLESS_BLOCK_COUNT = 80
+_KIBIBYTE = 1024
+_EVENT_PARTS = st.sampled_from(
+    [b'id: 1\n', b'data: a\n', b': a\n', b'\n', b'data: a\n\n', b'a'],
+)
+_EVENTS = st.lists(_EVENT_PARTS, max_size=4)
+
+
+_ENDLESS_READERS: dict[str, Any] = {
+    "callers' requests": (_REQUESTS, _REQUEST_PARTS, EndlessRequest),
+    "targets' answers": (_RESPONSES, _RESPONSE_PARTS, EndlessResponse),
+    'event streams': (_EVENTS, _EVENT_PARTS, EndlessStream),
+}
+
+
+@when('{count:d} inputs that never end are given to the reader of {source}')
+def feed_endless(context: Any, count: int, source: str) -> None:
+    """Feed generated input, then one part again and again."""
+    first_parts, repeated_part, make_reader = _ENDLESS_READERS[source]
+    context.most_held_bytes = 0
+    context.rejected_count = 0
+
+    def check(example: tuple[list[bytes], bytes]) -> None:
+        prefix, part = example
+        reader = make_reader()
+        block = part * (_ENDLESS_BLOCK_BYTES // len(part))
+        blocks = [b''.join(prefix) or part]
+        blocks.extend(itertools.repeat(block, _ENDLESS_BLOCK_COUNT))
+        try:
+            for received in blocks:
+                reader.feed(received)
+                context.most_held_bytes = max(
+                    context.most_held_bytes, reader.held_bytes
+                )
+        except BuckthornpondError:
+            context.rejected_count += 1
+
+    run_generated(count, st.tuples(first_parts, repeated_part), check)
+
+
+@then(
+    'the reader held at most {kibibytes:d} KiB, and rejected at least'
+    ' {rejected:d}'
+)
+def check_held(context: Any, kibibytes: int, rejected: int) -> None:
+    """Compare what was held with the limits."""
+    held_bytes = context.most_held_bytes
+    assert held_bytes <= kibibytes * _KIBIBYTE, held_bytes
+    assert context.rejected_count >= rejected, context.rejected_count
+
+
 _SMALL = st.integers(0, 99)
 _ATTEMPT_HINT = st.tuples(_SMALL, _SMALL, _SMALL, _SMALL, st.booleans())
 _TARGET_HINT = st.tuples(
