Keep out the faults that operators of similar systems reported

Cause, each shown by a scenario with the real entry process that failed first: a late copy of an earlier answer cost the next caller its answer (502 although it followed); a success that names no request was believed; a planned stop did not count requests of which only a part had been read (the body that came late got no answer); a broken stream to an HTTP/1.0 caller ended like a complete one; comments kept a stalled stream; a fresh entry without the store took the first peer's view, however old.

Change: a response that names one of the last requests of its connection is skipped (E619) and the connection not reused; a stop ends after two looks without an open request; streams to HTTP/1.0 callers reset the connection unless complete; a fresh entry compares three peers. Ruled out: skipping any response of another name, as a server that answers once with a wrong name would then hold a request until its time limit.

--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -44,6 +44,7 @@
     zone_returned = 616
     fleet_read = 617
     idle_input_received = 618
+    stale_response_skipped = 619
     source_lost = 621
     source_regained = 622
     source_history_lost = 623
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -56,6 +56,10 @@
 _RESTART_MARGIN = timedelta(seconds=1)
 
 
+# Peers that an entry without a view of its own compares.
+_FIRST_PEER_COUNT = 3
+
+
 class AdmittedRequest:
     """Request that the configuration allows.
 
@@ -147,15 +151,18 @@
         """
         self.follower.apply(change, now)
 
-    def choose_peer(self) -> str:
-        """Return the address of a random peer to ask for the fleet.
+    def choose_peers(self) -> list[str]:
+        """Return the addresses of random peers to ask for the fleet.
 
-        Empty while the source answers and when no peer is known.
+        Empty while the source answers and when no peer is known. An entry that
+        knows nothing yet asks several, as one may have lost the source long
+        ago.
         """
         if self.follower.is_source_reachable:
-            return ''
+            return []
         known = self.load_exchange.addresses
-        return self._random.sample(known, 1)[0] if known else ''
+        wanted_count = 1 if self.fleet.revision else _FIRST_PEER_COUNT
+        return self._random.sample(known, min(wanted_count, len(known)))
 
     def drop_silent_peers(self, now: timedelta) -> None:
         """Drop the load of entries whose hints stopped arriving.
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -176,15 +176,9 @@
 
     def _call_target(self) -> None:
         self._reserve_memory()
-        connection = self._connection
-        if connection is None:
-            connection = HttpConnection(self._effect.placement.address)
-            self._connection = connection
-            connection.connect(min(_CONNECT_TIMEOUT, self._effect.time_limit))
-        connection.set_timeout(self._effect.time_limit)
-        connection.call_count += 1
+        connection = self._open_connection()
         self._send(connection)
-        response = HttpResponse(self._request.method)
+        response = HttpResponse(self._request.method, self._is_stale)
         while not response.is_head_complete:
             connection.receive(response, _READ_STEP)
         fields = response.fields
@@ -194,8 +188,29 @@
         )
         self._read_body(connection, response)
         self._mark_reusable(connection, response)
+        connection.recent_ids.append(self._effect.attempt_id)
         self._notify(AttemptCompleted())
 
+    def _open_connection(self) -> HttpConnection:
+        time_limit = self._effect.time_limit
+        connection = self._connection
+        if connection is None:
+            connection = HttpConnection(self._effect.placement.address)
+            self._connection = connection
+            connection.connect(min(_CONNECT_TIMEOUT, time_limit))
+        connection.set_timeout(time_limit)
+        return connection
+
+    def _is_stale(
+        self, status_code: int, fields: list[tuple[str, str]]
+    ) -> bool:
+        """Return whether a response is a late copy of an earlier one."""
+        connection = self._connection
+        if connection is None or not connection.recent_ids:
+            return False
+        metadata = self._codec.read_response(status_code, fields)
+        return metadata.attempt_id in connection.recent_ids
+
     def _reserve_memory(self) -> None:
         placement = self._effect.placement
         if not placement.tickets:
@@ -246,6 +261,13 @@
     ) -> None:
         if response.has_trailing_bytes or not response.keeps_alive:
             return
+        if response.has_skipped:
+            log_event(
+                EventCode.stale_response_skipped,
+                request=self._effect.attempt_id,
+                address=connection.address,
+            )
+            return
         if not self._is_body_sent:
             return
         connection.idle_limit = _read_idle_limit(response)
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -57,6 +57,7 @@
 
     def run(self) -> None:
         """Serve requests until the connection ends."""
+        self._frontend.connections.add(self._reader)
         greenlet: AnyGreenlet = gevent.spawn(self._reader.run)
         try:
             while self._writer.is_open:
@@ -65,6 +66,7 @@
             self._close(greenlet)
 
     def _close(self, greenlet: AnyGreenlet) -> None:
+        self._frontend.connections.discard(self._reader)
         greenlet.kill(block=False)
         self._reader.release()
         self._connection.close()
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -254,10 +254,10 @@
             self._dispatcher.record_unexpected_input(address, now)
 
     def _query_peer(self) -> None:
-        address = self._dispatcher.choose_peer()
-        if address:
+        addresses = self._dispatcher.choose_peers()
+        if addresses:
             revision = self._dispatcher.fleet.revision
-            self.peer_task.mailbox.offer(PeerQuery(address, revision))
+            self.peer_task.mailbox.offer(PeerQuery(addresses, revision))
 
     def _exchange_fleet_views(
         self,
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -39,6 +39,8 @@
 _STOP_MARGIN_MS = 700
 _STOP_MARGIN = timedelta(milliseconds=_STOP_MARGIN_MS)
 _DRAIN_POLL_SECONDS = 0.1
+# Between two polls, what has arrived at a socket is read.
+_MIN_QUIET_COUNT = 2
 _MS = timedelta(milliseconds=1)
 
 
@@ -252,11 +254,15 @@
         grace = self._settings.grace_ms * _MS
         notice_end = started_at + min(_NOTICE_PERIOD, grace / 2)
         deadline = started_at + max(grace - _STOP_MARGIN, grace / 2)
+        quiet_count = 0
         while stop.count < 2 and self._clock.monotonic() < deadline:
             if self._clock.monotonic() >= notice_end:
                 frontend.rejects_new_requests = True
-                if not frontend.held_count:
-                    break
+                quiet_count += 1
+                if frontend.has_open_requests:
+                    quiet_count = 0
+            if quiet_count >= _MIN_QUIET_COUNT:
+                break
             gevent.sleep(_DRAIN_POLL_SECONDS)
         if frontend.held_count:
             log_event(
--- a/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
+++ b/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import gevent
 import msgspec
 
 from buckthornpond_core._generated.serving import FleetView
@@ -46,16 +47,18 @@
 
 
 class PeerQuery:
-    """Asks the peer query task to query a peer; sent by the dispatch task.
+    """Asks the peer query task for the newest view of some peers.
 
-    :param address: address of the peer.
+    Sent by the dispatch task.
+
+    :param addresses: addresses of the peers.
     :param revision: last revision of the source that this entry has applied.
     """
 
-    __slots__ = ('address', 'revision')
+    __slots__ = ('addresses', 'revision')
 
-    def __init__(self, address: str, revision: int) -> None:
-        self.address = address
+    def __init__(self, addresses: list[str], revision: int) -> None:
+        self.addresses = addresses
         self.revision = revision
 
 
@@ -121,7 +124,7 @@
 
 
 class PeerQueryTask:
-    """Queries one peer at a time and owns the connection to it.
+    """Queries peers and owns the connections to them.
 
     :param dispatch: mailbox of the dispatch task.
     :param clock: source of time.
@@ -150,32 +153,40 @@
                 self._query(query)
 
     def _query(self, query: PeerQuery) -> None:
+        jobs = [
+            gevent.spawn(self._query_one, address, query.revision)
+            for address in query.addresses
+        ]
+        gevent.joinall(jobs)
+        views = [job.value for job in jobs if job.value is not None]
+        if views:
+            newest = max(views, key=lambda each: each.view.revision)
+            self._dispatch.send(newest)
+
+    def _query_one(self, address: str, revision: int) -> PeerFleetView | None:
         requested_at = self._clock.monotonic()
-        connection = HttpConnection(query.address)
+        connection = HttpConnection(address)
         try:
-            view = _fetch(connection, query)
+            view = _fetch(connection, revision)
         except (TargetError, msgspec.MsgspecError) as error:
             self._metrics.count('peer_questions', 'failed')
             log_event(
                 EventCode.peer_unanswered,
-                peer=query.address,
+                peer=address,
                 error=str(error),
             )
-        else:
-            self._metrics.count('peer_questions', 'answered')
-            self._dispatch.send(
-                PeerFleetView(view, query.address, requested_at),
-            )
+            return None
         finally:
             connection.close()
+        self._metrics.count('peer_questions', 'answered')
+        return PeerFleetView(view, address, requested_at)
 
 
-def _fetch(connection: HttpConnection, query: PeerQuery) -> FleetView:
+def _fetch(connection: HttpConnection, revision: int) -> FleetView:
     connection.connect(_CONNECT_TIMEOUT)
     connection.set_timeout(_READ_TIMEOUT)
     head = (
-        f'GET {_PATH}?{query.revision} HTTP/1.1\r\n'
-        f'Host: {query.address}\r\n\r\n'
+        f'GET {_PATH}?{revision} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n'
     )
     response = connection.fetch(
         'GET', head.encode('ascii'), _STEP, _FETCH_LIMITS
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -1,5 +1,7 @@
 """State that all caller tasks share."""
 
+from typing import Protocol
+
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.metrics import Metrics
@@ -7,6 +9,14 @@
 from .dispatch import DispatchTask
 
 
+class CallerConnection(Protocol):
+    """Connection of a caller, as a planned stop sees it."""
+
+    @property
+    def has_open_request(self) -> bool:
+        """Whether any byte of a request without a complete response came."""
+
+
 class FrontendState:
     """State that all caller tasks share.
 
@@ -23,6 +33,7 @@
         'body_budget_bytes',
         'clock',
         'codec',
+        'connections',
         'dispatch',
         'held_body_bytes',
         'held_count',
@@ -49,6 +60,7 @@
         self.metrics = metrics
         self.body_budget_bytes = body_budget_bytes
         self.response_budget_bytes = response_budget_bytes
+        self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
         self.held_response_bytes = 0
         self.held_count = 0
@@ -56,3 +68,8 @@
         self.is_stopping = False
         # New requests are refused; requests in flight are finished.
         self.rejects_new_requests = False
+
+    @property
+    def has_open_requests(self) -> bool:
+        """Whether any caller waits for a response, or sends a request."""
+        return any(each.has_open_request for each in self.connections)
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -114,6 +114,11 @@
         # Read timeouts are ignored while a request is served.
         self.is_serving = False
 
+    @property
+    def has_open_request(self) -> bool:
+        """Whether any byte of a request without a complete response came."""
+        return self._queued_count > 0 or self._parser.has_started
+
     def run(self) -> None:
         """Read requests until the connection ends."""
         try:
--- a/packages/entry/src/buckthornpond_entry/direct/writers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/writers.py
@@ -1,5 +1,6 @@
 """Writing side of a caller's connection."""
 
+import struct
 from collections.abc import Sequence
 from contextlib import suppress
 from datetime import timedelta
@@ -7,7 +8,7 @@
 
 import gevent
 import msgspec
-from gevent.socket import SHUT_WR, socket
+from gevent.socket import SHUT_WR, SO_LINGER, SOL_SOCKET, socket
 
 from buckthornpond_core.refusals import find_refusal
 from buckthornpond_core.serving.effects import HeaderFields, ResponseHead
@@ -23,6 +24,9 @@
 _MIN_SEND_TIMEOUT = timedelta(milliseconds=_MIN_SEND_TIMEOUT_MS)
 _REFUSAL_SEND_TIMEOUT = timedelta(seconds=1)
 _LINE_END = '\r\n'
+# Values of SO_LINGER: whether it is on, and for how many seconds.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_FINISH_ON_CLOSE = struct.pack('ii', 0, 0)
 
 
 class ResponseWriter:
@@ -90,6 +94,8 @@
         response_fields = list(head.fields)
         if self._is_http10:
             self.is_open = False
+            # Only a reset tells such a caller that the stream is incomplete.
+            self._set_linger(_RESET_ON_CLOSE)
         else:
             response_fields.append(('Transfer-Encoding', 'chunked'))
         self._send(
@@ -113,7 +119,9 @@
 
         :param time_limit: longest wait for the caller to read.
         """
-        if not self._is_http10:
+        if self._is_http10:
+            self._set_linger(_FINISH_ON_CLOSE)
+        else:
             self._send(_LAST_CHUNK, time_limit)
 
     def refuse(
@@ -158,6 +166,10 @@
                 return
             remaining_bytes -= len(received)
 
+    def _set_linger(self, option: bytes) -> None:
+        with suppress(OSError):
+            self._connection.setsockopt(SOL_SOCKET, SO_LINGER, option)
+
     def _send(self, content: bytes, time_limit: timedelta) -> None:
         if self.error:
             return
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -2,6 +2,7 @@
 
 import select
 import socket as standard_socket
+from collections import deque
 from collections.abc import Iterable
 from datetime import timedelta
 
@@ -15,6 +16,7 @@
 _LINE_END = '\r\n'
 _READ_BYTES = 65_536
 _DEFAULT_CONTENT_TYPE = 'application/octet-stream'
+_MAX_RECENT_IDS = 8
 _LOWEST_STATUS = 200
 _HIGHEST_STATUS = 599
 
@@ -69,16 +71,17 @@
         '_socket',
         '_bytes_since_yield',
         'address',
-        'call_count',
         'idle_since',
         'idle_limit',
+        'recent_ids',
     )
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self.call_count = 0
         self.idle_since = timedelta()
         self.idle_limit = timedelta()
+        # Identifiers of the last requests, which a late response may name.
+        self.recent_ids: deque[str] = deque(maxlen=_MAX_RECENT_IDS)
         self._socket: socket.socket | None = None
         self._bytes_since_yield = 0
 
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -1,5 +1,8 @@
 """HTTP responses, parsed from the bytes that a socket's owner feeds in."""
 
+from collections.abc import Callable
+from typing import TypeAlias
+
 from httptools import (
     HttpParserError,
     HttpParserUpgrade,
@@ -22,6 +25,9 @@
 _DELIMITING_FIELDS = frozenset(('content-length', 'transfer-encoding'))
 
 
+StaleCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
+
+
 class MalformedResponseError(BuckthornpondError):
     """A server sent bytes that are not a complete HTTP response."""
 
@@ -37,6 +43,9 @@
     """Head and buffered body of one response.
 
     :param method: method of the request, which may forbid a body.
+    :param is_stale: tells from status and header fields whether a response
+        answers an earlier request. Such a response is skipped, and counts
+        towards the limit on the head.
     """
 
     __slots__ = (
@@ -44,11 +53,14 @@
         '_fields',
         '_framing',
         '_head_bytes',
+        '_is_skipping',
+        '_is_stale',
         '_method',
         '_parser',
         '_received_body_bytes',
         '_searched_bytes',
         'fields',
+        'has_skipped',
         'has_trailing_bytes',
         'is_complete',
         'is_head_complete',
@@ -56,15 +68,23 @@
         'status_code',
     )
 
-    def __init__(self, method: str) -> None:
+    def __init__(
+        self,
+        method: str,
+        is_stale: StaleCheck | None = None,
+    ) -> None:
         self.status_code = 0
         self.is_head_complete = False
         self.is_complete = False
         # Whether bytes arrived after the end of the response.
         self.has_trailing_bytes = False
+        # Whether a response to an earlier request came first.
+        self.has_skipped = False
         self.keeps_alive = False
         self.fields: list[tuple[str, str]] = []
         self._method = method
+        self._is_stale = is_stale
+        self._is_skipping = False
         self._fields: dict[str, str] = {}
         self._head_bytes = 0
         self._framing = FramingMeter()
@@ -174,19 +194,26 @@
         status_code = self._parser.get_status_code()
         if status_code < _LOWEST_FINAL_STATUS or self.has_trailing_bytes:
             return
+        if self._is_stale is not None:
+            self._is_skipping = self._is_stale(status_code, self.fields)
+        if self._is_skipping:
+            self.has_skipped = True
+            return
         self.status_code = status_code
         self.is_head_complete = True
         self.is_complete = self._is_bodiless
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body to the buffer."""
-        if not self.has_trailing_bytes:
+        if not self._is_skipping and not self.has_trailing_bytes:
             self._body += part
             self._received_body_bytes += len(part)
 
     def on_message_complete(self) -> None:
         """Mark a response that is not interim as complete."""
-        if self.is_head_complete and not self.is_complete:
+        if self._is_skipping:
+            self._is_skipping = False
+        elif self.is_head_complete and not self.is_complete:
             self.is_complete = True
             self.keeps_alive = self._parser.should_keep_alive()
 
