Read the load that servers state and place plain requests by it

Cause: servers of some services state their running and waiting requests in X-Server-Load; entries ignored it. Load that comes from callers who bypass the entries, or from an entry whose hints are lost, was seen by nobody.

Change: platform/ decodes the field into ReportedLoad; core/serving takes what a target states beyond the attempts that entries know of as UnexplainedLoad, which fades within seconds, is bounded by a full target and ignored from a former incarnation; LeastInFlight adds it. A value that cannot be read is counted. Engines do not use it: hints say more of them.

Ruled out: the report as it stands in place of hints (older than hints, and each entry would avoid the same target at once). A fraction of a request kept a target out of ties for ever; the count is a whole number now (the first scenario found it).

--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -166,6 +166,7 @@
         'Last-Event-Id',
         'X-Cold-Start-Ms',
         'At-Server',
+        'X-Server-Load',
     ],
 )
 _HUGE_NUMBER = '9' * 5000
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -142,7 +142,9 @@
     context.dispatchers[number].end_attempt(
         admission.metadata.attempt_id,
         found,
-        AttemptReport(target=found.target, outcome=outcome, first_ms=10),
+        AttemptReport(
+            target=found.target, outcome=outcome, first_ms=10, load=None
+        ),
         context.now,
     )
 
@@ -521,7 +523,7 @@
     context.dispatchers[0].end_attempt(
         'none',
         Placement(target='target-0', address='10.0.0.0:80', service='app'),
-        AttemptReport(target='target-0', outcome=outcome),
+        AttemptReport(target='target-0', outcome=outcome, load=None),
         context.now,
     )
 
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -365,46 +365,6 @@
     ] = ''
 
 
-class ResponseMetadata(Struct):
-    """
-    Properties stated by the head of a target's response.
-    """
-
-    status_code: Annotated[int, Meta(ge=0)]
-    attempt_id: str = ''
-    is_signed: Annotated[
-        bool,
-        Meta(
-            description='Whether the response carries the signature of the target.'
-        ),
-    ] = False
-    is_not_run: Annotated[
-        bool,
-        Meta(
-            description='Whether the target proves that it did not run the request.'
-        ),
-    ] = False
-    is_encoded: Annotated[
-        bool,
-        Meta(
-            description='Whether a content encoding changed the bytes of the body.'
-        ),
-    ] = False
-    faulty_address: Annotated[
-        str,
-        Meta(
-            description='Address of the failed target, which may be a helper.'
-        ),
-    ] = ''
-    cold_ms: Annotated[
-        int,
-        Meta(
-            description='Remaining time that the target is cold, zero if not stated.',
-            ge=0,
-        ),
-    ] = 0
-
-
 class MemoryTicket(Struct):
     """
     Memory of an engine to reserve for a part of a prompt.
@@ -459,29 +419,6 @@
     source_age_ms: Annotated[int, Meta(ge=0)] = 0
 
 
-class AttemptReport(Struct):
-    """
-    Outcome of an attempt at a target.
-    """
-
-    target: str
-    outcome: Annotated[
-        str,
-        Meta(
-            description='One of answered, refused, failed, limit_exceeded, response_too_large, silent, unreachable, moved, abandoned.'
-        ),
-    ]
-    first_ms: Annotated[
-        float,
-        Meta(
-            description='Time to the first byte of the response, zero without one.',
-            ge=0.0,
-        ),
-    ] = 0.0
-    faulty_address: str = ''
-    cold_ms: Annotated[int, Meta(ge=0)] = 0
-
-
 class DirectSettings(Struct):
     """
     Settings of an entry that calls targets directly.
@@ -561,3 +498,107 @@
             description='Entries to which a new entry announces itself; some may no longer exist.'
         ),
     ] = field(default_factory=list)
+
+
+class ReportedLoad(Struct):
+    """
+    Load of a target as one of its responses states it.
+    """
+
+    running_count: Annotated[
+        int, Meta(description='Requests that run, of all callers.', ge=0)
+    ]
+    waiting_count: Annotated[
+        int, Meta(description='Requests that wait, of all callers.', ge=0)
+    ]
+
+
+class ResponseMetadata(Struct):
+    """
+    Properties stated by the head of a target's response.
+    """
+
+    status_code: Annotated[int, Meta(ge=0)]
+    load: (
+        Annotated[
+            ReportedLoad,
+            Meta(
+                description='Load that the response states, null if it states none.'
+            ),
+        ]
+        | None
+    )
+    attempt_id: str = ''
+    is_signed: Annotated[
+        bool,
+        Meta(
+            description='Whether the response carries the signature of the target.'
+        ),
+    ] = False
+    is_not_run: Annotated[
+        bool,
+        Meta(
+            description='Whether the target proves that it did not run the request.'
+        ),
+    ] = False
+    is_encoded: Annotated[
+        bool,
+        Meta(
+            description='Whether a content encoding changed the bytes of the body.'
+        ),
+    ] = False
+    faulty_address: Annotated[
+        str,
+        Meta(
+            description='Address of the failed target, which may be a helper.'
+        ),
+    ] = ''
+    cold_ms: Annotated[
+        int,
+        Meta(
+            description='Remaining time that the target is cold, zero if not stated.',
+            ge=0,
+        ),
+    ] = 0
+    has_malformed_load: Annotated[
+        bool,
+        Meta(
+            description='Whether the response states a load that cannot be read.'
+        ),
+    ] = False
+
+
+class AttemptReport(Struct):
+    """
+    Outcome of an attempt at a target.
+    """
+
+    target: str
+    outcome: Annotated[
+        str,
+        Meta(
+            description='One of answered, refused, failed, limit_exceeded, response_too_large, silent, unreachable, moved, abandoned.'
+        ),
+    ]
+    load: (
+        Annotated[
+            ReportedLoad,
+            Meta(
+                description='Load that the response states, null if it states none.'
+            ),
+        ]
+        | None
+    )
+    first_ms: Annotated[
+        float,
+        Meta(
+            description='Time to the first byte of the response, zero without one.',
+            ge=0.0,
+        ),
+    ] = 0.0
+    faulty_address: str = ''
+    cold_ms: Annotated[int, Meta(ge=0)] = 0
+    load_age_ms: Annotated[
+        int, Meta(description='Time since the load was received.', ge=0)
+    ] = 0
+    has_malformed_load: bool = False
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -288,6 +288,7 @@
         if faulty_view is not None and outcome is AttemptOutcome.refused:
             outcome = AttemptOutcome.failed
         self._apply_report(view, outcome, report, now)
+        self._record_load(placement, report, now)
 
     def record_unexpected_input(self, address: str, now: timedelta) -> None:
         """Record that a target sent bytes that belong to no request.
@@ -317,6 +318,26 @@
             view.record_latency(report.first_ms, now)
         self._record_outcome(view, outcome, now)
 
+    def _record_load(
+        self, placement: Placement, report: AttemptReport, now: timedelta
+    ) -> None:
+        """Record the load that the target stated in its response."""
+        if report.has_malformed_load:
+            self._recorder.count('malformed_messages', 'target_load')
+        view = self.fleet.find(placement.target)
+        if report.load is None or view is None:
+            return
+        if view.record.started_ms != placement.started_ms:
+            # It is the load of a former incarnation.
+            return
+        view.unexplained_load.record(
+            report.load,
+            # The target counted the attempt that has just ended.
+            len(view.all_attempts) + 1,
+            view.record.slots,
+            now - report.load_age_ms * _MS,
+        )
+
     def _record_outcome(
         self, view: TargetView, outcome: AttemptOutcome, now: timedelta
     ) -> None:
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -74,6 +74,7 @@
         '_error_response',
         '_excluded',
         '_head',
+        '_head_at',
         '_is_first_byte_reported',
         '_last_event_at',
         '_may_have_run',
@@ -107,6 +108,7 @@
         self._assembler = EventAssembler(admission.metadata.last_event_id)
         self._body = bytearray()
         self._head: ResponseHead | None = None
+        self._head_at = timedelta()
         self._error_response: SendResponse | None = None
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
@@ -256,6 +258,7 @@
         if fault:
             return self._fail_attempt(_invalid_response(fault), now)
         self._head = head
+        self._head_at = now
         return []
 
     def _handle_body(
@@ -460,11 +463,15 @@
         self._excluded.append(failed)
         self._placement = None
         self._silence_deadline = None
-        report = AttemptReport(target=failed, outcome=outcome.value)
+        report = AttemptReport(target=failed, outcome=outcome.value, load=None)
         report.first_ms = self.first_ms or elapsed_ms
         if self._head is not None:
-            report.faulty_address = self._head.metadata.faulty_address
-            report.cold_ms = self._head.metadata.cold_ms
+            metadata = self._head.metadata
+            report.faulty_address = metadata.faulty_address
+            report.cold_ms = metadata.cold_ms
+            report.load = metadata.load
+            report.load_age_ms = (now - self._head_at) // _MS
+            report.has_malformed_load = metadata.has_malformed_load
         return [ReportAttempt(placement, report)]
 
     def _may_replace(self, now: timedelta) -> bool:
@@ -497,4 +504,6 @@
 def _build_report(
     placement: Placement, outcome: AttemptOutcome
 ) -> AttemptReport:
-    return AttemptReport(target=placement.target, outcome=outcome.value)
+    return AttemptReport(
+        target=placement.target, outcome=outcome.value, load=None
+    )
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -8,6 +8,7 @@
 from .budgets import ColdRateLimit
 from .engine_load import InFlightAttempt
 from .health import TargetHealth
+from .reported_load import UnexplainedLoad
 
 # Targets whose records expired during an outage of the source register again
 # within this time, if at all.
@@ -34,11 +35,13 @@
         'health',
         'peer_attempts',
         'record',
+        'unexplained_load',
     )
 
     def __init__(self, record: TargetRecord) -> None:
         self.record = record
         self.health = TargetHealth()
+        self.unexplained_load = UnexplainedLoad()
         self.attempts: dict[str, InFlightAttempt] = {}
         # Attempts of other entries by address of the entry.
         self.peer_attempts: dict[str, list[InFlightAttempt]] = {}
--- a/packages/core/src/buckthornpond_core/serving/placement.py
+++ b/packages/core/src/buckthornpond_core/serving/placement.py
@@ -123,7 +123,10 @@
 
 
 class LeastInFlight:
-    """Prefers the plain target with the fewest attempts in flight.
+    """Prefers the plain target with the fewest requests.
+
+    These are the attempts that entries have in flight there, and what the
+    target reported beyond them.
 
     :param random: source of random tie breakers.
     """
@@ -146,7 +149,9 @@
 
         def cost(candidate: Candidate) -> tuple[float, float]:
             view = candidate.view
-            load = len(view.all_attempts) / max(view.record.slots, 1)
+            unexplained_count = view.unexplained_load.count(now)
+            request_count = len(view.all_attempts) + unexplained_count
+            load = request_count / max(view.record.slots, 1)
             smoothed_latency_ms = view.smoothed_latency_ms(now)
             # Rounded, so that entries do not all prefer the same target.
             slowness = round(
