Let only some entries of a large fleet use a cold target

Cause: each entry may send at least one request in 1.1 s to a cold target, so 68 entries may send 62 a second to one that bears 26. Hints went to the first 64 peers known, so that with more peers the same ones never heard an entry, and seeds came last although they are to hear always.

Change: where the shares of all entries exceed what a cold target bears, it is used by the entries with the highest rendezvous scores among those heard of in the last minute (core/serving/cold_users, membership); silent entries count on, as they may still send. Hints go to the seeds and to other peers in turn. Candidates and admissions leave the dispatcher for modules of their own; rendezvous scores have one home.

--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -18,7 +18,8 @@
     TargetRecord,
 )
 from buckthornpond_core.event_codes import EventCode
-from buckthornpond_core.serving.dispatcher import AdmittedRequest, Dispatcher
+from buckthornpond_core.serving.admissions import AdmittedRequest
+from buckthornpond_core.serving.dispatcher import Dispatcher
 from buckthornpond_core.serving.engine_load import EngineLoad
 from buckthornpond_platform.records import read_configuration
 from buckthornpond_platform_standins.local_clusters import (
--- a/packages/core/src/buckthornpond_core/routing/placement.py
+++ b/packages/core/src/buckthornpond_core/routing/placement.py
@@ -4,11 +4,10 @@
 from datetime import timedelta
 from typing import Protocol
 
-from xxhash import xxh3_64_intdigest
-
 from .._generated.events import Submission
 from .._generated.inventory import Target
 from .._generated.messages import Hint, TargetPhase
+from ..rendezvous import score
 from ..types import RandomSource
 
 _SAMPLE_COUNT = 2
@@ -268,10 +267,7 @@
     :param key: what :func:`join_key` returned.
     :param instances: names over which keys are distributed, never empty.
     """
-    prefix = f'{key}/'
-    digests = [
-        xxh3_64_intdigest(f'{prefix}{name}'.encode()) for name in instances
-    ]
+    digests = [score(key, name) for name in instances]
     highest = max(digests)
     return max(
         name
@@ -286,4 +282,4 @@
     :param key: what :func:`join_key` returned.
     :param instance: name of the instance.
     """
-    return xxh3_64_intdigest(f'{key}/{instance}'.encode()), instance
+    return score(key, instance), instance
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/admissions.py
@@ -0,0 +1,28 @@
+"""Requests that the configuration allows."""
+
+from .._generated.serving import Organisation, RequestMetadata, Route
+
+
+class AdmittedRequest:
+    """Request that the configuration allows.
+
+    :param metadata: properties that the caller's request states.
+    :param route: route that matches host and path.
+    :param organisation: owner of the credential, or ``None`` on a public
+        route and where no credentials are required.
+    :param service: service chosen among the shares of the route.
+    """
+
+    __slots__ = ('metadata', 'organisation', 'route', 'service')
+
+    def __init__(
+        self,
+        metadata: RequestMetadata,
+        route: Route,
+        organisation: Organisation | None,
+        service: str,
+    ) -> None:
+        self.metadata = metadata
+        self.route = route
+        self.organisation = organisation
+        self.service = service
--- a/packages/core/src/buckthornpond_core/serving/budgets.py
+++ b/packages/core/src/buckthornpond_core/serving/budgets.py
@@ -1,14 +1,15 @@
 """Shares of limits that apply to all entries together.
 
 Entries have no coordinator and do not know how many of them are running, so
-each keeps to a share sized for the largest number of entries in a fleet.
+each keeps to a share of its own.
 """
 
 from collections import deque
 from datetime import timedelta
 
-# Entries of the largest fleet, among which a common limit is divided.
-_MAX_ENTRY_COUNT = 32
+# Entries among which the limit of a cold target is divided. Where one request
+# each exceeds it, only some of them use the target.
+_SHARING_ENTRY_COUNT = 32
 # One second, and a margin for clock differences and transmission delay.
 _COLD_WINDOW_MS = 1100
 _COLD_WINDOW = timedelta(milliseconds=_COLD_WINDOW_MS)
@@ -60,16 +61,41 @@
         return True
 
 
+class ColdShare:
+    """Share of one entry in the limit of a cold target.
+
+    :param max_requests: requests of one entry in each window.
+    :param max_entry_count: entries whose shares fit the limit.
+    """
+
+    __slots__ = ('max_entry_count', 'max_requests')
+
+    def __init__(self, max_requests: int, max_entry_count: int) -> None:
+        self.max_requests = max_requests
+        self.max_entry_count = max_entry_count
+
+
+def cold_share(requests_per_second: float) -> ColdShare:
+    """Return the share of each entry that uses a cold target.
+
+    :param requests_per_second: limit for all entries together.
+    """
+    max_requests = max(1, int(requests_per_second / _SHARING_ENTRY_COUNT))
+    # Any second may see one window of each entry.
+    return ColdShare(max_requests, int(requests_per_second / max_requests))
+
+
 class ColdRateLimit:
     """Rate limit of the requests of this entry to one cold target.
 
     :param requests_per_second: limit for all entries together.
     """
 
-    __slots__ = ('_max_requests', '_sent_times')
+    __slots__ = ('_max_requests', '_sent_times', 'requests_per_second')
 
     def __init__(self, requests_per_second: float) -> None:
-        self._max_requests = max(1, int(requests_per_second / _MAX_ENTRY_COUNT))
+        self.requests_per_second = requests_per_second
+        self._max_requests = cold_share(requests_per_second).max_requests
         self._sent_times: deque[timedelta] = deque()
 
     def has_room(self, now: timedelta) -> bool:
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -1,6 +1,6 @@
 """Admission and placement of all requests of one entry."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from datetime import timedelta
 from types import MappingProxyType
 
@@ -8,23 +8,22 @@
     AttemptReport,
     DirectSettings,
     MemoryTicket,
-    Organisation,
     Placement,
     PlacementFailure,
     RequestMetadata,
-    Route,
     Service,
 )
 from ..event_codes import EventCode
 from ..types import RandomSource, Recorder
+from .admissions import AdmittedRequest
 from .budgets import WindowedRetryBudget
+from .candidates import CandidateFinder
 from .engine_load import InFlightAttempt, RequestProfile
 from .fleet import TargetView
 from .fleet_follower import FleetChange, FleetFollower
 from .health import AttemptOutcome
 from .load_exchange import LoadExchange
 from .placement import (
-    Candidate,
     LeastExpectedLoss,
     LeastInFlight,
     PlacementPolicy,
@@ -60,31 +59,6 @@
 _FIRST_PEER_COUNT = 3
 
 
-class AdmittedRequest:
-    """Request that the configuration allows.
-
-    :param metadata: properties that the caller's request states.
-    :param route: route that matches host and path.
-    :param organisation: owner of the credential, or ``None`` on a public
-        route and where no credentials are required.
-    :param service: service chosen among the shares of the route.
-    """
-
-    __slots__ = ('metadata', 'organisation', 'route', 'service')
-
-    def __init__(
-        self,
-        metadata: RequestMetadata,
-        route: Route,
-        organisation: Organisation | None,
-        service: str,
-    ) -> None:
-        self.metadata = metadata
-        self.route = route
-        self.organisation = organisation
-        self.service = service
-
-
 class Dispatcher:
     """Admits requests and places their attempts on the known fleet.
 
@@ -95,6 +69,7 @@
 
     __slots__ = (
         '_budgets',
+        '_candidates',
         '_policies',
         '_random',
         '_recorder',
@@ -123,6 +98,9 @@
             int(random.random() * 2**_INCARNATION_BITS),
             settings.peer_addresses,
         )
+        self._candidates = CandidateFinder(
+            settings, self.fleet, self.load_exchange, random
+        )
         self._policies: tuple[PlacementPolicy, PlacementPolicy] = (
             LeastInFlight(random),
             LeastExpectedLoss(random),
@@ -177,6 +155,7 @@
         :param settings: new settings of the process.
         """
         self._settings = settings
+        self._candidates.settings = settings
         self.follower.settings = settings
         self._budgets.clear()
 
@@ -221,10 +200,14 @@
         :param is_repeat: whether a target may already have received it; such
             an attempt is charged to the retry budget.
         """
-        candidates = self._list_candidates(admission, excluded, now)
+        candidates = self._candidates.find(admission, excluded, now)
         if not candidates:
             return self._build_failure('no_target', now)
-        warm = [each for each in candidates if each.view.accepts_request(now)]
+        warm = [
+            each
+            for each in candidates
+            if self._candidates.may_use(each.view, now)
+        ]
         if not warm:
             return self._build_failure('target_cold', now)
         if is_repeat and not self._find_budget(admission.service).allow_retry(
@@ -367,52 +350,6 @@
             self._budgets[service] = budget
         return budget
 
-    def _list_candidates(
-        self,
-        admission: AdmittedRequest,
-        excluded: Collection[str],
-        now: timedelta,
-    ) -> list[Candidate]:
-        found = self.fleet.list_service(admission.service)
-        if len(found) > _MAX_CANDIDATES:
-            # A sample bounds the cost per attempt in a large fleet.
-            sample = self._random.sample(found, _MAX_CANDIDATES)
-            candidates = self._filter_candidates(
-                sample, admission, excluded, now
-            )
-            if candidates:
-                return candidates
-        return self._filter_candidates(found, admission, excluded, now)
-
-    def _filter_candidates(
-        self,
-        views: Iterable[TargetView],
-        admission: AdmittedRequest,
-        excluded: Collection[str],
-        now: timedelta,
-    ) -> list[Candidate]:
-        own_zone = self._settings.availability_zone
-        return [
-            Candidate(
-                view, is_same_zone=view.record.availability_zone == own_zone
-            )
-            for view in views
-            if self.fleet.is_usable(view, now)
-            and view.record.name not in excluded
-            and self._is_region_allowed(admission, view)
-        ]
-
-    def _is_region_allowed(
-        self, admission: AdmittedRequest, view: TargetView
-    ) -> bool:
-        zone = view.record.availability_zone
-        region = self._settings.region_by_zone.get(zone, '')
-        organisation = admission.organisation
-        region_lists = [admission.route.regions]
-        if organisation is not None:
-            region_lists.append(organisation.regions)
-        return all(not regions or region in regions for regions in region_lists)
-
     def _record_attempts(
         self,
         admission: AdmittedRequest,
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -5,7 +5,7 @@
 
 from .._generated.serving import AttemptReport, Placement, PlacementFailure
 from ..input_limits import MAX_RESPONSE_BODY_BYTES, InputLimitError
-from .dispatcher import AdmittedRequest
+from .admissions import AdmittedRequest
 from .effects import (
     AbortResponse,
     EndStream,
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -99,17 +99,6 @@
         """
         return now < self.cold_until
 
-    def accepts_request(self, now: timedelta) -> bool:
-        """Return whether this entry may send one more request.
-
-        A target that is not cold always accepts it.
-
-        :param now: time on the monotonic clock.
-        """
-        if not self.is_cold(now) or self.cold_rate_limit is None:
-            return True
-        return self.cold_rate_limit.has_room(now)
-
     def accepts_work(self, now: timedelta) -> bool:
         """Return whether the target is registered and not draining.
 
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -10,6 +10,7 @@
 from .._generated.hints import AttemptHint, LoadHint, TargetHint
 from .engine_load import InFlightAttempt, RequestProfile
 from .fleet import Fleet, TargetView
+from .membership import Membership
 
 # A peer that sends nothing for this long is removed together with its load.
 _PEER_TIMEOUT = timedelta(seconds=3)
@@ -56,6 +57,7 @@
         '_started_at',
         'address',
         'incarnation',
+        'membership',
         'peers',
         'seeds',
     )
@@ -69,6 +71,7 @@
         self.address = address
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.peers: dict[str, Peer] = {}
+        self.membership = Membership()
         self.incarnation = incarnation
         self._started_at: timedelta | None = None
         self._next_full_at = timedelta()
@@ -82,9 +85,18 @@
 
     @property
     def addresses(self) -> list[str]:
-        """Return the addresses to which hints are sent."""
-        known = dict.fromkeys((*self.peers, *self.seeds))
-        return list(known)[:_MAX_RECIPIENTS]
+        """Return the addresses to which the next hint is sent.
+
+        These are the seeds and, if there are too many peers, other ones each
+        time, so that every peer hears of this entry.
+        """
+        others = [peer for peer in self.peers if peer not in self.seeds]
+        room_count = max(_MAX_RECIPIENTS - len(self.seeds), 1)
+        start = 0
+        if len(others) > room_count:
+            start = self._last_sequence * room_count % len(others)
+        rotated = others[start:] + others[:start]
+        return [*self.seeds, *rotated[:room_count]]
 
     def count_entries(self, now: timedelta) -> int:
         """Return the number of live entries, zero while it is unknown.
@@ -150,6 +162,7 @@
             return
         peer.sequence = hint.sequence
         peer.last_heard_at = now
+        self.membership.record(hint.sender, now)
         self._record_load(hint, fleet, now)
         for member in hint.members:
             is_new = member != self.address and member not in self.peers
@@ -157,6 +170,7 @@
                 # Removed after a while unless it sends a hint itself.
                 self.peers[member] = Peer(-1)
                 self.peers[member].last_heard_at = now
+                self.membership.record(member, now)
 
     def drop_silent_peers(self, fleet: Fleet, now: timedelta) -> None:
         """Remove peers that sent no hint recently, together with their load.
@@ -169,6 +183,7 @@
             for address, peer in self.peers.items()
             if now - peer.last_heard_at > _PEER_TIMEOUT
         ]
+        self.membership.drop_expired(now)
         for address in silent:
             self.peers.pop(address)
             for view in fleet:
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -9,7 +9,7 @@
 )
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.exceptions import InvalidRequestError
-from buckthornpond_core.serving.dispatcher import AdmittedRequest
+from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.exchange import RequestExchange
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.tasks import AnyGreenlet, Mailbox
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -17,7 +17,8 @@
     SourceLost,
 )
 from buckthornpond_core.event_codes import EventCode
-from buckthornpond_core.serving.dispatcher import AdmittedRequest, Dispatcher
+from buckthornpond_core.serving.admissions import AdmittedRequest
+from buckthornpond_core.serving.dispatcher import Dispatcher
 from buckthornpond_core.serving.effects import RequestPlacement
 from buckthornpond_core.serving.fleet_follower import FleetChange
 from buckthornpond_core.types import Clock
