--- a/packages/core/src/buckthornpond_core/serving/candidates.py
+++ b/packages/core/src/buckthornpond_core/serving/candidates.py
@@ -11,6 +11,7 @@
 from .load_exchange import LoadExchange
 from .placement import Candidate
 
+# Targets compared for one attempt.
 _MAX_CANDIDATES = 96
 
 
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -49,12 +49,8 @@
 )
 # Prompt tokens that add 1 to the base weight of 1.
 _PROMPT_TOKENS_PER_WEIGHT = 10_000
-# Upper bound of the targets compared for one attempt.
-_MAX_CANDIDATES = 96
 _INCARNATION_BITS = 52
 _RESTART_MARGIN = timedelta(seconds=1)
-
-
 # Peers that an entry without a view of its own compares.
 _FIRST_PEER_COUNT = 3
 
