--- a/features/steps/direct_learning_steps.py
+++ b/features/steps/direct_learning_steps.py
@@ -22,8 +22,8 @@
 from buckthornpond_core.serving.dispatcher import Dispatcher
 from buckthornpond_platform_standins.local_clusters import HOST
 from buckthornpond_runtime.clocks import SystemClock
+from features.specs.dispatchers import place
 from features.steps.direct_fuzz_steps import run_generated
-from features.steps.direct_placement_steps import place
 
 _PEER = 'entry-9:1'
 
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -1,6 +1,5 @@
 """Steps for placement on a fake clock."""
 
-import random
 from collections import Counter
 from datetime import timedelta
 from typing import Any
@@ -9,171 +8,31 @@
 
 from buckthornpond_core._generated.serving import (
     AttemptReport,
-    ConfigurationRead,
-    DirectSettings,
     Placement,
     PlacementFailure,
-    RequestMetadata,
     TargetFound,
-    TargetRecord,
 )
-from buckthornpond_core.event_codes import EventCode
-from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.dispatcher import Dispatcher
 from buckthornpond_core.serving.engine_load import EngineLoad
-from buckthornpond_platform.records import read_configuration
-from buckthornpond_platform_standins.local_clusters import (
-    API_KEY,
-    HOST,
-    make_config,
+from features.specs.dispatchers import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    SHORT_TOKENS,
+    count_peer_attempts,
+    end,
+    make_dispatcher,
+    make_targets,
+    place,
+    send_hint,
+    start_dispatchers,
 )
-from buckthornpond_platform_standins.store import StoreStandIn
-
-_SHORT_TOKENS = 5000
-_ENGINE_SERVICE = 'llm'
-_PLAIN_SERVICE = 'app'
-_UPTIME = timedelta(seconds=10)
-# A full hint is sent after this time.
-_FULL_HINT_INTERVAL = timedelta(seconds=1)
-_REQUEST_NUMBERS = iter(range(1, 1_000_000))
-
-
-class NullRecorder:
-    """Discards all counters and events."""
-
-    def count(self, name: str, reason: str) -> None:
-        """Discard a counter."""
-
-    def log(self, code: EventCode, **fields: object) -> None:
-        """Discard an event."""
-
-
-def make_dispatcher(
-    number: int,
-    seeds: list[str],
-    targets: list[TargetRecord],
-    now: timedelta,
-    uptime: timedelta = _UPTIME,
-) -> Dispatcher:
-    """Return a dispatcher that knows the targets and has run for some time."""
-    settings = DirectSettings(
-        instance=f'entry-{number}',
-        availability_zone='zone-a',
-        listen_address='',
-        administration_address='',
-        source_address='store',
-        exchange_address=f'entry-{number}:1',
-        peer_addresses=seeds,
-    )
-    found = Dispatcher(settings, random.Random(number), NullRecorder())
-    found.load_exchange.count_entries(now - uptime)
-    found.apply(ConfigurationRead(_configuration(), 1), now)
-    for target in targets:
-        found.apply(TargetFound(target, 2), now)
-    return found
-
-
-def _configuration() -> Any:
-    store = StoreStandIn()
-    store.put('op/config', make_config(1))
-    item = store._items['op/config']
-    store.close()
-    return read_configuration(_Item(item))
-
-
-class _Item:
-    def __init__(self, item: dict[str, Any]) -> None:
-        self.key = item['key']
-        self.value = item['value']
-
-
-def _start(context: Any, entries: int, targets: list[TargetRecord]) -> None:
-    context.now = timedelta(seconds=100)
-    context.records = targets
-    context.dispatchers = [
-        make_dispatcher(number, ['entry-0:1'], targets, context.now)
-        for number in range(entries)
-    ]
-    context.placed = []
-
-
-def _targets(service: str, count: int, **changes: Any) -> list[TargetRecord]:
-    return [
-        TargetRecord(
-            name=f'target-{number}',
-            service=service,
-            address=f'10.0.0.{number}:80',
-            availability_zone='zone-a',
-            slots=8,
-            started_ms=1,
-            **(changes if number == 0 else {}),
-        )
-        for number in range(count)
-    ]
-
-
-def place(
-    context: Any,
-    tokens: int,
-    number: int = 0,
-    path: str = '/stream/1',
-) -> tuple[AdmittedRequest, Placement]:
-    """Place a request and return its admission and placement."""
-    dispatcher = context.dispatchers[number]
-    metadata = RequestMetadata(
-        attempt_id=f'r-{next(_REQUEST_NUMBERS)}',
-        host_name=HOST,
-        method='POST',
-        path=path,
-        credential=API_KEY,
-        prompt_tokens=tokens,
-        output_tokens=100,
-    )
-    admission = dispatcher.admit(metadata, context.now)
-    assert isinstance(admission, AdmittedRequest), admission
-    found = dispatcher.place(admission, (), context.now, is_repeat=False)
-    assert isinstance(found, Placement), found
-    context.placed.append((admission, found))
-    return admission, found
-
-
-def end(context: Any, placed: Any, outcome: str, number: int = 0) -> None:
-    """Report the end of an attempt."""
-    admission, found = placed
-    context.dispatchers[number].end_attempt(
-        admission.metadata.attempt_id,
-        found,
-        AttemptReport(
-            target=found.target, outcome=outcome, first_ms=10, load=None
-        ),
-        context.now,
-    )
-
-
-def send_hint(context: Any, source: int, *, is_full: bool = False) -> None:
-    """Deliver a hint of one dispatcher to all others that it knows."""
-    sender = context.dispatchers[source]
-    if is_full:
-        context.now += _FULL_HINT_INTERVAL
-    hint = sender.load_exchange.make_hint(sender.fleet, context.now)
-    for other in context.dispatchers:
-        if other.load_exchange.address in sender.load_exchange.addresses:
-            other.load_exchange.apply_hint(hint, other.fleet, context.now)
-
-
-def _count_peer_attempts(dispatcher: Dispatcher) -> int:
-    return sum(
-        len(attempts)
-        for view in dispatcher.fleet
-        for attempts in view.peer_attempts.values()
-    )
 
 
 @given('a dispatcher before {count:d} engines')
 @given('{entries:d} dispatchers before {count:d} engines')
 def given_engines(context: Any, count: int, entries: int = 1) -> None:
     """Start dispatchers that all know each other."""
-    _start(context, entries, _targets(_ENGINE_SERVICE, count))
+    start_dispatchers(context, entries, make_targets(ENGINE_SERVICE, count))
     for dispatcher in context.dispatchers:
         for other in context.dispatchers:
             dispatcher.load_exchange.seeds += (other.load_exchange.address,)
@@ -185,7 +44,7 @@
 )
 def given_one_seed(context: Any, entries: int, count: int) -> None:
     """Start dispatchers that know only one seed."""
-    _start(context, entries, _targets(_ENGINE_SERVICE, count))
+    start_dispatchers(context, entries, make_targets(ENGINE_SERVICE, count))
 
 
 @given(
@@ -194,24 +53,24 @@
 )
 def given_cold(context: Any, count: int, seconds: int) -> None:
     """Start a dispatcher with one cold engine."""
-    _start(
+    start_dispatchers(
         context,
         1,
-        _targets(_ENGINE_SERVICE, count, cold_ms=seconds * 1000),
+        make_targets(ENGINE_SERVICE, count, cold_ms=seconds * 1000),
     )
 
 
 @given('a dispatcher before {count:d} plain targets')
 def given_plain(context: Any, count: int) -> None:
     """Start a dispatcher with a plain service."""
-    _start(context, 1, _targets(_PLAIN_SERVICE, count))
+    start_dispatchers(context, 1, make_targets(PLAIN_SERVICE, count))
 
 
 @when('{count:d} short prompts have begun to decode')
 def decode_short(context: Any, count: int) -> None:
     """Place short prompts that all begin to answer."""
     for _ in range(count):
-        admission, found = place(context, _SHORT_TOKENS)
+        admission, found = place(context, SHORT_TOKENS)
         context.now += timedelta(milliseconds=60)
         context.dispatchers[0].record_first_byte(
             admission.metadata.attempt_id,
@@ -251,7 +110,7 @@
 def place_at_second(context: Any, count: int) -> None:
     """Place short prompts at the second dispatcher."""
     for _ in range(count):
-        place(context, _SHORT_TOKENS, 1)
+        place(context, SHORT_TOKENS, 1)
 
 
 @when('the second places a prompt of {tokens:d} tokens')
@@ -293,9 +152,7 @@
     view = dispatcher.fleet.find_address(address)
     assert view is not None
     route_table = dispatcher.route_table
-    costs = (
-        route_table.services[_ENGINE_SERVICE].engine if route_table else None
-    )
+    costs = route_table.services[ENGINE_SERVICE].engine if route_table else None
     assert costs is not None
     return EngineLoad(costs, view.all_attempts, now)
 
@@ -369,7 +226,7 @@
 def place_evenly(context: Any, count: int, seconds: int) -> None:
     """Place short prompts at an even pace."""
     for _ in range(count):
-        placed = place(context, _SHORT_TOKENS)
+        placed = place(context, SHORT_TOKENS)
         end(context, placed, 'answered')
         context.now += timedelta(seconds=seconds) / count
 
@@ -445,7 +302,7 @@
 @then('the second knows no load')
 def check_no_load(context: Any) -> None:
     """Check that no attempts of peers are known."""
-    assert not _count_peer_attempts(context.dispatchers[1])
+    assert not count_peer_attempts(context.dispatchers[1])
 
 
 @then('the second knows no load and no peer')
@@ -534,7 +391,7 @@
 )
 def given_just_started(context: Any, entries: int, count: int) -> None:
     """Start dispatchers that have received no hints."""
-    _start(context, entries, _targets(_ENGINE_SERVICE, count))
+    start_dispatchers(context, entries, make_targets(ENGINE_SERVICE, count))
     context.dispatchers = [
         make_dispatcher(
             number,
@@ -552,7 +409,7 @@
     """Place short prompts that begin to answer at every dispatcher."""
     for _ in range(count):
         for number, dispatcher in enumerate(context.dispatchers):
-            admission, found = place(context, _SHORT_TOKENS, number)
+            admission, found = place(context, SHORT_TOKENS, number)
             dispatcher.record_first_byte(admission.metadata.attempt_id, found)
 
 
