Answer a caller that uses an attempt ID twice

Cause: a response that names one of the last requests of its connection was skipped as a late copy, even if it named the present one. A caller that reused its attempt ID on a kept connection waited until its time limit.

Change: a response that names the present request is never skipped.

--- a/features/reported_faults.feature
+++ b/features/reported_faults.feature
@@ -16,6 +16,11 @@
     Then none was answered with the answer of another
     And no write ran more than once
 
+  Scenario: a caller that uses an attempt ID twice gets both answers
+    Given an entry process before 1 app servers and 1 llm servers
+    When 5 writes are sent one after another with the same attempt ID
+    Then each was answered 200
+
   Scenario: a planned stop under load cuts off no request
     Given an entry process before 2 app servers and 1 llm servers
     When a stop signal comes while 16 callers send reads and writes on kept connections
--- a/features/steps/reported_faults_steps.py
+++ b/features/steps/reported_faults_steps.py
@@ -72,6 +72,23 @@
     assert connection_count < count or count == 1, connection_count
 
 
+@when('{count:d} writes are sent one after another with the same attempt ID')
+def send_same_id(context: Any, count: int) -> None:
+    """Send writes that a careless caller gives one attempt ID."""
+    client = _connect(context)
+    context.responses = [
+        client.fetch('POST', _WRITE_PATH, X_Attempt_Id='same')
+        for _ in range(count)
+    ]
+
+
+@then('each was answered 200')
+def check_answered(context: Any) -> None:
+    """Compare the statuses."""
+    statuses = [response.status for response in context.responses]
+    assert set(statuses) == {200}, statuses
+
+
 @then('each was answered 200 with its own answer')
 def check_own_answers(context: Any) -> None:
     """Compare each body with the request."""
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -208,8 +208,9 @@
         connection = self._connection
         if connection is None or not connection.recent_ids:
             return False
-        metadata = self._codec.read_response(status_code, fields)
-        return metadata.attempt_id in connection.recent_ids
+        named_id = self._codec.read_response(status_code, fields).attempt_id
+        is_own = named_id == self._effect.attempt_id
+        return not is_own and named_id in connection.recent_ids
 
     def _reserve_memory(self) -> None:
         placement = self._effect.placement
