Log which prompt parts were at a target that closed its connections

A connection lost in the middle counted as failed like a 500, and the parts of a prompt stood nowhere, so that three hypotheses could not be told apart. E609 gives parts, progress, start of the target, load and cold state; the outcome of such an attempt is connection_lost. Nothing is decided differently. Test: deadly_parts, a lost connection is logged.

--- /dev/null
+++ b/features/deadly_parts.feature
@@ -0,0 +1,9 @@
+Feature: Prompt parts that crash the engines that answer them
+
+  Scenario: a connection that a target closed is logged with the parts of the prompt
+    Given an entry before 1 app servers and 2 llm servers
+    And the next llm servers do: reset cut
+    When a caller streams /stream/1 with the prompt parts a1:40,b2:300,c3:90
+    Then 2 lost connections are logged with the shared parts a1 and b2
+    And the first one had no head, the second one had events
+    And the metric "attempts" counts 2 under "connection_lost"
--- a/features/specs/dispatchers.py
+++ b/features/specs/dispatchers.py
@@ -10,6 +10,7 @@
     DirectSettings,
     Placement,
     RequestMetadata,
+    Route,
     TargetFound,
     TargetRecord,
 )
@@ -82,6 +83,26 @@
         self.value = item['value']
 
 
+def make_admission(
+    service: str = PLAIN_SERVICE, attempt_id: str = 'none'
+) -> AdmittedRequest:
+    """Return a request that the configuration allows."""
+    metadata = RequestMetadata(
+        attempt_id=attempt_id, host_name=HOST, method='POST', path='/'
+    )
+    route = Route(
+        name=service,
+        host_name=HOST,
+        path_prefix='/',
+        shares=[],
+        is_stream=False,
+        may_repeat=True,
+        time_limit_ms=0,
+        objective_ms=0,
+    )
+    return AdmittedRequest(metadata, route, None, service)
+
+
 def start_dispatchers(
     context: Any, entries: int, targets: list[TargetRecord]
 ) -> None:
@@ -142,7 +163,7 @@
     """Report the end of an attempt."""
     admission, found = placed
     context.dispatchers[number].end_attempt(
-        admission.metadata.attempt_id,
+        admission,
         found,
         AttemptReport(
             target=found.target, outcome=outcome, first_ms=10, load=None
--- a/features/steps/direct_placement_steps.py
+++ b/features/steps/direct_placement_steps.py
@@ -20,6 +20,7 @@
     SHORT_TOKENS,
     count_peer_attempts,
     end,
+    make_admission,
     make_dispatcher,
     make_targets,
     place,
@@ -379,7 +380,7 @@
 
 def _report_first(context: Any, outcome: str) -> None:
     context.dispatchers[0].end_attempt(
-        'none',
+        make_admission(),
         Placement(target='target-0', address='10.0.0.0:80', service='app'),
         AttemptReport(target='target-0', outcome=outcome, load=None),
         context.now,
--- a/features/steps/direct_reported_load_steps.py
+++ b/features/steps/direct_reported_load_steps.py
@@ -12,6 +12,7 @@
     TargetFound,
 )
 from buckthornpond_platform.headers import PlatformCodec
+from features.specs.dispatchers import make_admission
 
 _FIRST = 'target-0'
 
@@ -19,7 +20,7 @@
 def _end_first(context: Any, load: ReportedLoad, age_ms: int = 0) -> None:
     """Report the end of an attempt that was placed at the start."""
     context.dispatchers[0].end_attempt(
-        'none',
+        make_admission(),
         Placement(
             target=_FIRST,
             address='10.0.0.0:80',
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -363,6 +363,12 @@
             description='ID of the last event that the caller received from an interrupted stream.'
         ),
     ] = ''
+    shared_parts: Annotated[
+        list[str],
+        Meta(
+            description="IDs of the prompt's parts that other requests may hold too, in order."
+        ),
+    ] = field(default_factory=list)
 
 
 class MemoryTicket(Struct):
@@ -577,7 +583,7 @@
     outcome: Annotated[
         str,
         Meta(
-            description='One of answered, refused, failed, limit_exceeded, response_too_large, silent, unreachable, moved, abandoned.'
+            description='One of answered, refused, failed, connection_lost, limit_exceeded, response_too_large, silent, unreachable, moved, abandoned.'
         ),
     ]
     load: (
@@ -602,3 +608,13 @@
         int, Meta(description='Time since the load was received.', ge=0)
     ] = 0
     has_malformed_load: bool = False
+    has_head: Annotated[
+        bool, Meta(description='Whether the head of a response arrived.')
+    ] = False
+    event_count: Annotated[
+        int,
+        Meta(
+            description='Reads of the response that brought events which the caller can use.',
+            ge=0,
+        ),
+    ] = 0
--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -36,6 +36,7 @@
     caller_rejected = 606
     memory_reserved = 607
     reservation_failed = 608
+    target_connection_lost = 609
     target_found = 611
     target_draining = 612
     target_removed = 613
--- a/packages/core/src/buckthornpond_core/exceptions.py
+++ b/packages/core/src/buckthornpond_core/exceptions.py
@@ -60,6 +60,7 @@
 
     :param is_sent: whether the target may have received any byte of it.
     :param exceeds_limit: whether the target sent more than a limit allows.
+    :param is_connection_lost: whether an open connection closed or broke.
     """
 
     def __init__(
@@ -70,10 +71,12 @@
         peer: str,
         is_sent: bool,
         exceeds_limit: bool = False,
+        is_connection_lost: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.is_sent = is_sent
         self.exceeds_limit = exceeds_limit
+        self.is_connection_lost = is_connection_lost
 
 
 class ReservationError(TargetError):
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -242,18 +242,21 @@
 
     def end_attempt(
         self,
-        attempt_id: str,
+        admission: AdmittedRequest,
         placement: Placement,
         report: AttemptReport,
         now: timedelta,
     ) -> None:
         """Record the end of an attempt.
 
-        :param attempt_id: identifies the request.
+        :param admission: the request.
         :param placement: targets of its attempt.
         :param report: outcome of the attempt.
         :param now: time on the monotonic clock.
         """
+        if report.outcome == AttemptOutcome.connection_lost:
+            self._log_lost_connection(admission, placement, report, now)
+        attempt_id = admission.metadata.attempt_id
         for reader in self._find_views(placement):
             reader.attempts.pop(attempt_id, None)
             self.load_exchange.mark_changed(reader.record.name)
@@ -279,6 +282,30 @@
         if view is not None:
             self._record_outcome(view, AttemptOutcome.failed, now)
 
+    def _log_lost_connection(
+        self,
+        admission: AdmittedRequest,
+        placement: Placement,
+        report: AttemptReport,
+        now: timedelta,
+    ) -> None:
+        """Log what was known of a target that closed the connection."""
+        view = self.fleet.find(placement.target)
+        attempts = view.all_attempts if view else []
+        self._recorder.log(
+            EventCode.target_connection_lost,
+            request=admission.metadata.attempt_id,
+            target=placement.target,
+            address=placement.address,
+            started_ms=placement.started_ms,
+            has_head=report.has_head,
+            event_count=report.event_count,
+            in_flight_count=len(attempts),
+            held_tokens=sum(each.held_tokens for each in attempts),
+            is_cold=view is not None and view.is_cold(now),
+            shared_parts=admission.metadata.shared_parts,
+        )
+
     def _apply_report(
         self,
         view: TargetView,
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -72,6 +72,7 @@
         '_assembler',
         '_body',
         '_error_response',
+        '_event_count',
         '_excluded',
         '_head',
         '_head_at',
@@ -113,6 +114,7 @@
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
         self._is_first_byte_reported = False
+        self._event_count = 0
         self._sent_at = timedelta()
         self._excluded: list[str] = []
         self._run_count = 0
@@ -231,6 +233,7 @@
         self._head = None
         self._body = bytearray()
         self._is_first_byte_reported = False
+        self._event_count = 0
         self._sent_at = now
         self._send_count += 1
         if self.is_response_started:
@@ -292,6 +295,7 @@
             gap_ms = (now - self._last_event_at) // _MS
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_at = now
+        self._event_count += 1
         route = self.admission.route
         if route.may_repeat:
             self._silence_deadline = now + find_event_timeout(route)
@@ -465,6 +469,8 @@
         self._silence_deadline = None
         report = AttemptReport(target=failed, outcome=outcome.value, load=None)
         report.first_ms = self.first_ms or elapsed_ms
+        report.has_head = self._head is not None
+        report.event_count = self._event_count
         if self._head is not None:
             metadata = self._head.metadata
             report.faulty_address = metadata.faulty_address
--- a/packages/core/src/buckthornpond_core/serving/health.py
+++ b/packages/core/src/buckthornpond_core/serving/health.py
@@ -16,6 +16,8 @@
     answered = 'answered'
     refused = 'refused'
     failed = 'failed'
+    # The target closed the connection before its response was complete.
+    connection_lost = 'connection_lost'
     limit_exceeded = 'limit_exceeded'
     # Bounded in itself, so that one such response pauses no target.
     response_too_large = 'response_too_large'
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -152,7 +152,7 @@
             )
             return
         if not isinstance(error, ReservationError):
-            self._report_failure(error, is_sent=error.is_sent)
+            self._report_call_error(error)
             return
         outcome = AttemptOutcome.unreachable
         if error.is_refused:
@@ -166,6 +166,18 @@
             ),
         )
 
+    def _report_call_error(self, error: TargetError) -> None:
+        if not error.is_connection_lost:
+            self._report_failure(error, is_sent=error.is_sent)
+            return
+        self._notify(
+            AttemptFailed(
+                AttemptOutcome.connection_lost,
+                is_sent=True,
+                error=str(error),
+            ),
+        )
+
     def _release_resources(self) -> None:
         if self._body_sender is not None:
             self._body_sender.kill(block=False)
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -117,20 +117,20 @@
 class AttemptEnded:
     """Tells the dispatch task that an attempt ended; sent by a caller task.
 
-    :param attempt_id: identifies the request.
+    :param admission: the request.
     :param placement: placement of the attempt.
     :param report: outcome and timing of the attempt.
     """
 
-    __slots__ = ('attempt_id', 'placement', 'report')
+    __slots__ = ('admission', 'placement', 'report')
 
     def __init__(
         self,
-        attempt_id: str,
+        admission: AdmittedRequest,
         placement: Placement,
         report: AttemptReport,
     ) -> None:
-        self.attempt_id = attempt_id
+        self.admission = admission
         self.placement = placement
         self.report = report
 
@@ -333,7 +333,7 @@
             return
         self._metrics.count('attempts', message.report.outcome)
         self._dispatcher.end_attempt(
-            message.attempt_id,
+            message.admission,
             message.placement,
             message.report,
             now,
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -281,7 +281,9 @@
     def _report_attempt(self, effect: ReportAttempt) -> None:
         dispatch = self._frontend.dispatch.mailbox
         dispatch.send(
-            AttemptEnded(self._attempt_id, effect.placement, effect.report),
+            AttemptEnded(
+                self._exchange.admission, effect.placement, effect.report
+            ),
         )
         attempt = self._attempt
         self._attempt = None
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -152,7 +152,7 @@
         try:
             self._socket.sendall(content)
         except OSError as error:
-            raise self.make_error(str(error) or repr(error), 'send') from error
+            raise self._wrap_error(error, 'send') from error
 
     def receive(self, response: HttpResponse, step: str) -> None:
         """Feed the next bytes from the server to a response.
@@ -164,6 +164,7 @@
         """
         if self._socket is None:
             raise self.make_error('not connected', step)
+        received = b''
         try:
             received = self._socket.recv(_READ_BYTES)
             response.feed(received)
@@ -172,7 +173,9 @@
                 error.message, step, exceeds_limit=True
             ) from error
         except (OSError, BuckthornpondError) as error:
-            raise self.make_error(str(error) or repr(error), step) from error
+            raise self._wrap_error(
+                error, step, has_received=bool(received)
+            ) from error
         self._yield_if_due(len(received))
 
     def fetch(
@@ -215,6 +218,7 @@
         *,
         is_sent: bool = True,
         exceeds_limit: bool = False,
+        is_connection_lost: bool = False,
     ) -> TargetError:
         """Return the error of a call on this connection.
 
@@ -222,6 +226,7 @@
         :param step: operation that failed.
         :param is_sent: whether the server may have received a byte.
         :param exceeds_limit: whether it sent more than a limit allows.
+        :param is_connection_lost: whether the open connection closed or broke.
         """
         return TargetError(
             message,
@@ -229,6 +234,17 @@
             peer=self.address,
             is_sent=is_sent,
             exceeds_limit=exceeds_limit,
+            is_connection_lost=is_connection_lost,
+        )
+
+    def _wrap_error(
+        self, error: Exception, step: str, *, has_received: bool = False
+    ) -> TargetError:
+        is_timeout = isinstance(error, TimeoutError)
+        return self.make_error(
+            str(error) or repr(error),
+            step,
+            is_connection_lost=not (is_timeout or has_received),
         )
 
     def _make_content_error(
