--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -3,12 +3,20 @@
 import json
 from typing import Any
 
-from behave import then, when
+import gevent
+from behave import given, then, when
 
-from buckthornpond_platform_standins.local_clusters import STREAM_PATH
+from buckthornpond_platform_standins.clients import ClientResponse
+from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.local_clusters import (
+    STREAM_PATH,
+    find_free_port,
+)
+from features.steps.direct_steps import start_world
 
 _LOST_EVENT = 'target_connection_lost'
 _TOKEN_COUNT = '430,40'
+_ARRIVAL_INTERVAL_SECONDS = 0.15
 
 
 @when('a caller streams /stream/1 with the prompt parts {parts}')
@@ -60,3 +68,79 @@
         if line.startswith(f'buckthornpond_{name}_total') and label in line
     ]
     assert [line.rpartition(' ')[2] for line in lines] == [f'{count}'], lines
+
+
+@given('two entries before {count:d} llm servers that part {part:w} crashes')
+def start_deadly(context: Any, count: int, part: str) -> None:
+    """Start two entries that exchange hints, and servers with a fault."""
+    ports = [find_free_port() for _ in range(2)]
+    addresses = [f'127.0.0.1:{port}' for port in ports]
+    cluster = start_world(
+        context, 0, count, exchange_address=addresses[0], peer_addresses=[]
+    )
+    for server in cluster.servers:
+        server.deadly_parts = frozenset((part,))
+    entry = cluster.start_entry(
+        exchange_address=addresses[1], peer_addresses=addresses[:1]
+    )
+    wait_until(entry.is_ready)
+    wait_until(
+        lambda: all(
+            each.dispatcher.load_exchange.peers for each in cluster.entries
+        )
+    )
+
+
+@when(
+    '{count:d} callers stream with the part {part:w} among sound ones with'
+    ' the same first part'
+)
+def stream_mixed(context: Any, count: int, part: str) -> None:
+    """Send requests with and without the part to both entries in turn."""
+    context.deadly = []
+    context.sound = []
+    for number in range(count):
+        entry_index = number % 2
+        context.deadly.append(
+            _stream(context, entry_index, f'shared:40,{part}:300,own{number}:9')
+        )
+        context.sound.append(
+            _stream(context, entry_index, f'shared:40,sound{number}:300')
+        )
+        gevent.sleep(_ARRIVAL_INTERVAL_SECONDS)
+
+
+def _stream(context: Any, entry_index: int, parts: str) -> ClientResponse:
+    return context.cluster.connect(entry_index).fetch(
+        'POST', STREAM_PATH, X_Token_Count=_TOKEN_COUNT, X_Prefix_Hash=parts
+    )
+
+
+@then('at most {count:d} requests with the part {part:w} reached the servers')
+def check_received(context: Any, count: int, part: str) -> None:
+    """Count what the servers received."""
+    received = [
+        server.count_received(part) for server in context.cluster.servers
+    ]
+    assert 0 < sum(received) <= count, received
+
+
+@then(
+    'the last {count:d} of them were refused with {status:d} and reason'
+    ' {reason:w}'
+)
+def check_refused(context: Any, count: int, status: int, reason: str) -> None:
+    """Check the answers to the requests that hold the part."""
+    answers = [
+        (answer.status, answer.reason) for answer in context.deadly[-count:]
+    ]
+    assert set(answers) == {(status, reason)}, answers
+
+
+@then('each sound caller got its whole stream')
+def check_sound(context: Any) -> None:
+    """Check the answers to the requests that do not hold the part."""
+    for answer in context.sound:
+        assert answer.status == 200, (answer.status, answer.reason)
+        assert not answer.error, answer.error
+        assert answer.events == [1, 2, 3, 4], answer.events
