Refuse requests with a prompt part that crashes the engines that answer it

Callers saw streams cut and summaries late for as long as such requests came: each of them was sent to two engines, its caller repeated it at another entry, and nobody remembered which requests were there when an engine died. A lost connection was taken for a fault of the engine alone. Change: an unanswered request at a target that closes its connections is a suspect. A part that was there in three crashes and has never been answered since (four if it had been answered before) is the cause; crashes that one cause explains do not count against others, and losses within 100 ms count once, as resets of many connections do. Entries tell each other of crashes, quarantines and answers in their hints, fresh ones too. Requests with the part get 503 prompt_quarantined. An answer ends the quarantine everywhere; one request in ten minutes, then ever fewer, is let through by one entry.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -14,3 +14,85 @@
     Then at most 8 requests with the part dead reached the servers
     And the last 4 of them were refused with 503 and reason prompt_quarantined
     And each sound caller got its whole stream
+
+  Scenario Outline: a part is refused after three crashes without an answer
+    Given <entries> entries that exchange hints
+    When <crashes> targets crash one after another while a request with the parts <parts> is unanswered
+    Then requests with the parts <refused> are refused at every entry
+    And requests with the parts <served> are served at every entry
+
+    Examples:
+      | entries | crashes | parts       | refused     | served            |
+      | 1       | 3       | shared dead | shared dead | shared            |
+      | 3       | 3       | shared dead | shared dead | shared other      |
+      | 70      | 3       | shared dead | shared dead | shared; dead      |
+      | 3       | 2       | shared dead | nobody      | shared dead; dead |
+
+  Scenario: the part that all crashes have in common is told from its companions
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts first dead is unanswered
+    And 1 targets crash one after another while a request with the parts second dead is unanswered
+    Then requests with the parts dead are refused at every entry
+    And requests with the parts first; second; first other are served at every entry
+
+  Scenario: a part that was answered before is not blamed with its companion
+    Given 3 entries that exchange hints
+    When a request with the parts shared is answered at entry 1
+    And 3 targets crash one after another while a request with the parts shared dead is unanswered
+    Then requests with the parts dead are refused at every entry
+    And requests with the parts shared are served at every entry
+
+  Scenario: a part that was sound and now crashes targets is refused after a fourth crash
+    Given 3 entries that exchange hints
+    When a request with the parts dead is answered at entry 0
+    And 3 targets crash one after another while a request with the parts dead is unanswered
+    Then requests with the parts dead are served at every entry
+    When 1 targets crash one after another while a request with the parts dead is unanswered
+    Then requests with the parts dead are refused at every entry
+
+  Scenario: requests that waited at crashed targets are not blamed
+    Given 3 entries that exchange hints
+    When 5 targets crash one after another while requests with the parts dead and in turn with the parts victim; sufferer wait
+    And requests with the parts dead are refused at every entry
+    Then requests with the parts victim; sufferer are served at every entry
+
+  Scenario: many connections that break at once quarantine nothing
+    Given 3 entries that exchange hints
+    When 40 targets crash at once while a request with the parts rare is unanswered
+    Then requests with the parts rare are served at every entry
+
+  Scenario: an answer after the crashes ends a quarantine at every entry
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts rare is unanswered
+    Then requests with the parts rare are refused at every entry
+    When a request with the parts rare is answered at entry 2
+    Then requests with the parts rare are served at every entry
+
+  Scenario: an entry that has just started refuses what the others refuse
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts shared dead is unanswered
+    And after 60 seconds another entry starts
+    Then requests with the parts shared dead are refused at every entry
+
+  Scenario: one request is let through in ten minutes while requests keep coming
+    Given 5 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts dead is unanswered
+    And every entry gets a request with the parts dead each second for 1900 seconds, which crashes its target
+    Then 2 of them were sent
+
+  Scenario: a quarantine ends when no request has come for ten minutes
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts dead is unanswered
+    And no request comes for 601 seconds
+    Then requests with the parts dead are served at every entry
+
+  Scenario: a hint that names no parts blocks nothing
+    Given 2 entries that exchange hints
+    When a hint quarantines no parts
+    Then requests with the parts shared; other are served at every entry
+
+  Scenario: what is remembered of crashes is bounded
+    Given 1 entries that exchange hints
+    When 5000 targets crash one after another, each with 40 requests of parts of its own
+    Then at most 256 crashes with at most 32 requests are remembered
+    And a hint takes at most 60000 bytes
--- a/features/steps/cold_users_steps.py
+++ b/features/steps/cold_users_steps.py
@@ -12,6 +12,7 @@
 from buckthornpond_core.serving.load_exchange import LoadExchange
 from buckthornpond_core.serving.membership import Membership
 from features.specs.counts import report
+from features.specs.dispatchers import NullRecorder
 
 _MS = timedelta(milliseconds=1)
 _SECOND = timedelta(seconds=1)
@@ -196,7 +197,9 @@
     """Deliver each hint to the addresses that it is sent to."""
     addresses = [f'10.0.0.{number}:7' for number in range(count)]
     exchanges = {
-        address: LoadExchange(address, 1, addresses[:_SEED_COUNT])
+        address: LoadExchange(
+            address, 1, addresses[:_SEED_COUNT], NullRecorder()
+        )
         for address in addresses
     }
     fleet = Fleet()
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -27,6 +27,7 @@
 from buckthornpond_platform.records import read_configuration, read_target
 from buckthornpond_platform.settings import load_settings
 from buckthornpond_runtime.responses import HttpResponse
+from features.specs.dispatchers import NullRecorder
 from features.specs.endless_readers import (
     EndlessRequest,
     EndlessResponse,
@@ -284,7 +285,7 @@
     now = timedelta(seconds=1)
     record = TargetRecord('a', 'llm', '1.1.1.1:1', 'zone-a')
     context.fleet_seen.put(record)
-    load_exchange = LoadExchange('me:1', 1, [])
+    load_exchange = LoadExchange('me:1', 1, [], NullRecorder())
 
     def check(example: Any) -> None:
         datagram = example
--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,168 @@
+"""Steps on quarantines of prompt parts, with a fake clock and no network."""
+
+import itertools
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from behave import given, then, when
+
+from buckthornpond_core._generated.hints import LoadHint, QuarantineHint
+from features.specs.quarantines import EntryGroup
+
+_SECOND = timedelta(seconds=1)
+_NONE = 'nobody'
+
+
+def _split(text: str) -> list[list[str]]:
+    return [part_set.split() for part_set in text.split(';')]
+
+
+@given('{count:d} entries that exchange hints')
+def start_group(context: Any, count: int) -> None:
+    """Start entries that share what they know of crashes."""
+    context.group = EntryGroup(count)
+
+
+@when(
+    '{count:d} targets crash one after another while a request with the parts'
+    ' {parts} is unanswered'
+)
+def crash_in_turn(context: Any, count: int, parts: str) -> None:
+    """Lose one target after another, as seen by entries in turn."""
+    for _ in range(count):
+        context.group.crash([parts.split()])
+        context.group.advance(_SECOND)
+
+
+@when(
+    '{count:d} targets crash one after another while requests with the parts'
+    ' {parts} and in turn with the parts {others} wait'
+)
+def crash_with_victims(
+    context: Any, count: int, parts: str, others: str
+) -> None:
+    """Lose targets at which two entries have a request each."""
+    victims = itertools.cycle(_split(others))
+    for _ in range(count):
+        context.group.crash([parts.split(), next(victims)])
+        context.group.advance(_SECOND)
+
+
+@when(
+    '{count:d} targets crash at once while a request with the parts {parts}'
+    ' is unanswered'
+)
+def crash_at_once(context: Any, count: int, parts: str) -> None:
+    """Lose many targets in the same moment."""
+    for _ in range(count):
+        context.group.crash([parts.split()])
+    context.group.advance(_SECOND)
+
+
+@when('a request with the parts {parts} is answered at entry {number:d}')
+def answer(context: Any, parts: str, number: int) -> None:
+    """Answer a request."""
+    context.group.answer(parts.split(), number)
+    context.group.advance(_SECOND)
+
+
+@when('no request comes for {count:d} seconds')
+def advance(context: Any, count: int) -> None:
+    """Let time pass with a full hint each second."""
+    for _ in range(count):
+        context.group.advance(_SECOND)
+
+
+@when('after {count:d} seconds another entry starts')
+def start_another(context: Any, count: int) -> None:
+    """Let time pass, and start an entry that knows nothing."""
+    advance(context, count)
+    context.group.add()
+    advance(context, 1)
+
+
+@when(
+    'every entry gets a request with the parts {parts} each second for'
+    ' {seconds:d} seconds, which crashes its target'
+)
+def send_regularly(context: Any, parts: str, seconds: int) -> None:
+    """Send requests for a long time and count those that are let through."""
+    context.sent_count = 0
+    for _ in range(seconds):
+        for number in context.group.numbers:
+            if context.group.may_place(parts.split(), number):
+                context.sent_count += 1
+                context.group.crash([parts.split()])
+        context.group.advance(_SECOND)
+
+
+@then('{count:d} of them were sent')
+def check_sent(context: Any, count: int) -> None:
+    """Compare the number of requests that were let through."""
+    assert context.sent_count == count, context.sent_count
+
+
+@then('requests with the parts {parts} are refused at every entry')
+@when('requests with the parts {parts} are refused at every entry')
+def check_refused(context: Any, parts: str) -> None:
+    """Ask each entry whether it would send the requests."""
+    if parts == _NONE:
+        return
+    for part_set in _split(parts):
+        for number in context.group.numbers:
+            is_sent = context.group.may_place(part_set, number)
+            assert not is_sent, (part_set, number)
+
+
+@then('requests with the parts {parts} are served at every entry')
+def check_served(context: Any, parts: str) -> None:
+    """Ask each entry whether it would send the requests."""
+    for part_set in _split(parts):
+        for number in context.group.numbers:
+            is_sent = context.group.may_place(part_set, number)
+            assert is_sent, (part_set, number)
+
+
+@when('a hint quarantines no parts')
+def quarantine_nothing(context: Any) -> None:
+    """Send a hint with an empty set of parts."""
+    quarantine = QuarantineHint(
+        parts=[], crash_count=9, age_ms=0, remaining_ms=600_000
+    )
+    hint = LoadHint('peer', 1, 1, is_full=True, targets=[])
+    hint.quarantines = [quarantine]
+    for entry in context.group.entries:
+        entry.quarantine.apply_hint(hint, context.group.now)
+
+
+@when(
+    '{count:d} targets crash one after another, each with {requests:d}'
+    ' requests of parts of its own'
+)
+def crash_many(context: Any, count: int, requests: int) -> None:
+    """Lose targets with requests that nothing has in common."""
+    group = context.group
+    for number in range(count):
+        group.crash([[f'part-{number}-{each}'] for each in range(requests)])
+        group.now += timedelta(milliseconds=1)
+
+
+@then(
+    'at most {crashes:d} crashes with at most {requests:d} requests are remembered'
+)
+def check_bounded(context: Any, crashes: int, requests: int) -> None:
+    """Count what the entry remembers."""
+    evidence = list(context.group.entries[0].quarantine.evidence)
+    assert 0 < len(evidence) <= crashes, len(evidence)
+    largest = max(len(crash.suspects) for crash in evidence)
+    assert 0 < largest <= requests, largest
+
+
+@then('a hint takes at most {count:d} bytes')
+def check_size(context: Any, count: int) -> None:
+    """Encode a full hint."""
+    hint = context.group.make_hint(0)
+    assert hint.crashes
+    size = len(msgspec.msgpack.encode(hint))
+    assert size <= count, size
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -71,6 +71,56 @@
 ]
 
 
+class CrashHint(WireRecord):
+    """
+    Crash of a target, and the unanswered requests that it took along.
+    """
+
+    target: str
+    started_ms: Annotated[
+        int,
+        Meta(description='Start of the target, in Unix milliseconds.', ge=0),
+    ]
+    age_ms: Annotated[int, Meta(description='Time since the crash.', ge=0)]
+    suspects: Annotated[
+        list[list[str]],
+        Meta(description='Shared prompt parts of each of the requests.'),
+    ]
+
+
+class QuarantineHint(WireRecord):
+    """
+    Prompt parts whose requests the sender refuses.
+    """
+
+    parts: Annotated[
+        list[str],
+        Meta(description='A request is refused if it holds all of them.'),
+    ]
+    crash_count: Annotated[
+        int, Meta(description='Crashes that they explain.', ge=0)
+    ]
+    age_ms: Annotated[
+        int, Meta(description='Time since the last of these crashes.', ge=0)
+    ]
+    remaining_ms: Annotated[
+        int,
+        Meta(
+            description='Time until the quarantine ends if no request holds the parts.',
+            ge=0,
+        ),
+    ]
+
+
+class SoundPartHint(WireRecord):
+    """
+    Prompt part of a request that a target has begun to answer.
+    """
+
+    part: str
+    age_ms: Annotated[int, Meta(description='Time since the answer.', ge=0)]
+
+
 class LoadHint(WireRecord):
     """
     Load of an entry at targets where it changed, or at all targets.
@@ -102,3 +152,15 @@
             description='Addresses of entries that recent hints to the sender came from or listed.'
         ),
     ] = field(default_factory=list)
+    crashes: Annotated[
+        list[CrashHint],
+        Meta(description='Crashes that the sender saw or heard of lately.'),
+    ] = field(default_factory=list)
+    quarantines: Annotated[
+        list[QuarantineHint],
+        Meta(description='Parts whose requests the sender refuses.'),
+    ] = field(default_factory=list)
+    sound_parts: Annotated[
+        list[SoundPartHint],
+        Meta(description='Parts that were suspected and have been answered.'),
+    ] = field(default_factory=list)
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -618,3 +618,12 @@
             ge=0,
         ),
     ] = 0
+    is_proven_sound: Annotated[
+        bool,
+        Meta(
+            description='Whether the target went on after it had begun to answer.'
+        ),
+    ] = False
+    proof_age_ms: Annotated[
+        int, Meta(description='Time since it had done so.', ge=0)
+    ] = 0
--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -54,3 +54,5 @@
     peer_unanswered = 626
     settings_read = 631
     log_lines_dropped = 632
+    parts_quarantined = 641
+    parts_released = 642
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -94,6 +94,11 @@
         ),
         'no_target': RefusalKind(503, 'No target usable', may_retry=True),
         'prompt_too_large': RefusalKind(413, 'Prompt larger than any engine'),
+        'prompt_quarantined': RefusalKind(
+            503,
+            'Requests with a part of this prompt crash targets',
+            may_retry=True,
+        ),
         'queue_full': RefusalKind(503, 'Queue full', may_retry=True),
         'response_too_large': RefusalKind(502, 'Answer too large'),
         'retry_budget_exhausted': RefusalKind(503, 'Overload', may_retry=True),
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -0,0 +1,107 @@
+"""How far the response to one attempt has come."""
+
+from datetime import timedelta
+
+from .._generated.serving import AttemptReport
+from .effects import ResponseHead
+from .health import AttemptOutcome
+from .response_checks import is_success
+
+_MS = timedelta(milliseconds=1)
+# A target may still send the first event before it crashes.
+_PROOF_EVENT_COUNT = 2
+
+
+class AttemptProgress:
+    """Parts of the response to an attempt that have arrived, and when.
+
+    :param sent_at: when the attempt started, on the monotonic clock.
+    """
+
+    __slots__ = (
+        '_event_count',
+        '_head_at',
+        '_proven_at',
+        'head',
+        'is_first_byte_reported',
+        'sent_at',
+    )
+
+    def __init__(self, sent_at: timedelta) -> None:
+        self.sent_at = sent_at
+        self.head: ResponseHead | None = None
+        self.is_first_byte_reported = False
+        self._head_at = timedelta()
+        self._event_count = 0
+        # When the target had shown that it survives answering the request.
+        self._proven_at: timedelta | None = None
+
+    def elapsed_ms(self, now: timedelta) -> int:
+        """Return the time since the start of the attempt.
+
+        :param now: time on the monotonic clock.
+        """
+        return (now - self.sent_at) // _MS
+
+    def record_head(self, head: ResponseHead, now: timedelta) -> None:
+        """Record the head of the response.
+
+        :param head: status and header fields.
+        :param now: time on the monotonic clock.
+        """
+        self.head = head
+        self._head_at = now
+
+    def record_event(self, now: timedelta) -> None:
+        """Record events that the caller can use.
+
+        :param now: time on the monotonic clock.
+        """
+        self._event_count += 1
+        if self._event_count == _PROOF_EVENT_COUNT:
+            self._proven_at = now
+
+    def make_report(
+        self, target: str, outcome: AttemptOutcome, now: timedelta
+    ) -> AttemptReport:
+        """Return the report of the attempt, without its time to first byte.
+
+        :param target: name of the target to which the outcome applies.
+        :param outcome: how the attempt ended.
+        :param now: time on the monotonic clock.
+        """
+        report = AttemptReport(
+            target=target,
+            outcome=outcome.value,
+            load=None,
+            event_count=self._event_count,
+        )
+        self._report_head(report, now)
+        self._report_proof(report, outcome, now)
+        return report
+
+    def _report_head(self, report: AttemptReport, now: timedelta) -> None:
+        if self.head is None:
+            return
+        metadata = self.head.metadata
+        report.has_head = True
+        report.faulty_address = metadata.faulty_address
+        report.cold_ms = metadata.cold_ms
+        report.load = metadata.load
+        report.load_age_ms = (now - self._head_at) // _MS
+        report.has_malformed_load = metadata.has_malformed_load
+
+    def _report_proof(
+        self, report: AttemptReport, outcome: AttemptOutcome, now: timedelta
+    ) -> None:
+        proven_at = self._proven_at
+        is_whole = (
+            outcome is AttemptOutcome.answered
+            and self.head is not None
+            and is_success(self.head.metadata.status_code)
+        )
+        if proven_at is None and is_whole:
+            proven_at = now
+        if proven_at is not None:
+            report.is_proven_sound = True
+            report.proof_age_ms = (now - proven_at) // _MS
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -0,0 +1,324 @@
+"""Which parts of prompts may have crashed the targets that answered them.
+
+A target that closes its connections may have crashed because of a request.
+The requests there that had not been answered yet are suspects. A part of a
+prompt is taken for the cause when it was there in several crashes and no
+request with it has been answered since.
+"""
+
+from collections.abc import Collection, Iterable, Iterator
+from datetime import timedelta
+
+PartSet = frozenset[str]
+
+_RETENTION_MS = 600_000
+_RETENTION = timedelta(milliseconds=_RETENTION_MS)
+# Crashes in turn after which a part is a cause, and the same for a part of
+# which an answer has been seen.
+_CRASH_COUNT = 3
+_CRASH_COUNT_IF_SOUND_BEFORE = 4
+# Losses closer in time may come from one fault of the network.
+_MIN_CRASH_INTERVAL_MS = 100
+_MIN_CRASH_INTERVAL = timedelta(milliseconds=_MIN_CRASH_INTERVAL_MS)
+# Losses at the same start of a target within this time are one crash. A
+# restart may become known later than the next crash.
+_CRASH_DURATION_MS = 1000
+_CRASH_DURATION = timedelta(milliseconds=_CRASH_DURATION_MS)
+_MAX_CRASHES = 256
+_MAX_SUSPECTS = 32
+_MAX_SOUND_PARTS = 8192
+
+
+class TargetCrash:
+    """Loss of a target, and the unanswered requests that it took along.
+
+    :param target: name of the target.
+    :param started_ms: start of the target, in Unix milliseconds.
+    :param occurred_at: time on the monotonic clock.
+    """
+
+    __slots__ = ('occurred_at', 'started_ms', 'suspects', 'target')
+
+    def __init__(
+        self, target: str, started_ms: int, occurred_at: timedelta
+    ) -> None:
+        self.target = target
+        self.started_ms = started_ms
+        self.occurred_at = occurred_at
+        # Parts of each suspected request that other requests may share.
+        self.suspects: set[PartSet] = set()
+
+
+class CrashCause:
+    """Parts that together are the likely cause of several crashes.
+
+    :param parts: the parts; several if they always came together.
+    :param crash_count: crashes that they explain.
+    :param last_crash_at: time of the last one on the monotonic clock.
+    """
+
+    __slots__ = ('crash_count', 'last_crash_at', 'parts')
+
+    def __init__(
+        self, parts: PartSet, crash_count: int, last_crash_at: timedelta
+    ) -> None:
+        self.parts = parts
+        self.crash_count = crash_count
+        self.last_crash_at = last_crash_at
+
+
+class CrashEvidence:
+    """Recent crashes of targets, and parts that are known to be sound."""
+
+    __slots__ = ('_crashes', '_crashes_by_part', '_sound_at')
+
+    def __init__(self) -> None:
+        self._crashes: list[TargetCrash] = []
+        # Crashes with a suspected request that holds the part, oldest first.
+        self._crashes_by_part: dict[str, list[TargetCrash]] = {}
+        # Last proof of each part, oldest first.
+        self._sound_at: dict[str, timedelta] = {}
+
+    def __iter__(self) -> Iterator[TargetCrash]:
+        """Iterate over the crashes, oldest first."""
+        return iter(self._crashes)
+
+    def record_crash(
+        self,
+        target: str,
+        started_ms: int,
+        suspects: Iterable[PartSet],
+        occurred_at: timedelta,
+    ) -> bool:
+        """Record suspected requests of a crash; return whether one is new.
+
+        :param target: name of the target.
+        :param started_ms: start of the target, in Unix milliseconds.
+        :param suspects: shared parts of each unanswered request there.
+        :param occurred_at: time on the monotonic clock.
+        """
+        added = {parts for parts in suspects if parts}
+        if not added:
+            return False
+        crash = self._find(target, started_ms, occurred_at)
+        if crash is None:
+            crash = TargetCrash(target, started_ms, occurred_at)
+            self._crashes.append(crash)
+            self._crashes.sort(key=_occurred_at)
+            self._drop(self._crashes[:-_MAX_CRASHES])
+        added -= crash.suspects
+        room_count = _MAX_SUSPECTS - len(crash.suspects)
+        added = set(sorted(added, key=sorted)[:room_count])
+        crash.suspects |= added
+        self._index(crash, added)
+        return bool(added)
+
+    def record_sound(self, parts: Iterable[str], proven_at: timedelta) -> None:
+        """Record that a request with these parts was answered.
+
+        :param parts: parts of its prompt.
+        :param proven_at: time of the answer on the monotonic clock.
+        """
+        for part in parts:
+            latest = max(self._sound_at.pop(part, proven_at), proven_at)
+            self._sound_at[part] = latest
+        while len(self._sound_at) > _MAX_SOUND_PARTS:
+            self._sound_at.pop(next(iter(self._sound_at)))
+
+    def sound_at(self, part: str) -> timedelta | None:
+        """Return when a part was last proven sound, ``None`` for never.
+
+        :param part: ID of the part.
+        """
+        return self._sound_at.get(part)
+
+    def is_cleared_by(self, part: str, proven_at: timedelta) -> bool:
+        """Return whether an answer ends the suspicion of a part.
+
+        :param part: ID of the part.
+        :param proven_at: time of the answer on the monotonic clock.
+        """
+        crashes = self._crashes_by_part.get(part)
+        if not crashes or proven_at < crashes[-1].occurred_at:
+            return False
+        sound_at = self._sound_at.get(part)
+        return sound_at is None or sound_at < crashes[-1].occurred_at
+
+    def is_repeated(self, parts: Iterable[str]) -> bool:
+        """Return whether any of the parts was there in enough crashes.
+
+        :param parts: parts of a request.
+        """
+        return any(
+            len(self._crashes_by_part.get(part, ())) >= _CRASH_COUNT
+            for part in parts
+        )
+
+    def drop_expired(self, now: timedelta) -> None:
+        """Forget what is too old to count.
+
+        :param now: time on the monotonic clock.
+        """
+        oldest = now - _RETENTION
+        self._drop([crash for crash in self if crash.occurred_at <= oldest])
+        for part, proven_at in tuple(self._sound_at.items()):
+            if proven_at > oldest:
+                break
+            self._sound_at.pop(part)
+
+    def find_causes(self) -> list[CrashCause]:
+        """Return the likely causes, the one of most crashes first.
+
+        Crashes that one cause explains do not count against other parts,
+        whose requests were its victims.
+        """
+        causes: list[CrashCause] = []
+        open_crashes = [_OpenCrash(each, self._sound_at) for each in self]
+        while True:
+            cause = self._find_cause(open_crashes)
+            if cause is None:
+                return causes
+            causes.append(cause)
+            open_crashes = [
+                crash
+                for crash in open_crashes
+                if not crash.is_explained_by(cause.parts)
+            ]
+
+    def _index(self, crash: TargetCrash, added: Iterable[PartSet]) -> None:
+        for part in frozenset[str]().union(*added):
+            crashes = self._crashes_by_part.setdefault(part, [])
+            if crash not in crashes:
+                crashes.append(crash)
+                crashes.sort(key=_occurred_at)
+
+    def _drop(self, crashes: Iterable[TargetCrash]) -> None:
+        for crash in tuple(crashes):
+            self._crashes.remove(crash)
+            for part in frozenset[str]().union(*crash.suspects):
+                remaining = self._crashes_by_part[part]
+                remaining.remove(crash)
+                if not remaining:
+                    self._crashes_by_part.pop(part)
+
+    def _find(
+        self, target: str, started_ms: int, occurred_at: timedelta
+    ) -> TargetCrash | None:
+        for crash in reversed(self._crashes):
+            is_same_start = (crash.target, crash.started_ms) == (
+                target,
+                started_ms,
+            )
+            if is_same_start and (
+                abs(occurred_at - crash.occurred_at) < _CRASH_DURATION
+            ):
+                return crash
+        return None
+
+    def _find_cause(
+        self, open_crashes: Collection['_OpenCrash']
+    ) -> CrashCause | None:
+        crashes_by_part = _index_open(open_crashes)
+        counts = {
+            part: _count_apart(found)
+            for part, found in crashes_by_part.items()
+            if self._has_enough(part, found)
+        }
+        if not counts:
+            return None
+
+        def suspicion(name: str) -> tuple[int, bool, int, str]:
+            found = crashes_by_part[name]
+            request_count = sum(crash.count_requests(name) for crash in found)
+            is_new = name not in self._sound_at
+            return counts[name], is_new, request_count, name
+
+        worst = max(counts, key=suspicion)
+        companions = self._find_companions(worst, crashes_by_part)
+        last_crash_at = crashes_by_part[worst][-1].occurred_at
+        return CrashCause(companions, counts[worst], last_crash_at)
+
+    def _has_enough(self, part: str, crashes: list['_OpenCrash']) -> bool:
+        """Return whether a part was there in enough crashes to be a cause."""
+        if part in self._sound_at:
+            return _count_apart(crashes) >= _CRASH_COUNT_IF_SOUND_BEFORE
+        return _count_apart(crashes) >= _CRASH_COUNT
+
+    def _find_companions(
+        self, worst: str, crashes_by_part: dict[str, list['_OpenCrash']]
+    ) -> PartSet:
+        """Return a part with those that cannot be told apart from it."""
+        common = frozenset.intersection(
+            *(crash.find_companions(worst) for crash in crashes_by_part[worst])
+        )
+        was_sound = worst in self._sound_at
+        crash_count = len(crashes_by_part[worst])
+        return frozenset(
+            part
+            for part in common
+            if (part in self._sound_at) is was_sound
+            and len(crashes_by_part[part]) == crash_count
+        )
+
+
+class _OpenCrash:
+    """Crash with the parts that no later answer has cleared."""
+
+    __slots__ = ('occurred_at', 'open_parts', 'requests')
+
+    def __init__(
+        self, crash: TargetCrash, sound_at: dict[str, timedelta]
+    ) -> None:
+        self.occurred_at = crash.occurred_at
+        self.requests = [
+            frozenset(
+                part
+                for part in parts
+                if part not in sound_at or sound_at[part] < crash.occurred_at
+            )
+            for parts in crash.suspects
+        ]
+        self.open_parts = frozenset[str]().union(*self.requests)
+
+    def count_requests(self, part: str) -> int:
+        """Return the number of suspected requests that hold a part."""
+        return sum(part in parts for parts in self.requests)
+
+    def find_companions(self, part: str) -> PartSet:
+        """Return the parts that each suspected request with a part holds."""
+        return frozenset.intersection(
+            *(parts for parts in self.requests if part in parts)
+        )
+
+    def is_explained_by(self, cause: PartSet) -> bool:
+        """Return whether a suspected request holds all parts of a cause."""
+        return any(cause <= parts for parts in self.requests)
+
+
+def _index_open(
+    crashes: Iterable[_OpenCrash],
+) -> dict[str, list[_OpenCrash]]:
+    crashes_by_part: dict[str, list[_OpenCrash]] = {}
+    for crash in crashes:
+        for part in crash.open_parts:
+            crashes_by_part.setdefault(part, []).append(crash)
+    return crashes_by_part
+
+
+def _occurred_at(crash: TargetCrash | _OpenCrash) -> timedelta:
+    return crash.occurred_at
+
+
+def _count_apart(crashes: Iterable[_OpenCrash]) -> int:
+    """Count crashes, those that are close in time as one."""
+    count = 0
+    last_at: timedelta | None = None
+    for crash in crashes:
+        is_apart = (
+            last_at is None
+            or crash.occurred_at - last_at >= _MIN_CRASH_INTERVAL
+        )
+        if is_apart:
+            count += 1
+            last_at = crash.occurred_at
+    return count
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -23,6 +23,7 @@
 from .fleet_follower import FleetChange, FleetFollower
 from .health import AttemptOutcome
 from .load_exchange import LoadExchange
+from .part_quarantine import QUARANTINE_RETRY_AFTER_MS
 from .placement import (
     LeastExpectedLoss,
     LeastInFlight,
@@ -44,6 +45,7 @@
         'configuration_stale': _STALE_RETRY_AFTER_MS,
         'credential_unknown': 0,
         'no_configuration': _START_RETRY_AFTER_MS,
+        'prompt_quarantined': QUARANTINE_RETRY_AFTER_MS,
         'route_unknown': 0,
     },
 )
@@ -93,6 +95,7 @@
             settings.exchange_address,
             int(random.random() * 2**_INCARNATION_BITS),
             settings.peer_addresses,
+            recorder,
         )
         self._candidates = CandidateFinder(
             settings, self.fleet, self.load_exchange, random
@@ -196,6 +199,8 @@
         :param is_repeat: whether a target may already have received it; such
             an attempt is charged to the retry budget.
         """
+        if not self._may_place_parts(admission, now):
+            return self._build_failure('prompt_quarantined', now)
         candidates = self._candidates.find(admission, excluded, now)
         if not candidates:
             return self._build_failure('no_target', now)
@@ -254,8 +259,7 @@
         :param report: outcome of the attempt.
         :param now: time on the monotonic clock.
         """
-        if report.outcome == AttemptOutcome.connection_lost:
-            self._log_lost_connection(admission, placement, report, now)
+        self._judge_parts(admission, placement, report, now)
         attempt_id = admission.metadata.attempt_id
         for reader in self._find_views(placement):
             reader.attempts.pop(attempt_id, None)
@@ -282,6 +286,35 @@
         if view is not None:
             self._record_outcome(view, AttemptOutcome.failed, now)
 
+    def _may_place_parts(
+        self, admission: AdmittedRequest, now: timedelta
+    ) -> bool:
+        return self.load_exchange.quarantine.may_place(
+            admission.metadata.shared_parts, now
+        )
+
+    def _judge_parts(
+        self,
+        admission: AdmittedRequest,
+        placement: Placement,
+        report: AttemptReport,
+        now: timedelta,
+    ) -> None:
+        """Record what an attempt tells of the parts of its prompt."""
+        quarantine = self.load_exchange.quarantine
+        parts = admission.metadata.shared_parts
+        is_lost = report.outcome == AttemptOutcome.connection_lost
+        if is_lost:
+            self._log_lost_connection(admission, placement, report, now)
+        if not parts:
+            return
+        if report.is_proven_sound:
+            quarantine.record_sound(parts, now - report.proof_age_ms * _MS)
+        elif is_lost:
+            quarantine.record_loss(
+                placement.target, placement.started_ms, parts, now
+            )
+
     def _log_lost_connection(
         self,
         admission: AdmittedRequest,
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -6,6 +6,7 @@
 from .._generated.serving import AttemptReport, Placement, PlacementFailure
 from ..input_limits import MAX_RESPONSE_BODY_BYTES, InputLimitError
 from .admissions import AdmittedRequest
+from .attempt_progress import AttemptProgress
 from .effects import (
     AbortResponse,
     EndStream,
@@ -72,17 +73,13 @@
         '_assembler',
         '_body',
         '_error_response',
-        '_event_count',
         '_excluded',
-        '_head',
-        '_head_at',
-        '_is_first_byte_reported',
         '_last_event_at',
         '_may_have_run',
         '_placement',
+        '_progress',
         '_run_count',
         '_send_count',
-        '_sent_at',
         '_silence_deadline',
         'admission',
         'deadline',
@@ -108,14 +105,10 @@
         self.history: list[str] = []
         self._assembler = EventAssembler(admission.metadata.last_event_id)
         self._body = bytearray()
-        self._head: ResponseHead | None = None
-        self._head_at = timedelta()
         self._error_response: SendResponse | None = None
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
-        self._is_first_byte_reported = False
-        self._event_count = 0
-        self._sent_at = timedelta()
+        self._progress = AttemptProgress(arrival)
         self._excluded: list[str] = []
         self._run_count = 0
         self._send_count = 0
@@ -126,7 +119,7 @@
     @property
     def is_streaming(self) -> bool:
         """Return whether the response is forwarded while it arrives."""
-        head = self._head
+        head = self._progress.head
         return (
             head is not None
             and self.admission.route.is_stream
@@ -230,11 +223,8 @@
                 *self._handle_deadline(now),
             ]
         self._placement = placement
-        self._head = None
+        self._progress = AttemptProgress(now)
         self._body = bytearray()
-        self._is_first_byte_reported = False
-        self._event_count = 0
-        self._sent_at = now
         self._send_count += 1
         if self.is_response_started:
             self._assembler.resume()
@@ -260,8 +250,7 @@
         )
         if fault:
             return self._fail_attempt(_invalid_response(fault), now)
-        self._head = head
-        self._head_at = now
+        self._progress.record_head(head, now)
         return []
 
     def _handle_body(
@@ -295,24 +284,25 @@
             gap_ms = (now - self._last_event_at) // _MS
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_at = now
-        self._event_count += 1
+        self._progress.record_event(now)
         route = self.admission.route
         if route.may_repeat:
             self._silence_deadline = now + find_event_timeout(route)
-        if self._placement is None or self._is_first_byte_reported:
+        if self._placement is None or self._progress.is_first_byte_reported:
             return []
-        self._is_first_byte_reported = True
+        self._progress.is_first_byte_reported = True
         return [ReportFirstByte(self._placement)]
 
     def _start_stream(self, now: timedelta) -> list[ExchangeEffect]:
-        if self.is_response_started or self._head is None:
+        head = self._progress.head
+        if self.is_response_started or head is None:
             return []
         self.is_response_started = True
-        self.first_ms = (now - self._sent_at) // _MS
-        return [SendHead(self._head)]
+        self.first_ms = self._progress.elapsed_ms(now)
+        return [SendHead(head)]
 
     def _handle_end(self, now: timedelta) -> list[ExchangeEffect]:
-        head = self._head
+        head = self._progress.head
         if head is None:
             return self._fail_attempt(
                 _invalid_response('response without a head'), now
@@ -366,7 +356,7 @@
         now: timedelta,
     ) -> list[ExchangeEffect]:
         if not self.first_ms:
-            self.first_ms = (now - self._sent_at) // _MS
+            self.first_ms = self._progress.elapsed_ms(now)
         self.is_done = True
         return [effect, *self._end_attempt(outcome, now, '')]
 
@@ -460,24 +450,15 @@
         if placement is None:
             return []
         failed = target or placement.target
-        elapsed_ms = (now - self._sent_at) // _MS
+        elapsed_ms = self._progress.elapsed_ms(now)
         self.history.append(
             f'{failed} {outcome} {elapsed_ms} ms {error}'.strip(),
         )
         self._excluded.append(failed)
         self._placement = None
         self._silence_deadline = None
-        report = AttemptReport(target=failed, outcome=outcome.value, load=None)
+        report = self._progress.make_report(failed, outcome, now)
         report.first_ms = self.first_ms or elapsed_ms
-        report.has_head = self._head is not None
-        report.event_count = self._event_count
-        if self._head is not None:
-            metadata = self._head.metadata
-            report.faulty_address = metadata.faulty_address
-            report.cold_ms = metadata.cold_ms
-            report.load = metadata.load
-            report.load_age_ms = (now - self._head_at) // _MS
-            report.has_malformed_load = metadata.has_malformed_load
         return [ReportAttempt(placement, report)]
 
     def _may_replace(self, now: timedelta) -> bool:
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -8,9 +8,11 @@
 from datetime import timedelta
 
 from .._generated.hints import AttemptHint, LoadHint, TargetHint
+from ..types import Recorder
 from .engine_load import InFlightAttempt, RequestProfile
 from .fleet import Fleet, TargetView
 from .membership import Membership
+from .part_quarantine import PartQuarantine
 
 # A peer that sends nothing for this long is removed together with its load.
 _PEER_TIMEOUT = timedelta(seconds=3)
@@ -48,6 +50,7 @@
     :param address: address at which this entry receives hints.
     :param incarnation: changes with each start of this entry.
     :param seeds: addresses of entries that always receive hints.
+    :param recorder: receives counters and log events.
     """
 
     __slots__ = (
@@ -59,6 +62,7 @@
         'incarnation',
         'membership',
         'peers',
+        'quarantine',
         'seeds',
     )
 
@@ -67,11 +71,13 @@
         address: str,
         incarnation: int,
         seeds: Iterable[str],
+        recorder: Recorder,
     ) -> None:
         self.address = address
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.peers: dict[str, Peer] = {}
         self.membership = Membership()
+        self.quarantine = PartQuarantine(address, self.membership, recorder)
         self.incarnation = incarnation
         self._started_at: timedelta | None = None
         self._next_full_at = timedelta()
@@ -80,8 +86,8 @@
 
     @property
     def has_pending_hint(self) -> bool:
-        """Whether the load changed since the last hint."""
-        return bool(self._changed_targets)
+        """Whether the load, or what crashes targets, changed."""
+        return bool(self._changed_targets) or self.quarantine.has_news
 
     @property
     def addresses(self) -> list[str]:
@@ -136,7 +142,7 @@
             found = [fleet.find(name) for name in self._changed_targets]
             views = [view for view in found if view is not None]
         self._changed_targets.clear()
-        return LoadHint(
+        hint = LoadHint(
             sender=self.address,
             incarnation=self.incarnation,
             sequence=self._last_sequence,
@@ -144,6 +150,8 @@
             targets=[_make_target_hint(view, now) for view in views],
             members=list(self.peers) if is_full else [],
         )
+        self.quarantine.fill_hint(hint, now)
+        return hint
 
     def apply_hint(self, hint: LoadHint, fleet: Fleet, now: timedelta) -> None:
         """Apply a hint of another entry if it is newer than the last one.
@@ -164,6 +172,7 @@
         peer.last_heard_at = now
         self.membership.record(hint.sender, now)
         self._record_load(hint, fleet, now)
+        self.quarantine.apply_hint(hint, now)
         for member in hint.members:
             is_new = member != self.address and member not in self.peers
             if is_new and self._accepts_peer(member):
@@ -184,6 +193,7 @@
             if now - peer.last_heard_at > _PEER_TIMEOUT
         ]
         self.membership.drop_expired(now)
+        self.quarantine.drop_expired(now)
         for address in silent:
             self.peers.pop(address)
             for view in fleet:
--- /dev/null
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -0,0 +1,387 @@
+"""Prompt parts whose requests are refused, since they crash targets.
+
+Entries tell each other of crashes, of parts that were answered and of
+quarantines, so that all of them stop sending such requests together and an
+entry that has just started does not have to see the crashes again.
+"""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from .._generated.hints import (
+    CrashHint,
+    LoadHint,
+    QuarantineHint,
+    SoundPartHint,
+)
+from ..event_codes import EventCode
+from ..rendezvous import score
+from ..types import Recorder
+from .crash_evidence import CrashCause, CrashEvidence, PartSet, TargetCrash
+from .membership import Membership
+
+_MS = timedelta(milliseconds=1)
+# Time without a request after which a quarantine ends.
+_QUARANTINE_MS = 600_000
+# A caller that comes back sooner is only refused again.
+QUARANTINE_RETRY_AFTER_MS = _QUARANTINE_MS
+_QUARANTINE_TIME = timedelta(milliseconds=_QUARANTINE_MS)
+# Time until one request is let through as a probe, doubled by each probe.
+_FIRST_PROBE_MS = 600_000
+_FIRST_PROBE_INTERVAL = timedelta(milliseconds=_FIRST_PROBE_MS)
+_PROBE_INTERVAL_FACTOR = 2
+_MAX_PROBE_INTERVAL = timedelta(hours=6)
+_MAX_QUARANTINES = 256
+# Crashes are told again for this long, for entries that missed a datagram or
+# are told by others only.
+_RELAY_TIME = timedelta(seconds=3)
+_MAX_TOLD_CRASHES = 8
+_MAX_TOLD_PARTS = 64
+_MAX_TOLD_QUARANTINES = 64
+_OWN_ORIGIN = 'own'
+
+
+class _Quarantine:
+    __slots__ = (
+        'crash_count',
+        'ends_at',
+        'evidence_at',
+        'parts',
+        'probe_at',
+        'probe_interval',
+    )
+
+    def __init__(self, cause: CrashCause, ends_at: timedelta) -> None:
+        self.parts = cause.parts
+        self.crash_count = cause.crash_count
+        # Time of the last crash; a later answer refutes it.
+        self.evidence_at = cause.last_crash_at
+        self.ends_at = ends_at
+        self.probe_interval = _FIRST_PROBE_INTERVAL
+        self.probe_at = self.evidence_at + self.probe_interval
+
+    def postpone_probe(self, now: timedelta) -> None:
+        """Let nothing through before a longer interval has passed."""
+        self.probe_interval = min(
+            self.probe_interval * _PROBE_INTERVAL_FACTOR, _MAX_PROBE_INTERVAL
+        )
+        self.probe_at = now + self.probe_interval
+
+
+class PartQuarantine:
+    """Decides which requests are refused for the parts of their prompts.
+
+    :param address: address of this entry.
+    :param membership: other entries that may be alive.
+    :param recorder: receives counters and log events.
+    """
+
+    __slots__ = (
+        '_address',
+        'evidence',
+        '_has_changed',
+        '_has_news',
+        '_membership',
+        '_new_crashes',
+        '_quarantines',
+        '_recorder',
+        '_told_sound_parts',
+    )
+
+    def __init__(
+        self, address: str, membership: Membership, recorder: Recorder
+    ) -> None:
+        self._address = address
+        self._membership = membership
+        self._recorder = recorder
+        self.evidence = CrashEvidence()
+        self._quarantines: dict[PartSet, _Quarantine] = {}
+        # What the next hint tells, and whether it is due at once.
+        self._has_news = False
+        self._has_changed = False
+        self._new_crashes: list[TargetCrash] = []
+        self._told_sound_parts: set[str] = set()
+
+    def __len__(self) -> int:
+        """Return the number of quarantines."""
+        return len(self._quarantines)
+
+    @property
+    def has_news(self) -> bool:
+        """Return whether other entries should soon hear of something."""
+        return self._has_news
+
+    def may_place(self, shared_parts: Iterable[str], now: timedelta) -> bool:
+        """Return whether a request may be sent to a target.
+
+        Refusing a request prolongs the quarantine of its parts.
+
+        :param shared_parts: parts of its prompt that others may hold too.
+        :param now: time on the monotonic clock.
+        """
+        if not self._quarantines:
+            return True
+        parts = frozenset(shared_parts)
+        found = [
+            quarantine
+            for quarantine in self._quarantines.values()
+            if quarantine.parts <= parts
+        ]
+        if found and all(self._may_probe(each, now) for each in found):
+            for quarantine in found:
+                quarantine.postpone_probe(now)
+            return True
+        for quarantine in found:
+            quarantine.ends_at = now + _QUARANTINE_TIME
+        return not found
+
+    def record_loss(
+        self,
+        target: str,
+        started_ms: int,
+        shared_parts: Iterable[str],
+        now: timedelta,
+    ) -> None:
+        """Record that a target was lost before it answered a request.
+
+        :param target: name of the target.
+        :param started_ms: start of the target, in Unix milliseconds.
+        :param shared_parts: parts of the prompt that others may hold too.
+        :param now: time on the monotonic clock.
+        """
+        suspects = [frozenset(shared_parts)]
+        if self._record_crash(target, started_ms, suspects, now):
+            self._has_news = True
+            self._update(suspects, now, _OWN_ORIGIN)
+
+    def record_sound(
+        self, shared_parts: Iterable[str], proven_at: timedelta
+    ) -> None:
+        """Record that a target answered a request.
+
+        :param shared_parts: parts of the prompt that others may hold too.
+        :param proven_at: when it had begun to answer, on the monotonic clock.
+        """
+        parts = frozenset(shared_parts)
+        cleared = {
+            part
+            for part in parts
+            if self.evidence.is_cleared_by(part, proven_at)
+        }
+        self.evidence.record_sound(parts, proven_at)
+        self._told_sound_parts |= cleared
+        self._has_news = self._has_news or bool(cleared)
+        self._release_sound(parts, proven_at)
+
+    def fill_hint(self, hint: LoadHint, now: timedelta) -> None:
+        """Add to a hint what other entries have to know.
+
+        :param hint: the next hint of this entry.
+        :param now: time on the monotonic clock.
+        """
+        crashes = self._new_crashes
+        if hint.is_full:
+            crashes = [
+                crash
+                for crash in self.evidence
+                if now - crash.occurred_at < _RELAY_TIME
+            ]
+        hint.crashes = [
+            _make_crash_hint(crash, now)
+            for crash in crashes[-_MAX_TOLD_CRASHES:]
+        ]
+        if hint.is_full or self._has_changed:
+            hint.quarantines = [
+                _make_quarantine_hint(quarantine, now)
+                for quarantine in self._list_latest()
+            ]
+        hint.sound_parts = self._make_sound_hints(now)
+        self._has_news = False
+        self._has_changed = False
+        self._new_crashes = []
+        self._told_sound_parts.clear()
+
+    def apply_hint(self, hint: LoadHint, now: timedelta) -> None:
+        """Apply what another entry knows.
+
+        :param hint: a hint of the other entry.
+        :param now: time on the monotonic clock.
+        """
+        for told in hint.sound_parts:
+            proven_at = now - told.age_ms * _MS
+            self.evidence.record_sound((told.part,), proven_at)
+            self._release_sound(frozenset((told.part,)), proven_at)
+        for crash in hint.crashes:
+            suspects = [frozenset(parts) for parts in crash.suspects]
+            occurred_at = now - crash.age_ms * _MS
+            if self._record_crash(
+                crash.target, crash.started_ms, suspects, occurred_at
+            ):
+                self._update(suspects, now, hint.sender)
+        for quarantine in hint.quarantines:
+            self._adopt(quarantine, hint.sender, now)
+
+    def drop_expired(self, now: timedelta) -> None:
+        """End quarantines of parts that no request has held for long.
+
+        :param now: time on the monotonic clock.
+        """
+        self.evidence.drop_expired(now)
+        for quarantine in tuple(self._quarantines.values()):
+            if now >= quarantine.ends_at:
+                self._release(quarantine, 'expired')
+
+    def _may_probe(self, quarantine: _Quarantine, now: timedelta) -> bool:
+        """Return whether this entry may test if the parts still crash targets.
+
+        Only one entry tests a part, since each test may cost a target.
+        """
+        if now < quarantine.probe_at:
+            return False
+        key = ','.join(sorted(quarantine.parts))
+        own_score = score(key, self._address)
+        return all(
+            score(key, address) < own_score
+            for address in self._membership.addresses
+        )
+
+    def _record_crash(
+        self,
+        target: str,
+        started_ms: int,
+        suspects: Iterable[PartSet],
+        occurred_at: timedelta,
+    ) -> bool:
+        """Record a crash and return whether that is hint."""
+        suspected = list(suspects)
+        is_new = self.evidence.record_crash(
+            target, started_ms, suspected, occurred_at
+        )
+        if not is_new:
+            return False
+        crash = TargetCrash(target, started_ms, occurred_at)
+        crash.suspects.update(suspected)
+        self._new_crashes.append(crash)
+        self._told_sound_parts.update(
+            part
+            for part in frozenset[str]().union(*suspected)
+            if self.evidence.sound_at(part) is not None
+        )
+        return True
+
+    def _list_latest(self) -> list[_Quarantine]:
+        """Return the quarantines with the latest evidence."""
+        return sorted(self._quarantines.values(), key=_evidence_at)[
+            -_MAX_TOLD_QUARANTINES:
+        ]
+
+    def _make_sound_hints(self, now: timedelta) -> list[SoundPartHint]:
+        hints = []
+        for part in sorted(self._told_sound_parts)[:_MAX_TOLD_PARTS]:
+            proven_at = self.evidence.sound_at(part)
+            if proven_at is not None:
+                hints.append(SoundPartHint(part, (now - proven_at) // _MS))
+        return hints
+
+    def _update(
+        self, suspects: Iterable[PartSet], now: timedelta, origin: str
+    ) -> None:
+        """Quarantine the likely causes of the crashes after a new one."""
+        if not any(map(self.evidence.is_repeated, suspects)):
+            return
+        for cause in self.evidence.find_causes():
+            known = self._quarantines.get(cause.parts)
+            if known is None:
+                self._start(_Quarantine(cause, now + _QUARANTINE_TIME), origin)
+            elif cause.last_crash_at > known.evidence_at:
+                known.crash_count = cause.crash_count
+                known.evidence_at = cause.last_crash_at
+                known.ends_at = now + _QUARANTINE_TIME
+
+    def _adopt(self, told: QuarantineHint, peer: str, now: timedelta) -> None:
+        evidence_at = now - told.age_ms * _MS
+        cleared = {
+            part
+            for part in told.parts
+            if (self.evidence.sound_at(part) or timedelta()) > evidence_at
+        }
+        self._told_sound_parts |= cleared
+        parts = frozenset(told.parts) - cleared
+        if not (parts and told.remaining_ms):
+            return
+        ends_at = now + min(told.remaining_ms * _MS, _QUARANTINE_TIME)
+        known = self._quarantines.get(parts)
+        if known is not None:
+            known.ends_at = max(known.ends_at, ends_at)
+            known.evidence_at = max(known.evidence_at, evidence_at)
+            return
+        cause = CrashCause(parts, told.crash_count, evidence_at)
+        self._start(_Quarantine(cause, ends_at), peer)
+
+    def _start(self, quarantine: _Quarantine, origin: str) -> None:
+        if len(self._quarantines) >= _MAX_QUARANTINES:
+            self._recorder.count('quarantines', 'too_many')
+            return
+        self._quarantines[quarantine.parts] = quarantine
+        self._has_changed = True
+        is_own = origin == _OWN_ORIGIN
+        self._recorder.count('quarantines', _OWN_ORIGIN if is_own else 'peer')
+        self._recorder.log(
+            EventCode.parts_quarantined,
+            parts=sorted(quarantine.parts),
+            crash_count=quarantine.crash_count,
+            origin=origin,
+        )
+
+    def _release_sound(self, parts: PartSet, proven_at: timedelta) -> None:
+        """End or narrow the quarantines that an answer refutes."""
+        for quarantine in tuple(self._quarantines.values()):
+            is_refuted = quarantine.evidence_at < proven_at
+            if is_refuted and not quarantine.parts.isdisjoint(parts):
+                self._release(quarantine, 'answered')
+                self._keep_rest(quarantine, quarantine.parts - parts)
+                self._told_sound_parts |= quarantine.parts & parts
+                self._has_news = True
+
+    def _keep_rest(self, quarantine: _Quarantine, parts: PartSet) -> None:
+        """Go on with the parts of a quarantine that were not answered."""
+        if not parts or parts in self._quarantines:
+            return
+        cause = CrashCause(
+            parts, quarantine.crash_count, quarantine.evidence_at
+        )
+        self._start(_Quarantine(cause, quarantine.ends_at), _OWN_ORIGIN)
+
+    def _release(self, quarantine: _Quarantine, reason: str) -> None:
+        self._quarantines.pop(quarantine.parts)
+        self._recorder.count('ended_quarantines', reason)
+        self._recorder.log(
+            EventCode.parts_released,
+            parts=sorted(quarantine.parts),
+            crash_count=quarantine.crash_count,
+            reason=reason,
+        )
+
+
+def _evidence_at(quarantine: _Quarantine) -> timedelta:
+    return quarantine.evidence_at
+
+
+def _make_crash_hint(crash: TargetCrash, now: timedelta) -> CrashHint:
+    return CrashHint(
+        target=crash.target,
+        started_ms=crash.started_ms,
+        age_ms=(now - crash.occurred_at) // _MS,
+        suspects=sorted(map(sorted, crash.suspects)),
+    )
+
+
+def _make_quarantine_hint(
+    quarantine: _Quarantine, now: timedelta
+) -> QuarantineHint:
+    return QuarantineHint(
+        parts=sorted(quarantine.parts),
+        crash_count=quarantine.crash_count,
+        age_ms=(now - quarantine.evidence_at) // _MS,
+        remaining_ms=max((quarantine.ends_at - now) // _MS, 0),
+    )
