--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -20,7 +20,8 @@
     LocalCluster,
     make_config,
 )
-from buckthornpond_platform_standins.servers import Behaviour, ServerStandIn
+from buckthornpond_platform_standins.server_responses import Behaviour
+from buckthornpond_platform_standins.servers import ServerStandIn
 
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 _GET_LINE = 'GET /read/1 HTTP/1.1\r\n'
@@ -104,7 +105,7 @@
     """Set the behaviour of the next requests to a service, in order."""
     # The servers share one queue, since any of them may be chosen first.
     queue = deque(Behaviour(name) for name in behaviours.split())
-    for server in _servers(context, service):
+    for server in list_servers(context, service):
         server.behaviours = queue
 
 
@@ -121,7 +122,7 @@
 @given('llm servers send {count:d} events')
 def write_many(context: Any, count: int) -> None:
     """Set the number of events of each stream."""
-    for server in _servers(context, 'llm'):
+    for server in list_servers(context, 'llm'):
         server.event_count = count
 
 
@@ -230,7 +231,7 @@
 @when('the app servers close their idle connections')
 def drop(context: Any) -> None:
     """Close the idle connections at the servers."""
-    for server in _servers(context, 'app'):
+    for server in list_servers(context, 'app'):
         server.drop_connections()
     gevent.sleep(0.05)
 
@@ -287,20 +288,20 @@
 @then('no request ran more than once')
 def check_once(context: Any) -> None:
     """Count the runs of each request over all targets."""
-    assert max(_count_runs(context).values(), default=0) <= 1
+    assert max(count_runs(context).values(), default=0) <= 1
 
 
 @then('no request ran on more than {count:d} targets')
 def check_runs(context: Any, count: int) -> None:
     """Count the runs of each request over all targets."""
-    run_counts = _count_runs(context)
+    run_counts = count_runs(context)
     assert max(run_counts.values(), default=0) <= count, run_counts
 
 
 @then('a status that states that the request did not run is true')
 def check_promise(context: Any) -> None:
     """Check that requests refused as not run did not run."""
-    run_counts = _count_runs(context)
+    run_counts = count_runs(context)
     for answer in context.answers:
         if answer.status in _NOT_RUN_STATUSES:
             assert not run_counts.get(answer.attempt_id), answer.status
@@ -322,7 +323,7 @@
     signature = context.answers[-1].fields['x-server-signature']
     ran = [
         server.name
-        for server in _servers(context, 'llm')
+        for server in list_servers(context, 'llm')
         if context.answers[-1].attempt_id in server.run_counts
     ]
     assert signature.rpartition('.')[2] in ran
@@ -349,7 +350,7 @@
     """Wait until a server detects the closed connection."""
     wait_until(
         lambda: any(
-            server.abandoned_count for server in _servers(context, 'llm')
+            server.abandoned_count for server in list_servers(context, 'llm')
         ),
         seconds,
     )
@@ -373,7 +374,7 @@
     """Compare the time limits of both attempts."""
     limits = [
         int(received.fields['x-deadline-ms'])
-        for server in _servers(context, 'app')
+        for server in list_servers(context, 'app')
         for received in server.received
     ]
     assert len(limits) == 2, limits
@@ -408,7 +409,7 @@
 def check_held(context: Any, size: int) -> None:
     """Check how much the server sent before flow control stopped it."""
     server = next(
-        server for server in _servers(context, 'llm') if server.received
+        server for server in list_servers(context, 'llm') if server.received
     )
     assert server.streamed_bytes < size * 1_000_000, server.streamed_bytes
     assert server.streamed_bytes, 'nothing was written'
@@ -418,7 +419,9 @@
 @then('the app servers saw at most {count:d} connections')
 def check_connections(context: Any, count: int) -> None:
     """Count the connections that the entry opened."""
-    opened = sum(server.connection_count for server in _servers(context, 'app'))
+    opened = sum(
+        server.connection_count for server in list_servers(context, 'app')
+    )
     assert opened <= count, opened
 
 
@@ -441,7 +444,7 @@
     return client.fetch('POST', path, X_Token_Count='100,40', **fields)
 
 
-def _servers(context: Any, service: str) -> list[ServerStandIn]:
+def list_servers(context: Any, service: str) -> list[ServerStandIn]:
     return [
         server
         for server in context.cluster.servers
@@ -458,7 +461,7 @@
     return max(found, key=lambda received: received.at_seconds)
 
 
-def _count_runs(context: Any) -> dict[str, int]:
+def count_runs(context: Any) -> dict[str, int]:
     run_counts: dict[str, int] = {}
     for server in context.cluster.servers:
         for attempt_id, count in server.run_counts.items():
--- a/features/steps/reported_faults_steps.py
+++ b/features/steps/reported_faults_steps.py
@@ -20,7 +20,7 @@
 )
 from buckthornpond_platform_standins.processes import EntryProcess
 from buckthornpond_platform_standins.relays import Relay, RelayFault
-from buckthornpond_platform_standins.servers import Behaviour
+from buckthornpond_platform_standins.server_responses import Behaviour
 from features.specs.process_worlds import ProcessWorld
 
 _WRITE_PATH = '/write/1'
