Never let an error or a page follow in a stream that has begun

A stream broke off, the next target answered with 404 or a redirect, and the caller found its whole head and text in the middle of the stream; a page with status 200 was passed on as an event and ended the stream as complete. Cause: what a later attempt answers was judged as if the caller had nothing yet. Change: once a stream has begun, only a response with the same status and media type goes on with it; anything else fails the attempt, and the stream ends as incomplete if no attempt is left.

--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -31,7 +31,7 @@
     AttemptHead,
     AttemptMessage,
 )
-from .response_checks import find_head_fault, is_success
+from .response_checks import continues_stream, find_head_fault, is_success
 from .timeouts import find_event_timeout, find_first_byte_timeout
 
 _MS = timedelta(milliseconds=1)
@@ -58,6 +58,13 @@
     error=f'body exceeds {MAX_RESPONSE_BODY_BYTES} bytes',
 )
 
+# The caller has a part of a stream, which an error or a page cannot end.
+_NO_CONTINUATION = AttemptFailed(
+    AttemptOutcome.failed,
+    is_sent=True,
+    error='answer that does not continue the stream',
+)
+
 
 class RequestExchange:
     """State of one request and its attempts.
@@ -81,6 +88,7 @@
         '_run_count',
         '_send_count',
         '_silence_deadline',
+        '_started_head',
         'admission',
         'deadline',
         'first_ms',
@@ -108,6 +116,8 @@
         self._error_response: SendResponse | None = None
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
+        # Head of the stream that the caller gets, once it has begun.
+        self._started_head: ResponseHead | None = None
         self._progress = AttemptProgress(arrival)
         self._excluded: list[str] = []
         self._run_count = 0
@@ -251,6 +261,10 @@
         if fault:
             return self._fail_attempt(_invalid_response(fault), now)
         self._progress.record_head(head, now)
+        started = self._started_head
+        if started is not None and is_success(head.metadata.status_code):
+            if not continues_stream(started, head):
+                return self._fail_attempt(_NO_CONTINUATION, now)
         return []
 
     def _handle_body(
@@ -298,6 +312,7 @@
         if self.is_response_started or head is None:
             return []
         self.is_response_started = True
+        self._started_head = head
         self.first_ms = self._progress.elapsed_ms(now)
         return [SendHead(head)]
 
@@ -317,6 +332,8 @@
                 _invalid_response('refusal without proof that it did not run'),
                 now,
             )
+        if self.is_response_started:
+            return self._fail_attempt(_NO_CONTINUATION, now)
         response = SendResponse(head, bytes(self._body))
         if metadata.status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._finish(response, AttemptOutcome.answered, now)
--- a/packages/core/src/buckthornpond_core/serving/response_checks.py
+++ b/packages/core/src/buckthornpond_core/serving/response_checks.py
@@ -3,6 +3,9 @@
 from http import HTTPStatus
 
 from .._generated.serving import ResponseMetadata
+from .effects import ResponseHead
+
+_MEDIA_TYPE_FIELD = 'content-type'
 
 
 def is_success(status_code: int) -> bool:
@@ -31,3 +34,22 @@
     if metadata.is_encoded:
         return 'encoded response body'
     return ''
+
+
+def continues_stream(started: ResponseHead, head: ResponseHead) -> bool:
+    """Return whether a response goes on with a stream that had begun.
+
+    :param started: head that the caller got.
+    :param head: head of a later response to the same request.
+    """
+    return (
+        head.metadata.status_code == started.metadata.status_code
+        and _find_media_type(head) == _find_media_type(started)
+    )
+
+
+def _find_media_type(head: ResponseHead) -> str:
+    for name, text in head.fields:
+        if name.lower() == _MEDIA_TYPE_FIELD:
+            return text.partition(';')[0].strip().lower()
+    return ''
