Take a stream that ends with its connection for broken where it shows no end

Such a stream that ended at once, by a target that crashed as it began to answer, ended a resumed stream as if it were complete (three new scenarios failed so), and a target lost in this way was no evidence against a prompt part (one scenario). Cause: the exchange did not know whether the framing or only the connection had ended the response, and took events of an earlier attempt for those of this one. Change: the attempt tells; an end of the connection before any event of the same attempt, or inside an event, is a lost connection. One between events stays a complete stream, as nothing tells it from one.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -3,6 +3,20 @@
   Background:
     Given an entry before 2 app servers and 3 llm servers
 
+  Scenario Outline: a stream that ends with its connection is complete only between events
+    Given the next llm servers do: <behaviour>
+    When a caller streams /stream/1
+    Then the caller has events 1 to 4 once each, and the end
+    And <runs> llm servers ran it
+
+    Examples:
+      | behaviour                        | runs |
+      | unframed                         | 1    |
+      | unframed_cut_event               | 2    |
+      | unframed_empty                   | 2    |
+      | unframed_cut_event unframed      | 2    |
+      | cut unframed                     | 2    |
+
   Scenario Outline: nothing but events follows in a stream that broke off, and no end
     Given the next llm servers do: <behaviour>
     When a caller with HTTP/<version> streams /stream/1 and keeps all bytes
@@ -10,6 +24,9 @@
 
     Examples:
       | behaviour                | version |
+      | cut unframed_empty       | 1.1     |
+      | cut unframed_empty       | 1.0     |
+      | cut_event unframed_empty | 1.1     |
       | cut missing              | 1.1     |
       | cut missing              | 1.0     |
       | cut_event missing        | 1.1     |
@@ -22,3 +39,8 @@
       | cut unsigned             | 1.1     |
       | cut cut_head             | 1.1     |
       | cut cut_head             | 1.0     |
+
+  Scenario: a target that ends a stream inside an event counts as lost
+    Given the next llm servers do: unframed_empty
+    When a caller streams /stream/1 with the prompt parts a1:40,b2:300,c3:90
+    Then 1 lost connections are logged with the shared parts a1 and b2
--- a/packages/core/src/buckthornpond_core/serving/attempt_progress.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -36,6 +36,11 @@
         # When the target had shown that it survives answering the request.
         self._proven_at: timedelta | None = None
 
+    @property
+    def has_events(self) -> bool:
+        """Return whether events arrived that the caller can use."""
+        return self._event_count > 0
+
     def elapsed_ms(self, now: timedelta) -> int:
         """Return the time since the start of the attempt.
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -191,7 +191,7 @@
         if isinstance(message, AttemptBody):
             return self._handle_body(message.content, now)
         if isinstance(message, AttemptCompleted):
-            return self._handle_end(now)
+            return self._handle_end(message, now)
         return self._fail_attempt(message, now)
 
     def tick(self, now: timedelta) -> list[ExchangeEffect]:
@@ -316,14 +316,16 @@
         self.first_ms = self._progress.elapsed_ms(now)
         return [SendHead(head)]
 
-    def _handle_end(self, now: timedelta) -> list[ExchangeEffect]:
+    def _handle_end(
+        self, message: AttemptCompleted, now: timedelta
+    ) -> list[ExchangeEffect]:
         head = self._progress.head
         if head is None:
             return self._fail_attempt(
                 _invalid_response('response without a head'), now
             )
         if self.is_streaming:
-            return self._end_stream(now)
+            return self._end_stream(message, now)
         metadata = head.metadata
         if metadata.is_not_run or metadata.status_code == _MISDIRECTED:
             return self._handle_refusal(head, now)
@@ -338,22 +340,29 @@
         if metadata.status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._finish(response, AttemptOutcome.answered, now)
         self._error_response = response
-        message = AttemptFailed(
+        failure = AttemptFailed(
             AttemptOutcome.failed,
             is_sent=True,
             error=f'status {metadata.status_code}',
         )
-        return self._fail_attempt(message, now)
+        return self._fail_attempt(failure, now)
 
-    def _end_stream(self, now: timedelta) -> list[ExchangeEffect]:
-        if self._assembler.has_partial_event or self._last_event_at is None:
-            return self._fail_attempt(
-                _invalid_response(
-                    'stream ended inside an event or without one'
-                ),
-                now,
-            )
-        return self._finish(EndStream(), AttemptOutcome.answered, now)
+    def _end_stream(
+        self, message: AttemptCompleted, now: timedelta
+    ) -> list[ExchangeEffect]:
+        # A resumed stream may have no more events, but has to say so.
+        has_content = self._progress.has_events or (
+            message.is_delimited and self._last_event_at is not None
+        )
+        if has_content and not self._assembler.has_partial_event:
+            return self._finish(EndStream(), AttemptOutcome.answered, now)
+        outcome = AttemptOutcome.failed
+        if not message.is_delimited:
+            outcome = AttemptOutcome.connection_lost
+        error = 'stream ended inside an event or without one'
+        return self._fail_attempt(
+            AttemptFailed(outcome, is_sent=True, error=error), now
+        )
 
     def _handle_refusal(
         self,
--- a/packages/core/src/buckthornpond_core/serving/messages.py
+++ b/packages/core/src/buckthornpond_core/serving/messages.py
@@ -31,9 +31,16 @@
 
 
 class AttemptCompleted:
-    """End of a complete response."""
+    """End of a response that nothing shows to be incomplete.
 
-    __slots__ = ()
+    :param is_delimited: whether its head or framing told where it ends, not
+        only the end of the connection.
+    """
+
+    __slots__ = ('is_delimited',)
+
+    def __init__(self, *, is_delimited: bool = True) -> None:
+        self.is_delimited = is_delimited
 
 
 class AttemptFailed:
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -201,7 +201,7 @@
         self._read_body(connection, response)
         self._mark_reusable(connection, response)
         connection.recent_ids.append(self._effect.attempt_id)
-        self._notify(AttemptCompleted())
+        self._notify(AttemptCompleted(is_delimited=response.is_body_delimited))
 
     def _open_connection(self) -> HttpConnection:
         time_limit = self._effect.time_limit
