Believe no refusal on a kept connection that names no request

A server wrote an earlier refusal once more, without an attempt ID, on a kept connection; the entry took it for the answer to the next request, which the server ran, and sent that request to a second server: a write ran twice. Cause: only successes had to name their request. Change: any response on a connection that has served a request before has to name its own; on a new connection a failure may go without, as nothing earlier can be meant. A copy that names the earlier request was skipped before, and still is. Evidence: the scenario unnamed_refusal failed before (a write ran twice), refusal_copy passed; both pass now, with reported_faults and direct_requests.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -44,3 +44,14 @@
     Given the next llm servers do: unframed_empty
     When a caller streams /stream/1 with the prompt parts a1:40,b2:300,c3:90
     Then 1 lost connections are logged with the shared parts a1 and b2
+
+  Scenario Outline: a refusal to an earlier request is not taken for one to the next
+    Given the app servers refuse once and then always do: <behaviour>
+    When 8 times a caller posts 10 bytes to /write/1
+    Then no request ran more than once
+    And a status that states that the request did not run is true
+
+    Examples:
+      | behaviour       |
+      | refusal_copy    |
+      | unnamed_refusal |
--- a/packages/core/src/buckthornpond_core/serving/effects.py
+++ b/packages/core/src/buckthornpond_core/serving/effects.py
@@ -38,15 +38,22 @@
 
     :param metadata: properties stated by the head.
     :param fields: header fields forwarded to the caller unchanged.
+    :param is_first_on_connection: whether no request was sent before on the
+        connection, so that the response cannot belong to an earlier one.
     """
 
-    __slots__ = ('fields', 'metadata')
+    __slots__ = ('fields', 'is_first_on_connection', 'metadata')
 
     def __init__(
-        self, metadata: ResponseMetadata, fields: HeaderFields
+        self,
+        metadata: ResponseMetadata,
+        fields: HeaderFields,
+        *,
+        is_first_on_connection: bool = False,
     ) -> None:
         self.metadata = metadata
         self.fields = fields
+        self.is_first_on_connection = is_first_on_connection
 
 
 class RequestPlacement:
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -255,9 +255,7 @@
         head: ResponseHead,
         now: timedelta,
     ) -> list[ExchangeEffect]:
-        fault = find_head_fault(
-            head.metadata, self.admission.metadata.attempt_id
-        )
+        fault = find_head_fault(head, self.admission.metadata.attempt_id)
         if fault:
             return self._fail_attempt(_invalid_response(fault), now)
         self._progress.record_head(head, now)
--- a/packages/core/src/buckthornpond_core/serving/response_checks.py
+++ b/packages/core/src/buckthornpond_core/serving/response_checks.py
@@ -2,7 +2,6 @@
 
 from http import HTTPStatus
 
-from .._generated.serving import ResponseMetadata
 from .effects import ResponseHead
 
 _MEDIA_TYPE_FIELD = 'content-type'
@@ -16,19 +15,22 @@
     return HTTPStatus.OK <= status_code < HTTPStatus.MULTIPLE_CHOICES
 
 
-def find_head_fault(metadata: ResponseMetadata, attempt_id: str) -> str:
-    """Return why a response must not reach the caller, or an empty string.
+def find_head_fault(head: ResponseHead, attempt_id: str) -> str:
+    """Return why a response must not be believed, or an empty string.
 
-    :param metadata: properties that the response states.
+    :param head: head of the response.
     :param attempt_id: identifies the request.
     """
+    metadata = head.metadata
     if metadata.attempt_id and metadata.attempt_id != attempt_id:
         return 'response to another request'
-    if not is_success(metadata.status_code):
-        return ''
+    is_failure = not is_success(metadata.status_code)
     if not metadata.attempt_id:
-        # It may be the late copy of an earlier response.
-        return 'response without an attempt ID'
+        # It may be the late copy of an earlier response or refusal.
+        if not (is_failure and head.is_first_on_connection):
+            return 'response without an attempt ID'
+    if is_failure:
+        return ''
     if not metadata.is_signed:
         return 'unsigned response'
     if metadata.is_encoded:
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -195,9 +195,12 @@
             connection.receive(response, _READ_STEP)
         fields = response.fields
         metadata = self._codec.read_response(response.status_code, fields)
-        self._notify(
-            AttemptHead(ResponseHead(metadata, drop_hop_by_hop_fields(fields))),
+        head = ResponseHead(
+            metadata,
+            drop_hop_by_hop_fields(fields),
+            is_first_on_connection=not connection.recent_ids,
         )
+        self._notify(AttemptHead(head))
         self._read_body(connection, response)
         self._mark_reusable(connection, response)
         connection.recent_ids.append(self._effect.attempt_id)
