--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -55,3 +55,13 @@
       | behaviour       |
       | refusal_copy    |
       | unnamed_refusal |
+
+  Scenario Outline: an answer that stops inside its head is no answer
+    Given servers that stop inside the head of each answer
+    When for each number of bytes a caller <sends>
+    Then no answer was a success
+
+    Examples:
+      | sends   |
+      | posts   |
+      | streams |
