--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -96,3 +96,25 @@
     When 5000 targets crash one after another, each with 40 requests of parts of its own
     Then at most 256 crashes with at most 32 requests are remembered
     And a hint takes at most 60000 bytes
+
+  Scenario Outline: in generated histories the deadly part is refused and others are not
+    When <seeds> histories of <entries> entries are played with <deadly> of 100 requests deadly and <others> other crashes in ten seconds
+    Then at most 3 deadly requests are sent 3 seconds after the fifth crash
+    And at most 1 of 100 sound requests are refused
+
+    Examples:
+      | seeds | entries | deadly | others |
+      | 20    | 3       | 5      | 0      |
+      | 20    | 3       | 1      | 3      |
+      | 10    | 3       | 25     | 10     |
+      | 3     | 30      | 5      | 10     |
+
+  Scenario Outline: in generated histories without a deadly part sound requests are served
+    When <seeds> histories of <entries> entries are played with 0 of 100 requests deadly and <others> other crashes in ten seconds
+    Then at most 1 of 100 sound requests are refused
+
+    Examples:
+      | seeds | entries | others |
+      | 20    | 3       | 10     |
+      | 10    | 3       | 40     |
+      | 3     | 30      | 20     |
