Split the history and the evidence of attempts from exchange and dispatcher

Nothing is decided differently. Besides: a gauge of the quarantines, and the parts of a prompt in the log line of a refusal. direct_requests, broken_answers, deadly_parts, reported_faults, direct_tickets, direct_processes, direct_models, direct_sharing pass.

--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -16,6 +16,7 @@
 from ..event_codes import EventCode
 from ..types import RandomSource, Recorder
 from .admissions import AdmittedRequest
+from .attempt_evidence import EndedAttempt
 from .budgets import WindowedRetryBudget
 from .candidates import CandidateFinder
 from .engine_load import InFlightAttempt, RequestProfile
@@ -199,7 +200,8 @@
         :param is_repeat: whether a target may already have received it; such
             an attempt is charged to the retry budget.
         """
-        if not self._may_place_parts(admission, now):
+        shared_parts = admission.metadata.shared_parts
+        if not self.load_exchange.quarantine.may_place(shared_parts, now):
             return self._build_failure('prompt_quarantined', now)
         candidates = self._candidates.find(admission, excluded, now)
         if not candidates:
@@ -259,7 +261,13 @@
         :param report: outcome of the attempt.
         :param now: time on the monotonic clock.
         """
-        self._judge_parts(admission, placement, report, now)
+        attempt = EndedAttempt(admission, placement, report)
+        attempt.add_evidence(self.load_exchange.quarantine, now)
+        if attempt.is_connection_lost:
+            self._recorder.log(
+                EventCode.target_connection_lost,
+                **attempt.describe_loss(self.fleet, now),
+            )
         attempt_id = admission.metadata.attempt_id
         for reader in self._find_views(placement):
             reader.attempts.pop(attempt_id, None)
@@ -286,59 +294,6 @@
         if view is not None:
             self._record_outcome(view, AttemptOutcome.failed, now)
 
-    def _may_place_parts(
-        self, admission: AdmittedRequest, now: timedelta
-    ) -> bool:
-        return self.load_exchange.quarantine.may_place(
-            admission.metadata.shared_parts, now
-        )
-
-    def _judge_parts(
-        self,
-        admission: AdmittedRequest,
-        placement: Placement,
-        report: AttemptReport,
-        now: timedelta,
-    ) -> None:
-        """Record what an attempt tells of the parts of its prompt."""
-        quarantine = self.load_exchange.quarantine
-        parts = admission.metadata.shared_parts
-        is_lost = report.outcome == AttemptOutcome.connection_lost
-        if is_lost:
-            self._log_lost_connection(admission, placement, report, now)
-        if not parts:
-            return
-        if report.is_proven_sound:
-            quarantine.record_sound(parts, now - report.proof_age_ms * _MS)
-        elif is_lost:
-            quarantine.record_loss(
-                placement.target, placement.started_ms, parts, now
-            )
-
-    def _log_lost_connection(
-        self,
-        admission: AdmittedRequest,
-        placement: Placement,
-        report: AttemptReport,
-        now: timedelta,
-    ) -> None:
-        """Log what was known of a target that closed the connection."""
-        view = self.fleet.find(placement.target)
-        attempts = view.all_attempts if view else []
-        self._recorder.log(
-            EventCode.target_connection_lost,
-            request=admission.metadata.attempt_id,
-            target=placement.target,
-            address=placement.address,
-            started_ms=placement.started_ms,
-            has_head=report.has_head,
-            event_count=report.event_count,
-            in_flight_count=len(attempts),
-            held_tokens=sum(each.held_tokens for each in attempts),
-            is_cold=view is not None and view.is_cold(now),
-            shared_parts=admission.metadata.shared_parts,
-        )
-
     def _apply_report(
         self,
         view: TargetView,
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -6,6 +6,7 @@
 from .._generated.serving import AttemptReport, Placement, PlacementFailure
 from ..input_limits import MAX_RESPONSE_BODY_BYTES, InputLimitError
 from .admissions import AdmittedRequest
+from .attempt_history import AttemptHistory
 from .attempt_progress import AttemptProgress
 from .effects import (
     AbortResponse,
@@ -39,8 +40,6 @@
 # With less time before the deadline no further attempt is started.
 _MIN_ATTEMPT_TIME_MS = 30
 _MIN_ATTEMPT_TIME = _MIN_ATTEMPT_TIME_MS * _MS
-# Sends allowed beyond the route's runs, since a target may refuse to run one.
-_EXTRA_SEND_COUNT = 2
 # Statuses that claim that the request did not run, and have to prove it.
 _NOT_RUN_STATUSES = frozenset(
     (
@@ -80,13 +79,9 @@
         '_assembler',
         '_body',
         '_error_response',
-        '_excluded',
         '_last_event_at',
-        '_may_have_run',
         '_placement',
         '_progress',
-        '_run_count',
-        '_send_count',
         '_silence_deadline',
         '_started_head',
         'admission',
@@ -110,7 +105,7 @@
         self.first_ms = 0
         self.longest_gap_ms = 0
         self._last_event_at: timedelta | None = None
-        self.history: list[str] = []
+        self.history = AttemptHistory(admission.route)
         self._assembler = EventAssembler(admission.metadata.last_event_id)
         self._body = bytearray()
         self._error_response: SendResponse | None = None
@@ -119,12 +114,8 @@
         # Head of the stream that the caller gets, once it has begun.
         self._started_head: ResponseHead | None = None
         self._progress = AttemptProgress(arrival)
-        self._excluded: list[str] = []
-        self._run_count = 0
-        self._send_count = 0
         # Whether the dispatcher has yet to reply with a placement.
         self.is_awaiting_placement = False
-        self._may_have_run = False
 
     @property
     def is_streaming(self) -> bool:
@@ -235,7 +226,7 @@
         self._placement = placement
         self._progress = AttemptProgress(now)
         self._body = bytearray()
-        self._send_count += 1
+        self.history.record_send()
         if self.is_response_started:
             self._assembler.resume()
         if self.admission.route.may_repeat:
@@ -390,8 +381,7 @@
         now: timedelta,
     ) -> list[ExchangeEffect]:
         if message.is_sent:
-            self._run_count += 1
-            self._may_have_run = True
+            self.history.record_run()
         effects: list[ExchangeEffect] = [StopAttempt()]
         effects.extend(
             self._end_attempt(
@@ -412,12 +402,8 @@
         *,
         is_repeat: bool,
     ) -> list[ExchangeEffect]:
-        route = self.admission.route
-        is_exhausted = (
-            self._run_count >= route.max_runs
-            or self._send_count >= route.max_runs + _EXTRA_SEND_COUNT
-        )
-        if is_exhausted or self.deadline - now < _MIN_ATTEMPT_TIME:
+        has_time = self.deadline - now >= _MIN_ATTEMPT_TIME
+        if self.history.is_exhausted or not has_time:
             return self._finish_unanswered('target_failed')
         self.is_awaiting_placement = True
         return [RequestPlacement(self._tried_targets(), is_repeat=is_repeat)]
@@ -428,7 +414,7 @@
         if self._placement is not None:
             # The running attempt may still succeed.
             return []
-        if self._send_count:
+        if not self.history.is_empty:
             return self._finish_unanswered(found.reason)
         self.is_done = True
         return [SendRefusal(found.reason, found.retry_after_ms)]
@@ -439,7 +425,7 @@
             return [AbortResponse(reason)]
         if self._error_response is not None:
             return [self._error_response]
-        if self._may_have_run:
+        if self.history.may_have_run:
             return [SendRefusal('answer_lost', 0)]
         return [SendRefusal('target_refused', _NOT_RUN_RETRY_AFTER_MS)]
 
@@ -459,8 +445,7 @@
     ) -> list[ExchangeEffect]:
         if self._placement is None:
             return []
-        self._run_count += 1
-        self._may_have_run = True
+        self.history.record_run()
         return [StopAttempt(), *self._end_attempt(outcome, now, 'cancelled')]
 
     def _end_attempt(
@@ -475,10 +460,7 @@
             return []
         failed = target or placement.target
         elapsed_ms = self._progress.elapsed_ms(now)
-        self.history.append(
-            f'{failed} {outcome} {elapsed_ms} ms {error}'.strip(),
-        )
-        self._excluded.append(failed)
+        self.history.record_end(failed, outcome, elapsed_ms, error)
         self._placement = None
         self._silence_deadline = None
         report = self._progress.make_report(failed, outcome, now)
@@ -489,14 +471,14 @@
         route = self.admission.route
         return (
             route.may_repeat
-            and self._run_count + 1 < route.max_runs
+            and self.history.may_add_run
             and self.deadline - now > _MIN_ATTEMPT_TIME
         )
 
     def _tried_targets(self) -> list[str]:
         if self._placement is None:
-            return list(self._excluded)
-        return [*self._excluded, self._placement.target]
+            return list(self.history.excluded_targets)
+        return [*self.history.excluded_targets, self._placement.target]
 
 
 _MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -222,6 +222,11 @@
         """Number of idle connections to targets."""
         return len(self._idle_connections)
 
+    @property
+    def quarantine_count(self) -> int:
+        """Number of quarantines of prompt parts."""
+        return len(self._dispatcher.load_exchange.quarantine)
+
     def run(self) -> None:
         """Process messages until the process ends."""
         next_tick = self._clock.monotonic()
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -245,6 +245,10 @@
             'idle_connections',
             lambda: self._dispatch.idle_connection_count,
         )
+        self.metrics.add_gauge(
+            'quarantined_part_sets',
+            lambda: self._dispatch.quarantine_count,
+        )
 
     def _drain(self, stop: StopSignal) -> None:
         frontend = self._frontend
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -315,7 +315,11 @@
         self._writer.end_stream(self._remaining_time)
 
     def _send_refusal(self, effect: SendRefusal) -> None:
-        self._log(EventCode.request_refused, reason=effect.reason)
+        self._log(
+            EventCode.request_refused,
+            reason=effect.reason,
+            shared_parts=self._exchange.admission.metadata.shared_parts,
+        )
         self._writer.refuse(
             effect.reason,
             effect.retry_after_ms,
@@ -341,6 +345,6 @@
             prompt_tokens=admission.metadata.prompt_tokens,
             first_ms=self._exchange.first_ms,
             longest_gap_ms=self._exchange.longest_gap_ms,
-            attempts=self._exchange.history,
+            attempts=self._exchange.history.summaries,
             **fields,
         )
