--- a/features/direct_soak.feature
+++ b/features/direct_soak.feature
@@ -8,3 +8,8 @@
       | seed | seconds |
       | 1    | 8       |
       | 2    | 8       |
+
+    Examples: seeds that failed once
+      # Two evacuations of one zone overlapped, and the second ended the soak's task.
+      | seed       | seconds |
+      | 2612050121 | 10      |
