Count the attempts of one request that lose their targets one by one

Change: hints tell when a suspected request was sent; one that was sent after a crash and met another counts for both. Test: attempts of one request that lose their targets quickly, which failed before.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -61,6 +61,11 @@
     When 40 targets crash at once while a request with the parts rare is unanswered
     Then requests with the parts rare are served at every entry
 
+  Scenario: attempts of one request that lose their targets quickly count one by one
+    Given 3 entries that exchange hints
+    When 3 targets crash 40 ms apart, each by the next attempt of a request with the parts dead
+    Then requests with the parts dead are refused at every entry
+
   Scenario: an answer after the crashes ends a quarantine at every entry
     Given 3 entries that exchange hints
     When 3 targets crash one after another while a request with the parts rare is unanswered
--- a/features/specs/crash_histories.py
+++ b/features/specs/crash_histories.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from typing import TypeAlias
 
+from buckthornpond_core.serving.crash_evidence import Suspect
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
 
@@ -54,6 +55,7 @@
         self.parts = parts
         self.run = run
         self.target = 0
+        self.sent_at = timedelta()
         self.has_ended = False
         self.proven_at: timedelta | None = None
 
@@ -133,6 +135,7 @@
         else:
             self.sound_sent_count += 1
         attempt.target = self._random.choice(up)
+        attempt.sent_at = self.now
         self._running[attempt.target].add(attempt)
         self._schedule(_PREFILL_MS, lambda: self._begin(attempt))
 
@@ -182,7 +185,8 @@
             )
             return
         name = f'target-{attempt.target}'
-        quarantine.record_loss(name, lost_start, attempt.parts, self.now)
+        suspect = Suspect(frozenset(attempt.parts), attempt.sent_at)
+        quarantine.record_loss(name, lost_start, suspect, self.now)
 
     def _exchange(self) -> None:
         self._schedule(_HINT_MS, self._exchange)
--- a/features/specs/quarantines.py
+++ b/features/specs/quarantines.py
@@ -5,12 +5,15 @@
 from datetime import timedelta
 
 from buckthornpond_core._generated.hints import LoadHint
+from buckthornpond_core.serving.crash_evidence import Suspect
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
 
 from .dispatchers import NullRecorder
 
 _START = timedelta(seconds=100)
+# Longer than the time between any two crashes of a scenario.
+_LONG_RUN = timedelta(seconds=60)
 _TARGET_NUMBERS = itertools.count()
 
 
@@ -46,13 +49,20 @@
             )
         )
 
-    def crash(self, requests: Iterable[Sequence[str]]) -> None:
+    def crash(
+        self,
+        requests: Iterable[Sequence[str]],
+        run_time: timedelta = _LONG_RUN,
+    ) -> None:
         """Lose a target at which each request waits at another entry."""
         target = f'target-{next(_TARGET_NUMBERS)}'
         for parts in requests:
             self._turn = (self._turn + 1) % len(self.entries)
             self.entries[self._turn].quarantine.record_loss(
-                target, 1, parts, self.now
+                target,
+                1,
+                Suspect(frozenset(parts), self.now - run_time),
+                self.now,
             )
 
     def answer(self, parts: Sequence[str], number: int) -> None:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -60,6 +60,21 @@
     context.group.advance(_SECOND)
 
 
+@when(
+    '{count:d} targets crash {interval:d} ms apart, each by the next attempt of'
+    ' a request with the parts {parts}'
+)
+def crash_by_attempts(
+    context: Any, count: int, interval: int, parts: str
+) -> None:
+    """Lose targets to a request that is sent again after each loss."""
+    group = context.group
+    for _ in range(count):
+        duration = timedelta(milliseconds=interval)
+        group.crash([parts.split()], duration)
+        group.advance(duration)
+
+
 @when('a request with the parts {parts} is answered at entry {number:d}')
 def answer(context: Any, parts: str, number: int) -> None:
     """Answer a request."""
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -71,23 +71,6 @@
 ]
 
 
-class CrashHint(WireRecord):
-    """
-    Crash of a target, and the unanswered requests that it took along.
-    """
-
-    target: str
-    started_ms: Annotated[
-        int,
-        Meta(description='Start of the target, in Unix milliseconds.', ge=0),
-    ]
-    age_ms: Annotated[int, Meta(description='Time since the crash.', ge=0)]
-    suspects: Annotated[
-        list[list[str]],
-        Meta(description='Shared prompt parts of each of the requests.'),
-    ]
-
-
 class QuarantineHint(WireRecord):
     """
     Prompt parts whose requests the sender refuses.
@@ -121,6 +104,36 @@
     age_ms: Annotated[int, Meta(description='Time since the answer.', ge=0)]
 
 
+class SuspectHint(WireRecord):
+    """
+    Request that a target had not answered when it crashed.
+    """
+
+    parts: Annotated[
+        list[str],
+        Meta(
+            description='Parts of its prompt that other requests may hold too.'
+        ),
+    ]
+    age_ms: Annotated[
+        int, Meta(description='Time since it was sent to the target.', ge=0)
+    ]
+
+
+class CrashHint(WireRecord):
+    """
+    Crash of a target, and the unanswered requests that it took along.
+    """
+
+    target: str
+    started_ms: Annotated[
+        int,
+        Meta(description='Start of the target, in Unix milliseconds.', ge=0),
+    ]
+    age_ms: Annotated[int, Meta(description='Time since the crash.', ge=0)]
+    suspects: list[SuspectHint]
+
+
 class LoadHint(WireRecord):
     """
     Load of an entry at targets where it changed, or at all targets.
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -608,6 +608,9 @@
         int, Meta(description='Time since the load was received.', ge=0)
     ] = 0
     has_malformed_load: bool = False
+    elapsed_ms: Annotated[
+        int, Meta(description='Time since the start of the attempt.', ge=0)
+    ] = 0
     has_head: Annotated[
         bool, Meta(description='Whether the head of a response arrived.')
     ] = False
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -4,6 +4,7 @@
 
 from .._generated.serving import AttemptReport, Placement
 from .admissions import AdmittedRequest
+from .crash_evidence import Suspect
 from .fleet import Fleet
 from .health import AttemptOutcome
 from .part_quarantine import PartQuarantine
@@ -51,7 +52,10 @@
         elif self.is_connection_lost:
             placement = self._placement
             quarantine.record_loss(
-                placement.target, placement.started_ms, parts, now
+                placement.target,
+                placement.started_ms,
+                Suspect(frozenset(parts), now - report.elapsed_ms * _MS),
+                now,
             )
 
     def describe_loss(self, fleet: Fleet, now: timedelta) -> dict[str, object]:
--- a/packages/core/src/buckthornpond_core/serving/attempt_progress.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -79,6 +79,7 @@
             target=target,
             outcome=outcome.value,
             load=None,
+            elapsed_ms=self.elapsed_ms(now),
             event_count=self._event_count,
         )
         self._report_head(report, now)
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -29,6 +29,20 @@
 _MAX_SOUND_PARTS = 8192
 
 
+class Suspect:
+    """Request that a target had not answered when it crashed.
+
+    :param parts: parts of its prompt that other requests may hold too.
+    :param sent_at: when it was sent, on the monotonic clock.
+    """
+
+    __slots__ = ('parts', 'sent_at')
+
+    def __init__(self, parts: PartSet, sent_at: timedelta) -> None:
+        self.parts = parts
+        self.sent_at = sent_at
+
+
 class TargetCrash:
     """Loss of a target, and the unanswered requests that it took along.
 
@@ -45,8 +59,8 @@
         self.target = target
         self.started_ms = started_ms
         self.occurred_at = occurred_at
-        # Parts of each suspected request that other requests may share.
-        self.suspects: set[PartSet] = set()
+        # Suspected requests by their parts, of several the one sent last.
+        self.suspects: dict[PartSet, Suspect] = {}
 
 
 class CrashCause:
@@ -87,17 +101,17 @@
         self,
         target: str,
         started_ms: int,
-        suspects: Iterable[PartSet],
+        suspects: Iterable[Suspect],
         occurred_at: timedelta,
     ) -> bool:
         """Record suspected requests of a crash; return whether one is new.
 
         :param target: name of the target.
         :param started_ms: start of the target, in Unix milliseconds.
-        :param suspects: shared parts of each unanswered request there.
+        :param suspects: the unanswered requests there.
         :param occurred_at: time on the monotonic clock.
         """
-        added = {parts for parts in suspects if parts}
+        added = {each.parts: each for each in suspects if each.parts}
         if not added:
             return False
         crash = self._find(target, started_ms, occurred_at)
@@ -106,12 +120,12 @@
             self._crashes.append(crash)
             self._crashes.sort(key=_occurred_at)
             self._drop(self._crashes[:-_MAX_CRASHES])
-        added -= crash.suspects
-        room_count = _MAX_SUSPECTS - len(crash.suspects)
-        added = set(sorted(added, key=sorted)[:room_count])
-        crash.suspects |= added
-        self._index(crash, added)
-        return bool(added)
+        is_new = False
+        for parts in sorted(added, key=sorted):
+            if parts in crash.suspects or len(crash.suspects) < _MAX_SUSPECTS:
+                is_new = _add_suspect(crash, added[parts]) or is_new
+        self._index(crash)
+        return is_new
 
     def record_sound(self, parts: Iterable[str], proven_at: timedelta) -> None:
         """Record that a request with these parts was answered.
@@ -185,8 +199,8 @@
                 if not crash.is_explained_by(cause.parts)
             ]
 
-    def _index(self, crash: TargetCrash, added: Iterable[PartSet]) -> None:
-        for part in frozenset[str]().union(*added):
+    def _index(self, crash: TargetCrash) -> None:
+        for part in frozenset[str]().union(*crash.suspects):
             crashes = self._crashes_by_part.setdefault(part, [])
             if crash not in crashes:
                 crashes.append(crash)
@@ -220,7 +234,7 @@
     ) -> CrashCause | None:
         crashes_by_part = _index_open(open_crashes)
         counts = {
-            part: _count_apart(found)
+            part: self._count_apart(part, found)
             for part, found in crashes_by_part.items()
             if self._has_enough(part, found)
         }
@@ -240,9 +254,33 @@
 
     def _has_enough(self, part: str, crashes: list['_OpenCrash']) -> bool:
         """Return whether a part was there in enough crashes to be a cause."""
+        needed_count = _CRASH_COUNT
         if part in self._sound_at:
-            return _count_apart(crashes) >= _CRASH_COUNT_IF_SOUND_BEFORE
-        return _count_apart(crashes) >= _CRASH_COUNT
+            needed_count = _CRASH_COUNT_IF_SOUND_BEFORE
+        return self._count_apart(part, crashes) >= needed_count
+
+    def _count_apart(self, part: str, crashes: Iterable['_OpenCrash']) -> int:
+        """Count crashes with a part, those that may be one event as one.
+
+        A request that was sent after one crash and met another met two. That
+        proves little for a part that was answered before, while many targets
+        are lost.
+        """
+        count = 0
+        last_at: timedelta | None = None
+        for crash in crashes:
+            is_apart = (
+                last_at is None
+                or crash.occurred_at - last_at >= _MIN_CRASH_INTERVAL
+                or (
+                    part not in self._sound_at
+                    and crash.last_sent_at(part) >= last_at
+                )
+            )
+            if is_apart:
+                count += 1
+                last_at = crash.occurred_at
+        return count
 
     def _find_companions(
         self, worst: str, crashes_by_part: dict[str, list['_OpenCrash']]
@@ -264,12 +302,13 @@
 class _OpenCrash:
     """Crash with the parts that no later answer has cleared."""
 
-    __slots__ = ('occurred_at', 'open_parts', 'requests')
+    __slots__ = ('_suspects', 'occurred_at', 'open_parts', 'requests')
 
     def __init__(
         self, crash: TargetCrash, sound_at: dict[str, timedelta]
     ) -> None:
         self.occurred_at = crash.occurred_at
+        self._suspects = crash.suspects.values()
         self.requests = [
             frozenset(
                 part
@@ -280,6 +319,14 @@
         ]
         self.open_parts = frozenset[str]().union(*self.requests)
 
+    def last_sent_at(self, part: str) -> timedelta:
+        """Return when the last suspected request with a part was sent."""
+        return max(
+            suspect.sent_at
+            for suspect in self._suspects
+            if part in suspect.parts
+        )
+
     def count_requests(self, part: str) -> int:
         """Return the number of suspected requests that hold a part."""
         return sum(part in parts for parts in self.requests)
@@ -309,16 +356,9 @@
     return crash.occurred_at
 
 
-def _count_apart(crashes: Iterable[_OpenCrash]) -> int:
-    """Count crashes, those that are close in time as one."""
-    count = 0
-    last_at: timedelta | None = None
-    for crash in crashes:
-        is_apart = (
-            last_at is None
-            or crash.occurred_at - last_at >= _MIN_CRASH_INTERVAL
-        )
-        if is_apart:
-            count += 1
-            last_at = crash.occurred_at
-    return count
+def _add_suspect(crash: TargetCrash, suspect: Suspect) -> bool:
+    """Add a suspected request; return whether its parts are new."""
+    known = crash.suspects.get(suspect.parts)
+    if known is None or known.sent_at < suspect.sent_at:
+        crash.suspects[suspect.parts] = suspect
+    return known is None
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -5,7 +5,7 @@
 entry that has just started does not have to see the crashes again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
 from .._generated.hints import (
@@ -13,11 +13,18 @@
     LoadHint,
     QuarantineHint,
     SoundPartHint,
+    SuspectHint,
 )
 from ..event_codes import EventCode
 from ..rendezvous import score
 from ..types import Recorder
-from .crash_evidence import CrashCause, CrashEvidence, PartSet, TargetCrash
+from .crash_evidence import (
+    CrashCause,
+    CrashEvidence,
+    PartSet,
+    Suspect,
+    TargetCrash,
+)
 from .membership import Membership
 
 _MS = timedelta(milliseconds=1)
@@ -139,20 +146,19 @@
         self,
         target: str,
         started_ms: int,
-        shared_parts: Iterable[str],
+        suspect: Suspect,
         now: timedelta,
     ) -> None:
         """Record that a target was lost before it answered a request.
 
         :param target: name of the target.
         :param started_ms: start of the target, in Unix milliseconds.
-        :param shared_parts: parts of the prompt that others may hold too.
+        :param suspect: the request.
         :param now: time on the monotonic clock.
         """
-        suspects = [frozenset(shared_parts)]
-        if self._record_crash(target, started_ms, suspects, now):
+        if self._record_crash(target, started_ms, [suspect], now):
             self._has_news = True
-            self._update(suspects, now, _OWN_ORIGIN)
+            self._update([suspect], now, _OWN_ORIGIN)
 
     def record_sound(
         self, shared_parts: Iterable[str], proven_at: timedelta
@@ -212,7 +218,10 @@
             self.evidence.record_sound((told.part,), proven_at)
             self._release_sound(frozenset((told.part,)), proven_at)
         for crash in hint.crashes:
-            suspects = [frozenset(parts) for parts in crash.suspects]
+            suspects = [
+                Suspect(frozenset(each.parts), now - each.age_ms * _MS)
+                for each in crash.suspects
+            ]
             occurred_at = now - crash.age_ms * _MS
             if self._record_crash(
                 crash.target, crash.started_ms, suspects, occurred_at
@@ -249,22 +258,21 @@
         self,
         target: str,
         started_ms: int,
-        suspects: Iterable[PartSet],
+        suspects: Sequence[Suspect],
         occurred_at: timedelta,
     ) -> bool:
         """Record a crash and return whether that is hint."""
-        suspected = list(suspects)
         is_new = self.evidence.record_crash(
-            target, started_ms, suspected, occurred_at
+            target, started_ms, suspects, occurred_at
         )
         if not is_new:
             return False
         crash = TargetCrash(target, started_ms, occurred_at)
-        crash.suspects.update(suspected)
+        crash.suspects = {each.parts: each for each in suspects}
         self._new_crashes.append(crash)
         self._told_sound_parts.update(
             part
-            for part in frozenset[str]().union(*suspected)
+            for part in frozenset[str]().union(*crash.suspects)
             if self.evidence.sound_at(part) is not None
         )
         return True
@@ -284,10 +292,10 @@
         return hints
 
     def _update(
-        self, suspects: Iterable[PartSet], now: timedelta, origin: str
+        self, suspects: Sequence[Suspect], now: timedelta, origin: str
     ) -> None:
         """Quarantine the likely causes of the crashes after a new one."""
-        if not any(map(self.evidence.is_repeated, suspects)):
+        if not any(self.evidence.is_repeated(each.parts) for each in suspects):
             return
         for cause in self.evidence.find_causes():
             known = self._quarantines.get(cause.parts)
@@ -372,7 +380,10 @@
         target=crash.target,
         started_ms=crash.started_ms,
         age_ms=(now - crash.occurred_at) // _MS,
-        suspects=sorted(map(sorted, crash.suspects)),
+        suspects=[
+            SuspectHint(sorted(each.parts), (now - each.sent_at) // _MS)
+            for each in crash.suspects.values()
+        ],
     )
 
 
