Blame the part that answers had begun on, and withdraw what other parts explain

Seen in the soak: for 0.1 s after the start nine sound requests were refused, as their common first part was at three lost engines too and had never been answered yet. Cause: the losses of one crash become known one after another, and of two parts that all crashes have in common the one in more requests was blamed. Change: hints and evidence say whether an answer had begun; of parts with as many crashes the one that answers had begun on is blamed, then the one in fewer requests. A quarantine whose crashes other parts explain is withdrawn, and quarantines are told with whole hints only, as every entry draws its own conclusion from the crashes.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -56,6 +56,12 @@
     And requests with the parts dead are refused at every entry
     Then requests with the parts victim; sufferer are served at every entry
 
+  Scenario: a first part that victims share is not blamed for the part behind it
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another with 2 requests of the part shared and one of the parts shared dead
+    Then requests with the parts shared dead are refused at every entry
+    And requests with the parts shared; shared other are served at every entry
+
   Scenario: many connections that break at once quarantine nothing
     Given 3 entries that exchange hints
     When 40 targets crash at once while a request with the parts rare is unanswered
--- a/features/direct_soak.feature
+++ b/features/direct_soak.feature
@@ -13,3 +13,5 @@
       # Two evacuations of one zone overlapped, and the second ended the soak's task.
       | seed       | seconds |
       | 2612050121 | 10      |
+      # Sound requests were refused for 0.1 s for the first part that they share with deadly ones.
+      | 2612050205 | 8       |
--- a/features/specs/crash_histories.py
+++ b/features/specs/crash_histories.py
@@ -56,6 +56,7 @@
         self.run = run
         self.target = 0
         self.sent_at = timedelta()
+        self.has_begun = False
         self.has_ended = False
         self.proven_at: timedelta | None = None
 
@@ -142,6 +143,7 @@
     def _begin(self, attempt: _Attempt) -> None:
         if attempt.has_ended:
             return
+        attempt.has_begun = True
         if _DEADLY in attempt.parts:
             self.deadly_crashes_at.append(self.now)
             self._crash(attempt.target)
@@ -185,7 +187,11 @@
             )
             return
         name = f'target-{attempt.target}'
-        suspect = Suspect(frozenset(attempt.parts), attempt.sent_at)
+        suspect = Suspect(
+            frozenset(attempt.parts),
+            attempt.sent_at,
+            has_begun=attempt.has_begun,
+        )
         quarantine.record_loss(name, lost_start, suspect, self.now)
 
     def _exchange(self) -> None:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -49,6 +49,20 @@
         context.group.advance(_SECOND)
 
 
+@when(
+    '{count:d} targets crash one after another with {victims:d} requests of the'
+    ' part {part:w} and one of the parts {parts}'
+)
+def crash_with_sharers(
+    context: Any, count: int, victims: int, part: str, parts: str
+) -> None:
+    """Lose targets at which requests share a part with the cause."""
+    for _ in range(count):
+        sharers = [[part] for _ in range(victims)]
+        context.group.crash([*sharers, parts.split()])
+        context.group.advance(_SECOND)
+
+
 @when(
     '{count:d} targets crash at once while a request with the parts {parts}'
     ' is unanswered'
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -118,6 +118,9 @@
     age_ms: Annotated[
         int, Meta(description='Time since it was sent to the target.', ge=0)
     ]
+    has_begun: Annotated[
+        bool, Meta(description='Whether the target had begun to answer it.')
+    ] = False
 
 
 class CrashHint(WireRecord):
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -54,7 +54,11 @@
             quarantine.record_loss(
                 placement.target,
                 placement.started_ms,
-                Suspect(frozenset(parts), now - report.elapsed_ms * _MS),
+                Suspect(
+                    frozenset(parts),
+                    now - report.elapsed_ms * _MS,
+                    has_begun=report.has_head,
+                ),
                 now,
             )
 
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -34,13 +34,17 @@
 
     :param parts: parts of its prompt that other requests may hold too.
     :param sent_at: when it was sent, on the monotonic clock.
+    :param has_begun: whether the target had begun to answer it.
     """
 
-    __slots__ = ('parts', 'sent_at')
+    __slots__ = ('has_begun', 'parts', 'sent_at')
 
-    def __init__(self, parts: PartSet, sent_at: timedelta) -> None:
+    def __init__(
+        self, parts: PartSet, sent_at: timedelta, *, has_begun: bool = False
+    ) -> None:
         self.parts = parts
         self.sent_at = sent_at
+        self.has_begun = has_begun
 
 
 class TargetCrash:
@@ -241,11 +245,13 @@
         if not counts:
             return None
 
-        def suspicion(name: str) -> tuple[int, bool, int, str]:
+        def suspicion(name: str) -> tuple[int, bool, int, int, str]:
             found = crashes_by_part[name]
-            request_count = sum(crash.count_requests(name) for crash in found)
             is_new = name not in self._sound_at
-            return counts[name], is_new, request_count, name
+            begun_count = sum(crash.has_begun(name) for crash in found)
+            # The first part of the cause is in requests of victims too.
+            request_count = sum(crash.count_requests(name) for crash in found)
+            return counts[name], is_new, begun_count, -request_count, name
 
         worst = max(counts, key=suspicion)
         companions = self._find_companions(worst, crashes_by_part)
@@ -327,6 +333,13 @@
             if part in suspect.parts
         )
 
+    def has_begun(self, part: str) -> bool:
+        """Return whether the target had begun to answer one with a part."""
+        return any(
+            suspect.has_begun and part in suspect.parts
+            for suspect in self._suspects
+        )
+
     def count_requests(self, part: str) -> int:
         """Return the number of suspected requests that hold a part."""
         return sum(part in parts for parts in self.requests)
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -5,7 +5,7 @@
 entry that has just started does not have to see the crashes again.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 
 from .._generated.hints import (
@@ -86,7 +86,6 @@
     __slots__ = (
         '_address',
         'evidence',
-        '_has_changed',
         '_has_news',
         '_membership',
         '_new_crashes',
@@ -105,7 +104,6 @@
         self._quarantines: dict[PartSet, _Quarantine] = {}
         # What the next hint tells, and whether it is due at once.
         self._has_news = False
-        self._has_changed = False
         self._new_crashes: list[TargetCrash] = []
         self._told_sound_parts: set[str] = set()
 
@@ -196,14 +194,13 @@
             _make_crash_hint(crash, now)
             for crash in crashes[-_MAX_TOLD_CRASHES:]
         ]
-        if hint.is_full or self._has_changed:
+        if hint.is_full:
             hint.quarantines = [
                 _make_quarantine_hint(quarantine, now)
                 for quarantine in self._list_latest()
             ]
         hint.sound_parts = self._make_sound_hints(now)
         self._has_news = False
-        self._has_changed = False
         self._new_crashes = []
         self._told_sound_parts.clear()
 
@@ -219,7 +216,11 @@
             self._release_sound(frozenset((told.part,)), proven_at)
         for crash in hint.crashes:
             suspects = [
-                Suspect(frozenset(each.parts), now - each.age_ms * _MS)
+                Suspect(
+                    frozenset(each.parts),
+                    now - each.age_ms * _MS,
+                    has_begun=each.has_begun,
+                )
                 for each in crash.suspects
             ]
             occurred_at = now - crash.age_ms * _MS
@@ -297,7 +298,9 @@
         """Quarantine the likely causes of the crashes after a new one."""
         if not any(self.evidence.is_repeated(each.parts) for each in suspects):
             return
-        for cause in self.evidence.find_causes():
+        causes = self.evidence.find_causes()
+        self._withdraw({cause.parts for cause in causes})
+        for cause in causes:
             known = self._quarantines.get(cause.parts)
             if known is None:
                 self._start(_Quarantine(cause, now + _QUARANTINE_TIME), origin)
@@ -306,6 +309,17 @@
                 known.evidence_at = cause.last_crash_at
                 known.ends_at = now + _QUARANTINE_TIME
 
+    def _withdraw(self, causes: Collection[PartSet]) -> None:
+        """End quarantines of which a fuller view of the crashes shows no cause.
+
+        The requests of one crash become known one after another.
+        """
+        crash_times = {crash.occurred_at for crash in self.evidence}
+        for quarantine in tuple(self._quarantines.values()):
+            has_crashes = quarantine.evidence_at in crash_times
+            if has_crashes and quarantine.parts not in causes:
+                self._release(quarantine, 'explained')
+
     def _adopt(self, told: QuarantineHint, peer: str, now: timedelta) -> None:
         evidence_at = now - told.age_ms * _MS
         cleared = {
@@ -331,7 +345,6 @@
             self._recorder.count('quarantines', 'too_many')
             return
         self._quarantines[quarantine.parts] = quarantine
-        self._has_changed = True
         is_own = origin == _OWN_ORIGIN
         self._recorder.count('quarantines', _OWN_ORIGIN if is_own else 'peer')
         self._recorder.log(
@@ -381,7 +394,11 @@
         started_ms=crash.started_ms,
         age_ms=(now - crash.occurred_at) // _MS,
         suspects=[
-            SuspectHint(sorted(each.parts), (now - each.sent_at) // _MS)
+            SuspectHint(
+                sorted(each.parts),
+                (now - each.sent_at) // _MS,
+                has_begun=each.has_begun,
+            )
             for each in crash.suspects.values()
         ],
     )
