Log when memory at other engines is given back

E610 memory_released: tickets, held_ms, silence_ms. No decision changes.

direct_tickets and direct_requests: 60 passed, 0 failed.

--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -37,6 +37,7 @@
     memory_reserved = 607
     reservation_failed = 608
     target_connection_lost = 609
+    memory_released = 610
     target_found = 611
     target_draining = 612
     target_removed = 613
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -22,6 +22,7 @@
     AttemptHead,
     AttemptMessage,
 )
+from buckthornpond_core.types import Clock
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.responses import HttpResponse
@@ -68,10 +69,12 @@
     :param codec: reads and writes the header fields.
     :param connection: an idle connection to the target, or ``None``.
     :param inbox: mailbox of the caller task.
+    :param clock: source of time.
     """
 
     __slots__ = (
         '_body_sender',
+        '_clock',
         '_codec',
         '_connection',
         '_credit',
@@ -79,6 +82,7 @@
         '_greenlet',
         '_inbox',
         '_is_body_sent',
+        '_last_received_at',
         '_number',
         '_request',
         '_reservations',
@@ -94,6 +98,7 @@
         codec: RequestCodec,
         connection: HttpConnection | None,
         inbox: Inbox[AttemptUpdate],
+        clock: Clock,
     ) -> None:
         self._number = number
         self._request = request
@@ -101,6 +106,8 @@
         self._codec = codec
         self._connection = connection
         self._inbox = inbox
+        self._clock = clock
+        self._last_received_at = clock.monotonic()
         self._credit = BoundedSemaphore(_MAX_UNREAD_PARTS)
         self._body_sender: AnyGreenlet | None = None
         self._is_body_sent = True
@@ -182,7 +189,7 @@
         if self._body_sender is not None:
             self._body_sender.kill(block=False)
         if self._reservations is not None:
-            self._reservations.release()
+            self._reservations.release(self._last_received_at)
         if self._connection is not None and self.reusable_connection is None:
             self._connection.close()
 
@@ -192,7 +199,7 @@
         self._send(connection)
         response = HttpResponse(self._request.method, self._is_stale)
         while not response.is_head_complete:
-            connection.receive(response, _READ_STEP)
+            self._receive(connection, response)
         fields = response.fields
         metadata = self._codec.read_response(response.status_code, fields)
         head = ResponseHead(
@@ -235,6 +242,7 @@
             self._effect.attempt_id,
             placement.tickets,
             self._codec,
+            self._clock,
         )
         self._reservations.reserve()
 
@@ -268,7 +276,13 @@
             elif response.is_complete:
                 return
             else:
-                connection.receive(response, _READ_STEP)
+                self._receive(connection, response)
+
+    def _receive(
+        self, connection: HttpConnection, response: HttpResponse
+    ) -> None:
+        connection.receive(response, _READ_STEP)
+        self._last_received_at = self._clock.monotonic()
 
     def _mark_reusable(
         self,
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -267,6 +267,7 @@
             codec=self._frontend.codec,
             connection=connection,
             inbox=self._mailbox,
+            clock=self._frontend.clock,
         )
 
     def _stop_attempt(self, effect: StopAttempt) -> None:
--- a/packages/entry/src/buckthornpond_entry/direct/reservations.py
+++ b/packages/entry/src/buckthornpond_entry/direct/reservations.py
@@ -12,6 +12,7 @@
 from buckthornpond_core.exceptions import ReservationError, TargetError
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import TargetControlRequest
+from buckthornpond_core.types import Clock
 from buckthornpond_runtime.connections import FetchLimits, HttpConnection
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.tasks import Mailbox
@@ -26,6 +27,7 @@
 _LATE_EXECUTION_SECONDS = 13
 _STEP = 'order'
 _LINE_END = '\r\n'
+_MS = timedelta(milliseconds=1)
 
 
 class ReservationReply:
@@ -167,18 +169,22 @@
     :param attempt_id: identifies the request in the log.
     :param tickets: targets and amounts of the memory to reserve.
     :param codec: writes the requests to the targets.
+    :param clock: source of time.
     """
 
-    __slots__ = ('_attempt_id', '_tasks', '_tickets')
+    __slots__ = ('_attempt_id', '_clock', '_requested_at', '_tasks', '_tickets')
 
     def __init__(
         self,
         attempt_id: str,
         tickets: list[MemoryTicket],
         codec: RequestCodec,
+        clock: Clock,
     ) -> None:
         self._attempt_id = attempt_id
         self._tickets = tickets
+        self._clock = clock
+        self._requested_at = clock.monotonic()
         self._tasks = [
             ReservationTask(attempt_id, ticket, codec) for ticket in tickets
         ]
@@ -197,13 +203,28 @@
         log_event(
             EventCode.memory_reserved,
             request=self._attempt_id,
-            tickets={each.target: each.tokens for each in self._tickets},
+            tickets=self._describe_tickets(),
             refusals=[str(error) for error in errors],
         )
         if errors:
             raise errors[0]
 
-    def release(self) -> None:
-        """Start the release of the memory without waiting for it."""
+    def release(self, last_received_at: timedelta) -> None:
+        """Start the release of the memory without waiting for it.
+
+        :param last_received_at: when the target that uses the memory last sent
+            anything, on the monotonic clock.
+        """
+        now = self._clock.monotonic()
+        log_event(
+            EventCode.memory_released,
+            request=self._attempt_id,
+            tickets=self._describe_tickets(),
+            held_ms=(now - self._requested_at) // _MS,
+            silence_ms=(now - last_received_at) // _MS,
+        )
         for task in self._tasks:
             task.begin_release()
+
+    def _describe_tickets(self) -> dict[str, int]:
+        return {each.target: each.tokens for each in self._tickets}
