Reproduce memory held for an engine that fell silent in a test that fails

A stand-in server can fall silent as a machine without power does: a socket filter drops each segment that arrives, so that nothing is acknowledged and no connection closes.

In both the memory at the other engine is still reserved 4 s later, the users' bound (freeMs); it was freed only by the caller's time limit.

--- a/features/direct_tickets.feature
+++ b/features/direct_tickets.feature
@@ -70,3 +70,19 @@
       | fault                  |
       | refuses orders         |
       | breaks off each order  |
+
+  Scenario: memory is released soon after the engine that runs the request falls silent
+    Given the routes' time limit is 15000 ms
+    And the next llm servers do: hang
+    And llm servers answer orders after 0.1 seconds
+    When a caller streams a prompt of 600000 tokens whose engine falls silent while it runs the request
+    Then the memory set aside for it is free 4 seconds later
+    And the log says how long its engine had been silent
+
+  Scenario: memory is released soon after an engine falls silent that the request never reaches
+    Given the routes' time limit is 15000 ms
+    And the next llm servers do: hang
+    And llm servers answer orders after 0.1 seconds
+    When a caller streams a prompt of 600000 tokens whose engine falls silent before the request reaches it
+    Then the memory set aside for it is free 4 seconds later
+    And the log says how long its engine had been silent
--- a/features/steps/direct_ticket_steps.py
+++ b/features/steps/direct_ticket_steps.py
@@ -1,5 +1,7 @@
 """Steps for reservations of memory at other engines."""
 
+import json
+import time
 from typing import Any
 
 import gevent
@@ -97,6 +99,91 @@
     assert any(each.held_tokens for each in _engines(context))
 
 
+@when(
+    'a caller streams a prompt of {tokens:d} tokens whose engine falls silent '
+    'while it runs the request'
+)
+def silence_running_engine(context: Any, tokens: int) -> None:
+    """Silence the engine that runs the request, which closes nothing."""
+    context.client = context.cluster.connect()
+    context.client.send('POST', STREAM_PATH, X_Token_Count=f'{tokens},40')
+    wait_until(lambda: any(each.run_counts for each in _engines(context)))
+    engine = next(each for each in _engines(context) if each.run_counts)
+    engine.fall_silent()
+    _record_reserved(context)
+
+
+@when(
+    'a caller streams a prompt of {tokens:d} tokens whose engine falls silent '
+    'before the request reaches it'
+)
+def silence_chosen_engine(context: Any, tokens: int) -> None:
+    """Silence all engines but the holders of memory, with connections open."""
+    for engine in _engines(context):
+        engine.behaviours.clear()
+    _open_connections(context)
+    context.client = context.cluster.connect()
+    context.client.send('POST', STREAM_PATH, X_Token_Count=f'{tokens},40')
+    wait_until(lambda: _orders(context))
+    for engine in _engines(context):
+        if not engine.orders:
+            engine.fall_silent()
+    wait_until(lambda: any(each.held_tokens for each in _engines(context)))
+    _record_reserved(context)
+
+
+def _open_connections(context: Any) -> None:
+    """Leave an idle connection of the entry to each engine."""
+    engines = _engines(context)
+    for engine in engines:
+        engine.delay_seconds = 0.2
+    clients = [context.cluster.connect() for _ in range(8)]
+    responses = [
+        client.send('POST', STREAM_PATH, X_Token_Count='30000,40')
+        for client in clients
+    ]
+    for client, response in zip(clients, responses, strict=True):
+        client.receive(response, 'POST')
+    assert all(each.connection_count for each in engines)
+    for engine in engines:
+        engine.delay_seconds = 0
+        engine.run_counts.clear()
+
+
+def _record_reserved(context: Any) -> None:
+    context.reserved = {
+        (engine.name, ticket)
+        for engine in _engines(context)
+        for ticket in engine.tickets
+    }
+    assert context.reserved
+
+
+@then('the memory set aside for it is free {seconds:d} seconds later')
+def check_released_after_silence(context: Any, seconds: int) -> None:
+    """Check the leases of the attempt whose engine fell silent."""
+    gevent.sleep(seconds)
+    now = time.monotonic()
+    held = {
+        (engine.name, ticket)
+        for engine in _engines(context)
+        for ticket, (_, end) in engine.tickets.items()
+        if end > now
+    }
+    context.client.connection.close()
+    assert not held & context.reserved, held
+
+
+@then('the log says how long its engine had been silent')
+def check_release_log(context: Any) -> None:
+    """Find the release in the log."""
+    events = [json.loads(line) for line in context.log_lines]
+    released = [
+        each for each in events if each.get('event') == 'memory_released'
+    ]
+    assert any(each['silence_ms'] > 1000 for each in released), released
+
+
 @then(
     'memory was reserved before the request came, which names the reservation',
 )
