End attempts whose target's machine is gone, so that memory held for them is freed

Cause: a lease is renewed as long as the attempt lives, and an attempt lives until its target answers or closes, until the limit on silence (0.7 s and three times the forecast: 19 s for a forecast of 6 s) or until the deadline. A machine without power does none of these. On a kept connection the request may not even arrive (seen as STUCK). Class: a lease that outlives its use, as the holder takes silence for work.

Change: the connection of an attempt has keepalive probes and a limit on unacknowledged bytes, so that a machine that acknowledges nothing for 3 s ends the attempt as silent: the memory is released, the target paused, and a request that may be repeated moves on. A target that is only slow or waits acknowledges, and is waited for as before. A request that may run once and holds no memory elsewhere still waits for a target that is cut off for a while (a scenario guards it; it fails if every attempt is ended).

--- a/features/steps/direct_ticket_steps.py
+++ b/features/steps/direct_ticket_steps.py
@@ -177,7 +177,8 @@
 @then('the log says how long its engine had been silent')
 def check_release_log(context: Any) -> None:
     """Find the release in the log."""
-    events = [json.loads(line) for line in context.log_lines]
+    lines = b''.join(context.log_lines).splitlines()
+    events = [json.loads(line) for line in lines]
     released = [
         each for each in events if each.get('event') == 'memory_released'
     ]
--- a/packages/core/src/buckthornpond_core/exceptions.py
+++ b/packages/core/src/buckthornpond_core/exceptions.py
@@ -61,6 +61,7 @@
     :param is_sent: whether the target may have received any byte of it.
     :param exceeds_limit: whether the target sent more than a limit allows.
     :param is_connection_lost: whether an open connection closed or broke.
+    :param is_silent: whether the target neither answered nor closed in time.
     """
 
     def __init__(
@@ -72,11 +73,13 @@
         is_sent: bool,
         exceeds_limit: bool = False,
         is_connection_lost: bool = False,
+        is_silent: bool = False,
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.is_sent = is_sent
         self.exceeds_limit = exceeds_limit
         self.is_connection_lost = is_connection_lost
+        self.is_silent = is_silent
 
 
 class ReservationError(TargetError):
--- a/packages/core/src/buckthornpond_core/serving/effects.py
+++ b/packages/core/src/buckthornpond_core/serving/effects.py
@@ -77,9 +77,17 @@
     :param time_limit: time left until the request's deadline.
     :param attempt_id: identifies the request.
     :param last_event_id: last event that the caller has, or empty.
+    :param detects_dead_target: whether the attempt fails once the target's
+        machine acknowledges nothing, or waits until the time limit.
     """
 
-    __slots__ = ('attempt_id', 'last_event_id', 'placement', 'time_limit')
+    __slots__ = (
+        'attempt_id',
+        'detects_dead_target',
+        'last_event_id',
+        'placement',
+        'time_limit',
+    )
 
     def __init__(
         self,
@@ -88,8 +96,10 @@
         *,
         attempt_id: str,
         last_event_id: str,
+        detects_dead_target: bool,
     ) -> None:
         self.attempt_id = attempt_id
+        self.detects_dead_target = detects_dead_target
         self.placement = placement
         self.time_limit = time_limit
         self.last_event_id = last_event_id
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -229,7 +229,8 @@
         self.history.record_send()
         if self.is_response_started:
             self._assembler.resume()
-        if self.admission.route.may_repeat:
+        may_repeat = self.admission.route.may_repeat
+        if may_repeat:
             timeout = find_first_byte_timeout(self.admission.route, placement)
             self._silence_deadline = now + timeout
         return [
@@ -238,6 +239,9 @@
                 self.deadline - now,
                 attempt_id=self.admission.metadata.attempt_id,
                 last_event_id=self._assembler.last_event_id,
+                # A request that may run once waits for a target that is cut
+                # off for a while, unless that holds memory elsewhere.
+                detects_dead_target=may_repeat or bool(placement.tickets),
             ),
         ]
 
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -174,16 +174,13 @@
         )
 
     def _report_call_error(self, error: TargetError) -> None:
-        if not error.is_connection_lost:
+        outcome = AttemptOutcome.connection_lost
+        if error.is_silent:
+            outcome = AttemptOutcome.silent
+        elif not error.is_connection_lost:
             self._report_failure(error, is_sent=error.is_sent)
             return
-        self._notify(
-            AttemptFailed(
-                AttemptOutcome.connection_lost,
-                is_sent=True,
-                error=str(error),
-            ),
-        )
+        self._notify(AttemptFailed(outcome, is_sent=True, error=str(error)))
 
     def _release_resources(self) -> None:
         if self._body_sender is not None:
@@ -221,6 +218,7 @@
             self._connection = connection
             connection.connect(min(_CONNECT_TIMEOUT, time_limit))
         connection.set_timeout(time_limit)
+        connection.detect_dead_peer(is_enabled=self._effect.detects_dead_target)
         return connection
 
     def _is_stale(
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -17,6 +17,17 @@
 _READ_BYTES = 65_536
 _DEFAULT_CONTENT_TYPE = 'application/octet-stream'
 _MAX_RECENT_IDS = 8
+# A peer whose machine is gone is found within three seconds.
+_KEEPALIVE_IDLE_SECONDS = 1
+_KEEPALIVE_INTERVAL_SECONDS = 1
+_KEEPALIVE_PROBE_COUNT = 2
+# Keepalive probes are sent only while no sent bytes are unacknowledged.
+_UNACKNOWLEDGED_TIMEOUT_MS = 2500
+_DEAD_PEER_OPTIONS = (
+    (standard_socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS),
+    (standard_socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS),
+    (standard_socket.TCP_KEEPCNT, _KEEPALIVE_PROBE_COUNT),
+)
 _LOWEST_STATUS = 200
 _HIGHEST_STATUS = 599
 
@@ -68,8 +79,9 @@
     """
 
     __slots__ = (
-        '_socket',
         '_bytes_since_yield',
+        '_detects_dead_peer',
+        '_socket',
         'address',
         'idle_since',
         'idle_limit',
@@ -84,6 +96,7 @@
         self.recent_ids: deque[str] = deque(maxlen=_MAX_RECENT_IDS)
         self._socket: socket.socket | None = None
         self._bytes_since_yield = 0
+        self._detects_dead_peer = False
 
     def connect(self, timeout: timedelta) -> None:
         """Open the connection.
@@ -117,6 +130,33 @@
         if self._socket is not None:
             self._socket.settimeout(timeout.total_seconds())
 
+    def detect_dead_peer(self, *, is_enabled: bool) -> None:
+        """Set whether waits fail once the server's machine is gone.
+
+        A machine without power closes no connection. One that is only slow
+        still acknowledges what arrives.
+
+        :param is_enabled: whether to fail, or to wait for the timeout.
+        """
+        connection = self._socket
+        if connection is None or self._detects_dead_peer == is_enabled:
+            return
+        self._detects_dead_peer = is_enabled
+        connection.setsockopt(
+            standard_socket.SOL_SOCKET,
+            standard_socket.SO_KEEPALIVE,
+            is_enabled,
+        )
+        for option, option_value in _DEAD_PEER_OPTIONS:
+            connection.setsockopt(
+                standard_socket.IPPROTO_TCP, option, option_value
+            )
+        connection.setsockopt(
+            standard_socket.IPPROTO_TCP,
+            standard_socket.TCP_USER_TIMEOUT,
+            _UNACKNOWLEDGED_TIMEOUT_MS if is_enabled else 0,
+        )
+
     def is_usable(self) -> bool:
         """Return whether an idle connection is open with nothing to read."""
         if self._socket is None:
@@ -219,6 +259,7 @@
         is_sent: bool = True,
         exceeds_limit: bool = False,
         is_connection_lost: bool = False,
+        is_silent: bool = False,
     ) -> TargetError:
         """Return the error of a call on this connection.
 
@@ -227,6 +268,8 @@
         :param is_sent: whether the server may have received a byte.
         :param exceeds_limit: whether it sent more than a limit allows.
         :param is_connection_lost: whether the open connection closed or broke.
+        :param is_silent: whether the server neither answered nor closed in
+            time.
         """
         return TargetError(
             message,
@@ -235,6 +278,7 @@
             is_sent=is_sent,
             exceeds_limit=exceeds_limit,
             is_connection_lost=is_connection_lost,
+            is_silent=is_silent,
         )
 
     def _wrap_error(
@@ -245,6 +289,7 @@
             str(error) or repr(error),
             step,
             is_connection_lost=not (is_timeout or has_received),
+            is_silent=is_timeout,
         )
 
     def _make_content_error(
