Release memory once its engine has closed, however slowly the caller reads

An attempt that waits for a caller that reads slowly does not look at its connection, so that an engine which cut the response off went unseen and the leases at other engines were renewed until the deadline.

Change: while an attempt holds memory elsewhere, a guard asks each half second whether the engine has closed or reset the connection, and releases the memory then. What the engine sent before is still passed on.

Not covered: an engine that has written its whole response, or closes behind bytes that nobody reads, with more of it unread than the connection and eight parts hold; nothing tells that without reading on.

--- a/features/direct_tickets.feature
+++ b/features/direct_tickets.feature
@@ -79,6 +79,12 @@
     Then the memory set aside for it is free 4 seconds later
     And the log says how long its engine had been silent
 
+  Scenario: memory is released soon after the engine cuts off a caller that reads nothing
+    Given the routes' time limit is 15000 ms
+    And llm servers send 1000000 events
+    When a caller streams a prompt of 600000 tokens, reads nothing, and its engine cuts it off
+    Then the memory set aside for it is free 4 seconds later
+
   Scenario: memory is released soon after an engine falls silent that the request never reaches
     Given the routes' time limit is 15000 ms
     And the next llm servers do: hang
--- a/features/steps/direct_ticket_steps.py
+++ b/features/steps/direct_ticket_steps.py
@@ -132,6 +132,28 @@
     _record_reserved(context)
 
 
+@when(
+    'a caller streams a prompt of {tokens:d} tokens, reads nothing, and its '
+    'engine cuts it off'
+)
+def close_unread_stream(context: Any, tokens: int) -> None:
+    """Reset the engine's connections once it cannot write any more."""
+    context.client = context.cluster.connect()
+    context.client.send('POST', STREAM_PATH, X_Token_Count=f'{tokens},40')
+    wait_until(lambda: any(each.run_counts for each in _engines(context)))
+    engine = next(each for each in _engines(context) if each.run_counts)
+    _wait_until_blocked(engine)
+    _record_reserved(context)
+    engine.reset_connections()
+
+
+def _wait_until_blocked(engine: ServerStandIn) -> None:
+    written_bytes = -1
+    while written_bytes < engine.streamed_bytes:
+        written_bytes = engine.streamed_bytes
+        gevent.sleep(0.5)
+
+
 def _open_connections(context: Any) -> None:
     """Leave an idle connection of the entry to each engine."""
     engines = _engines(context)
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -38,6 +38,8 @@
 # Bounds the response parts that are buffered for a slow caller.
 _MAX_UNREAD_PARTS = 8
 _MAX_PART_BYTES = 16_384
+# A caller that reads slowly holds up the attempt, not this check.
+_MEMORY_GUARD_INTERVAL_SECONDS = 0.5
 _DEFAULT_KEEP_ALIVE_SECONDS = 3.0
 _KEEP_ALIVE_SHARE = 0.7
 _MIN_IDLE_LIMIT_MS = 500
@@ -83,6 +85,7 @@
         '_inbox',
         '_is_body_sent',
         '_last_received_at',
+        '_memory_guard',
         '_number',
         '_request',
         '_reservations',
@@ -112,6 +115,9 @@
         self._body_sender: AnyGreenlet | None = None
         self._is_body_sent = True
         self._reservations: AttemptReservations | None = None
+        # Releases the memory once the target has closed, while the response is
+        # still being forwarded.
+        self._memory_guard: AnyGreenlet | None = None
         # Set once the response is complete and the connection can be reused.
         self.reusable_connection: HttpConnection | None = None
         self._greenlet: AnyGreenlet = gevent.spawn(self._run)
@@ -185,15 +191,29 @@
     def _release_resources(self) -> None:
         if self._body_sender is not None:
             self._body_sender.kill(block=False)
-        if self._reservations is not None:
-            self._reservations.release(self._last_received_at)
+        if self._memory_guard is not None:
+            self._memory_guard.kill(block=False)
+        self._release_memory()
         if self._connection is not None and self.reusable_connection is None:
             self._connection.close()
 
+    def _release_memory(self) -> None:
+        reservations = self._reservations
+        self._reservations = None
+        if reservations is not None:
+            reservations.release(self._last_received_at)
+
+    def _guard_memory(self, connection: HttpConnection) -> None:
+        while not connection.is_closed_by_peer():
+            gevent.sleep(_MEMORY_GUARD_INTERVAL_SECONDS)
+        self._release_memory()
+
     def _call_target(self) -> None:
         self._reserve_memory()
         connection = self._open_connection()
         self._send(connection)
+        if self._reservations is not None:
+            self._memory_guard = gevent.spawn(self._guard_memory, connection)
         response = HttpResponse(self._request.method, self._is_stale)
         while not response.is_head_complete:
             self._receive(connection, response)
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -166,6 +166,18 @@
         # Readable means unexpected bytes, or that the server closed it.
         return not poller.poll(0)
 
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the server closed or lost the connection.
+
+        Bytes that it sent before may still be unread.
+        """
+        if self._socket is None:
+            return False
+        poller = select.poll()
+        poller.register(self._socket.fileno(), select.POLLRDHUP)
+        # Errors and hang-ups are always reported.
+        return bool(poller.poll(0))
+
     def has_input(self) -> bool:
         """Return whether a readable connection holds bytes, not its end."""
         if self._socket is None:
