--- a/features/direct_models.feature
+++ b/features/direct_models.feature
@@ -13,6 +13,7 @@
       | has_short_lease |
       | renews          |
       | repeats_release |
+      | detects_silence |
 
   Scenario: uncoordinated entries do not overload a cold target
     When the specification of shares is explored
--- a/features/specs/tickets.py
+++ b/features/specs/tickets.py
@@ -16,6 +16,10 @@
 _RELEASE_TICKS = 8
 # Memory that stays reserved for this much longer counts as leaked.
 _LEAK_TICKS = 4
+# The engine that uses the memory may fall silent, which ends the request
+# there; the entry finds that out, or else waits until the deadline.
+_DETECTION_TICKS = 6
+_DEADLINE_TICKS = 20
 # The exploration stops this long after the end of the request.
 _MAX_TICKS_AFTER_END = 30
 # Reservation requests presumed lost that may still arrive, at one time.
@@ -29,6 +33,7 @@
     releases: bool = True
     renews: bool = True
     repeats_release: bool = True
+    detects_silence: bool = True
 
 
 class TicketState(NamedTuple):
@@ -45,6 +50,8 @@
 
 
 Step = tuple[str, TicketState]
+# The entry knows of a request that has not ended, as far as it can tell.
+_HOLDING = frozenset(('running', 'silent'))
 _ALL_GUARDS = TicketGuards()
 
 
@@ -56,6 +63,9 @@
         self._lease = (
             _LEASE_TICKS if guards.has_short_lease else _LONG_LEASE_TICKS
         )
+        self._unnoticed_ticks = (
+            _DETECTION_TICKS if guards.detects_silence else _DEADLINE_TICKS
+        )
 
     def protocol(self) -> Protocol:
         """Return the model for the checker."""
@@ -100,7 +110,9 @@
                 'reservation unanswered',
                 state._replace(request='ended', late_orders=1),
             )
-        if state.request != 'running':
+        if state.request == 'running':
+            yield 'engine falls silent', state._replace(request='silent')
+        if state.request not in _HOLDING:
             return
         if state.is_due:
             yield 'renew', state._replace(is_due=False, lease=self._lease)
@@ -132,18 +144,22 @@
         lease = max(state.lease - 1, 0)
         is_running = state.request == 'running'
         was_cut = state.was_cut or (is_running and not lease)
-        if state.request != 'ended':
-            return state._replace(
-                lease=lease,
-                is_due=is_running and self._guards.renews,
-                was_cut=was_cut,
-            )
+        request = state.request
+        is_due = request in _HOLDING and self._guards.renews
+        if request in ('new', 'running'):
+            return state._replace(lease=lease, is_due=is_due, was_cut=was_cut)
         since_end = state.since_end + 1
-        if state.is_alive and self._guards.repeats_release:
+        if request == 'silent' and since_end >= self._unnoticed_ticks:
+            request = 'ended'
             lease = 0
+        if request == 'ended' and state.is_alive:
+            is_due = False
+            lease = 0 if self._guards.repeats_release else lease
         is_leaked = lease > 0 and since_end > _RELEASE_TICKS
         return state._replace(
             lease=lease,
+            request=request,
+            is_due=is_due,
             since_end=since_end,
             stretch=state.stretch + 1 if is_leaked else 0,
         )
