Fill connections with large events in the test of an unread stream

The scenario of an engine that cuts off a caller who reads nothing failed once beside load (load average 18): 1 of 121. Traced by 30 runs at once: 27 failed, each since the engine wrote a million small events, which took longer than the route's 15 s, so that the request had ended and its memory was free before the engine was cut off. Nothing of the entry was at fault.

The engine writes events of 16 KB now, and a refused request fails the step with its reason.

--- a/features/direct_tickets.feature
+++ b/features/direct_tickets.feature
@@ -81,7 +81,7 @@
 
   Scenario: memory is released soon after the engine cuts off a caller that reads nothing
     Given the routes' time limit is 15000 ms
-    And llm servers send 1000000 events
+    And llm servers send 10000 events of 16 KB
     When a caller streams a prompt of 600000 tokens, reads nothing, and its engine cuts it off
     Then the memory set aside for it is free 4 seconds later
 
--- a/features/steps/direct_ticket_steps.py
+++ b/features/steps/direct_ticket_steps.py
@@ -35,6 +35,14 @@
         server.event_interval_seconds = seconds
 
 
+@given('llm servers send {count:d} events of {size:d} KB')
+def send_large_events(context: Any, count: int, size: int) -> None:
+    """Make streams longer than what connections hold."""
+    for server in _engines(context):
+        server.event_count = count
+        server.event_padding = 'a' * size * 1024
+
+
 @given('llm servers refuse orders')
 def refuse_orders(context: Any) -> None:
     """Make every engine refuse reservations."""
@@ -105,10 +113,7 @@
 )
 def silence_running_engine(context: Any, tokens: int) -> None:
     """Silence the engine that runs the request, which closes nothing."""
-    context.client = context.cluster.connect()
-    context.client.send('POST', STREAM_PATH, X_Token_Count=f'{tokens},40')
-    wait_until(lambda: any(each.run_counts for each in _engines(context)))
-    engine = next(each for each in _engines(context) if each.run_counts)
+    engine = _run_long_prompt(context, tokens)
     engine.fall_silent()
     _record_reserved(context)
 
@@ -138,15 +143,32 @@
 )
 def close_unread_stream(context: Any, tokens: int) -> None:
     """Reset the engine's connections once it cannot write any more."""
-    context.client = context.cluster.connect()
-    context.client.send('POST', STREAM_PATH, X_Token_Count=f'{tokens},40')
-    wait_until(lambda: any(each.run_counts for each in _engines(context)))
-    engine = next(each for each in _engines(context) if each.run_counts)
+    engine = _run_long_prompt(context, tokens)
     _wait_until_blocked(engine)
     _record_reserved(context)
     engine.reset_connections()
 
 
+def _run_long_prompt(context: Any, tokens: int) -> ServerStandIn:
+    """Send a stream without reading it and return the engine that runs it."""
+    context.client = context.cluster.connect()
+    connection = context.client.connection
+    response = context.client.send(
+        'POST', STREAM_PATH, X_Token_Count=f'{tokens},40'
+    )
+    engines = _engines(context)
+    wait_until(
+        lambda: (
+            any(each.run_counts for each in engines) or connection.has_input()
+        ),
+    )
+    running = [each for each in engines if each.run_counts]
+    if not running:
+        context.client.receive(response, 'POST')
+    assert running, (response.status, response.body)
+    return running[0]
+
+
 def _wait_until_blocked(engine: ServerStandIn) -> None:
     written_bytes = -1
     while written_bytes < engine.streamed_bytes:
