Read the limits that targets state, and log when they begin and end

No log line told which server had named a limit, so that nobody could tell whether it was kept. Server-Limit is decoded in platform/ into a typed statement, which goes to the dispatch task with the head of the response and is kept for one start of the target. E633 and E634 tell when a limit begins and ends to be stated; a field that cannot be read, or contradicts itself, is ignored and counted (malformed_messages_total, target_limit). Nothing is decided by it yet.

Stand-in servers can state any header field of themselves, in refusals and streams too.

--- a/features/steps/direct_reported_load_steps.py
+++ b/features/steps/direct_reported_load_steps.py
@@ -107,8 +107,8 @@
 def state_loads(context: Any, first: str, second: str) -> None:
     """Let two servers state a load in each response."""
     servers = context.cluster.servers
-    servers[0].stated_load = first
-    servers[1].stated_load = second
+    servers[0].statement_lines = [f'X-Server-Load: {first}']
+    servers[1].statement_lines = [f'X-Server-Load: {second}']
 
 
 @then('app server 1 received at most {count:d} reads')
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeAlias
 
 from msgspec import Meta, Struct, field
 
@@ -411,6 +411,12 @@
     source_age_ms: Annotated[
         int, Meta(description='Time since the source last answered.', ge=0)
     ] = 0
+    has_statement: Annotated[
+        bool,
+        Meta(
+            description='Whether a statement of the target was in force, which a response without one ends.'
+        ),
+    ] = False
 
 
 class PlacementFailure(Struct):
@@ -519,6 +525,34 @@
     ]
 
 
+RequestsPerSecond: TypeAlias = Annotated[
+    float,
+    Meta(
+        description='Requests that the target takes from all entries together, null without a limit.',
+        ge=0.0,
+    ),
+]
+
+
+class TargetStatement(Struct):
+    """
+    What a target says of itself in a response, which binds who hears it.
+    """
+
+    requests_per_second: (
+        Annotated[
+            RequestsPerSecond,
+            Meta(
+                description='Requests that the target takes from all entries together, null without a limit.'
+            ),
+        ]
+        | None
+    )
+    has_malformed_limit: Annotated[
+        bool, Meta(description='Whether a limit is stated that cannot be read.')
+    ] = False
+
+
 class ResponseMetadata(Struct):
     """
     Properties stated by the head of a target's response.
@@ -534,6 +568,15 @@
         ]
         | None
     )
+    statement: (
+        Annotated[
+            TargetStatement,
+            Meta(
+                description='What the target says of itself, null if nothing.'
+            ),
+        ]
+        | None
+    )
     attempt_id: str = ''
     is_signed: Annotated[
         bool,
--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -55,5 +55,7 @@
     peer_unanswered = 626
     settings_read = 631
     log_lines_dropped = 632
+    target_limited = 633
+    target_limit_ended = 634
     parts_quarantined = 641
     parts_released = 642
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -32,6 +32,7 @@
     TargetSelection,
 )
 from .routes import RouteTable, choose_service
+from .target_statements import TargetStatements
 
 _MS = timedelta(milliseconds=1)
 # An unknown route or credential may be newer than a fleet view of this age.
@@ -77,6 +78,7 @@
         'fleet',
         'follower',
         'load_exchange',
+        'statements',
     )
 
     def __init__(
@@ -98,6 +100,7 @@
             settings.peer_addresses,
             recorder,
         )
+        self.statements = TargetStatements(self.fleet, recorder)
         self._candidates = CandidateFinder(
             settings, self.fleet, self.load_exchange, random
         )
@@ -412,6 +415,7 @@
             configuration_version=self.configuration_version,
             fleet_revision=self.fleet.revision,
             source_age_ms=self.fleet.source_age(now) // _MS,
+            has_statement=selection.target.stated_limit is not None,
         )
 
     def _build_tickets(self, selection: TargetSelection) -> list[MemoryTicket]:
--- a/packages/core/src/buckthornpond_core/serving/effects.py
+++ b/packages/core/src/buckthornpond_core/serving/effects.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 from typing import TypeAlias
 
-from .._generated.serving import AttemptReport, Placement, ResponseMetadata
+from .._generated.serving import (
+    AttemptReport,
+    Placement,
+    ResponseMetadata,
+    TargetStatement,
+)
 
 HeaderFields: TypeAlias = Sequence[tuple[str, str]]
 
@@ -123,6 +128,22 @@
         self.placement = placement
 
 
+class ReportStatement:
+    """Notice to the dispatch task of what a target says of itself.
+
+    :param placement: placement of the attempt.
+    :param statement: the statement, or ``None`` if an earlier one ended.
+    """
+
+    __slots__ = ('placement', 'statement')
+
+    def __init__(
+        self, placement: Placement, statement: TargetStatement | None
+    ) -> None:
+        self.placement = placement
+        self.statement = statement
+
+
 class ReportAttempt:
     """Notice to the dispatcher that an attempt ended.
 
@@ -211,6 +232,7 @@
     RequestPlacement
     | AbortResponse
     | ReportFirstByte
+    | ReportStatement
     | ReportAttempt
     | EndStream
     | SendEvents
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -14,6 +14,7 @@
     ExchangeEffect,
     ReportAttempt,
     ReportFirstByte,
+    ReportStatement,
     RequestPlacement,
     ResponseHead,
     SendEvents,
@@ -254,11 +255,12 @@
         if fault:
             return self._fail_attempt(_invalid_response(fault), now)
         self._progress.record_head(head, now)
+        effects = _report_statement(self._placement, head)
         started = self._started_head
         if started is not None and is_success(head.metadata.status_code):
             if not continues_stream(started, head):
-                return self._fail_attempt(_NO_CONTINUATION, now)
-        return []
+                effects.extend(self._fail_attempt(_NO_CONTINUATION, now))
+        return effects
 
     def _handle_body(
         self,
@@ -504,3 +506,15 @@
     return AttemptReport(
         target=placement.target, outcome=outcome.value, load=None
     )
+
+
+def _report_statement(
+    placement: Placement | None, head: ResponseHead
+) -> list[ExchangeEffect]:
+    metadata = head.metadata
+    if placement is None or metadata.status_code == _MISDIRECTED:
+        # Another target answered.
+        return []
+    if metadata.statement is None and not placement.has_statement:
+        return []
+    return [ReportStatement(placement, metadata.statement)]
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -9,6 +9,7 @@
 from .engine_load import InFlightAttempt
 from .health import TargetHealth
 from .reported_load import UnexplainedLoad
+from .stated_limits import StatedLimit
 
 # Targets whose records expired during an outage of the source register again
 # within this time, if at all.
@@ -35,6 +36,7 @@
         'health',
         'peer_attempts',
         'record',
+        'stated_limit',
         'unexplained_load',
     )
 
@@ -47,6 +49,7 @@
         self.peer_attempts: dict[str, list[InFlightAttempt]] = {}
         self.cold_until = timedelta()
         self.cold_rate_limit: ColdRateLimit | None = None
+        self.stated_limit: StatedLimit | None = None
         self._latency_ms = 0.0
         self._latency_updated_at = timedelta()
         self.expires_at: timedelta | None = None
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -19,7 +19,10 @@
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.dispatcher import Dispatcher
-from buckthornpond_core.serving.effects import RequestPlacement
+from buckthornpond_core.serving.effects import (
+    ReportStatement,
+    RequestPlacement,
+)
 from buckthornpond_core.serving.fleet_follower import FleetChange
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.connections import HttpConnection
@@ -154,6 +157,7 @@
     | DirectSettings
     | AttemptEnded
     | FirstByteReceived
+    | ReportStatement
     | FleetChange
     | PeerFleetView
     | FleetViewRequest
@@ -207,6 +211,7 @@
             DirectSettings: self._change_settings,
             AttemptEnded: self._update_attempt,
             FirstByteReceived: self._update_attempt,
+            ReportStatement: self._record_statement,
             PeerFleetView: self._exchange_fleet_views,
             LoadHint: self._exchange_hints,
             ConnectionReturned: self._return_connection,
@@ -344,6 +349,13 @@
             now,
         )
 
+    def _record_statement(
+        self, message: ReportStatement, now: timedelta
+    ) -> None:
+        self._dispatcher.statements.record(
+            message.placement, message.statement, now
+        )
+
     def _place(self, message: PlacementRequest, now: timedelta) -> None:
         admission = message.admission
         decision = self._dispatcher.place(
