Divide the limits that targets state among the entries that use them

Callers saw nothing; a server in need got up to 19 requests in 4 s where its limit allows 11, and 158 in a test, as nobody read what it says.

Cause: Server-Limit decided nothing, and placement keeps short answers together on few targets. Class: what a peer says of itself is passed on and not kept. It sums over entries that have no coordinator.

Change: a target's limit is kept for one start of it, from the head of a response on. Each entry takes the same share of the rate; where one request of each at once would exceed what the target bears (as many as it takes in two seconds, and five), only the entries with the highest rendezvous scores use it. Every placement asks one check: first attempts, repeats, resumed streams. Hints tell others of limits and of their ends, so that an entry that may not send hears of both. If all targets are at their limits the caller is refused at once as target_limited, with the time of the next room, spread. A limit that can't be read is ignored and counted.

--- a/features/steps/stated_limit_steps.py
+++ b/features/steps/stated_limit_steps.py
@@ -1,16 +1,26 @@
 """Steps on limits that targets state in their responses."""
 
 import time
+from datetime import timedelta
 from typing import Any
 
 import gevent
 from behave import given, then, when
 
+from buckthornpond_core._generated.serving import Placement, TargetStatement
 from buckthornpond_platform_standins.local_clusters import STREAM_PATH
 from buckthornpond_platform_standins.servers import ServerStandIn
+from features.specs.counts import report
+from features.specs.dispatchers import (
+    ENGINE_SERVICE,
+    make_dispatcher,
+    make_targets,
+)
+from features.specs.limited_fleets import LimitedFleet
 from features.steps.direct_steps import list_servers
 
 _PAUSE_SECONDS = 0.05
+_FAULT_INTERVAL = timedelta(milliseconds=700)
 
 
 def _find_engine(context: Any, number: int) -> ServerStandIn:
@@ -100,3 +110,148 @@
     ]
     assert len(set(delays)) > len(delays) // 2, delays
     assert all(0 < delay <= seconds for delay in delays), delays
+
+
+@when('llm server {number:d} states "{line}"')
+def change_lines(context: Any, number: int, line: str) -> None:
+    """Replace the header fields, which slashes separate."""
+    _find_engine(context, number).statement_lines = line.split(' / ')
+
+
+@when('llm server {number:d} starts again and states nothing')
+def start_again(context: Any, number: int) -> None:
+    """Register a new start at the same address under the same name."""
+    engine = _find_engine(context, number)
+    engine.statement_lines = []
+    context.cluster.register(engine, born=999)
+    context.cluster.wait_until_synced()
+
+
+@then('the entry counted {some} malformed limits')
+def check_counted(context: Any, some: str) -> None:
+    """Look at the counter."""
+    metrics = context.cluster.entries[0].metrics.render()
+    counter = 'malformed_messages_total{reason="target_limit"}'
+    assert (counter in metrics) == (some == 'some'), metrics
+
+
+@given(
+    '{count:d} entries before {targets:d} targets that state {limit:f} '
+    'requests a second'
+)
+def make_limited_fleet(
+    context: Any, count: int, targets: int, limit: float
+) -> None:
+    """Make entries that know each other."""
+    context.limit = limit
+    context.target_count = targets
+    context.limited_fleet = LimitedFleet(count, limit, targets, count)
+
+
+@given('each entry uses every target')
+def use_every_target(context: Any) -> None:
+    """Let each entry divide the limit as if few others lived."""
+    context.limited_fleet.choose_everyone()
+
+
+@when(
+    'they send as fast as allowed for {seconds:d} seconds while entries '
+    '{faults}'
+)
+def send_to_limited(context: Any, seconds: int, faults: str) -> None:
+    """Send on a fake clock, with a fault each 0.7 s or none."""
+    interval = None if 'stay' in faults else _FAULT_INTERVAL
+    context.limited_fleet.run(seconds, interval)
+    context.seconds = seconds
+    report(
+        f'{faults}, limit {context.limit}: at most '
+        f'{context.limited_fleet.most_count} in 4 s, '
+        f'{context.limited_fleet.sent_count} sent'
+    )
+
+
+def _allowed_count(context: Any) -> int:
+    return int(1.5 * 4 * context.limit) + 5
+
+
+@then(
+    'no target gets more in 4 seconds than one and a half times its limit and '
+    '5 requests'
+)
+def check_limit_kept(context: Any) -> None:
+    """Compare the most in a sliding window."""
+    most = context.limited_fleet.most_count
+    assert most <= _allowed_count(context), most
+
+
+@then(
+    'some target gets more in 4 seconds than one and a half times its limit '
+    'and 5 requests'
+)
+def check_limit_exceeded(context: Any) -> None:
+    """Check that the variant exceeds the limit."""
+    most = context.limited_fleet.most_count
+    assert most > _allowed_count(context), most
+
+
+@then('the targets get at least {least:f} of their limits on average')
+def check_limit_used(context: Any, least: float) -> None:
+    """Check that callers are served as far as the limits allow."""
+    taken = context.limited_fleet.sent_count / context.target_count
+    wanted = context.limit * context.seconds * least
+    assert taken >= wanted, (taken, wanted)
+
+
+@given('{count:d} entries that exchange hints before 1 limited target')
+def make_hinting_entries(context: Any, count: int) -> None:
+    """Start dispatchers that know each other."""
+    context.now = timedelta(seconds=100)
+    addresses = [f'entry-{number}:1' for number in range(count)]
+    targets = make_targets(ENGINE_SERVICE, 1)
+    context.target = targets[0].name
+    context.dispatchers = [
+        make_dispatcher(number, addresses, targets, context.now)
+        for number in range(count)
+    ]
+
+
+def _hear(context: Any, number: int, limit: float | None) -> None:
+    context.now += timedelta(seconds=1)
+    dispatcher = context.dispatchers[number]
+    statement = None
+    if limit is not None:
+        statement = TargetStatement(limit)
+    placement = Placement(context.target, '', ENGINE_SERVICE, started_ms=1)
+    dispatcher.statements.record(placement, statement, context.now)
+    load_exchange = dispatcher.load_exchange
+    hint = load_exchange.make_hint(dispatcher.fleet, context.now)
+    dispatcher.statements.fill_hint(hint, context.now)
+    for other in context.dispatchers:
+        if other.load_exchange.apply_hint(hint, other.fleet, context.now):
+            other.statements.apply_hint(hint, context.now)
+
+
+@when('the first entry hears of a limit')
+def hear_limit(context: Any) -> None:
+    """Let a response state a limit."""
+    _hear(context, 0, 2.0)
+
+
+@when('the second entry hears that it ended')
+def hear_end(context: Any) -> None:
+    """Let a response state no limit."""
+    _hear(context, 1, None)
+
+
+@then('every entry knows the limit')
+def check_all_limited(context: Any) -> None:
+    """Look at each entry's view."""
+    for dispatcher in context.dispatchers:
+        assert dispatcher.fleet.find(context.target).is_limited
+
+
+@then('no entry knows a limit')
+def check_none_limited(context: Any) -> None:
+    """Look at each entry's view."""
+    for dispatcher in context.dispatchers:
+        assert not dispatcher.fleet.find(context.target).is_limited
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -123,6 +123,29 @@
     ] = False
 
 
+class LimitHint(WireRecord):
+    """
+    Request rate that a target stated to the sender.
+    """
+
+    target: str
+    started_ms: Annotated[
+        int,
+        Meta(description='Start of the target, in Unix milliseconds.', ge=0),
+    ]
+    is_limited: Annotated[
+        bool, Meta(description='Whether it states a limit; false if it ended.')
+    ]
+    requests_per_second: Annotated[
+        float,
+        Meta(
+            description='Requests that it takes from all entries together, zero without a limit.',
+            ge=0.0,
+        ),
+    ]
+    age_ms: Annotated[int, Meta(description='Time since the statement.', ge=0)]
+
+
 class CrashHint(WireRecord):
     """
     Crash of a target, and the unanswered requests that it took along.
@@ -180,3 +203,7 @@
         list[SoundPartHint],
         Meta(description='Parts that were suspected and have been answered.'),
     ] = field(default_factory=list)
+    limits: Annotated[
+        list[LimitHint],
+        Meta(description='Limits that targets stated to the sender lately.'),
+    ] = field(default_factory=list)
--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -106,6 +106,9 @@
         'service_not_here': RefusalKind(503, 'Service moved', may_retry=True),
         'stale_incarnation': RefusalKind(503, 'Instance lost', may_retry=True),
         'target_cold': RefusalKind(503, 'Instance cold', may_retry=True),
+        'target_limited': RefusalKind(
+            503, 'Instances at their limit', may_retry=True
+        ),
         'target_connect_failed': RefusalKind(
             502,
             'Target unreachable',
--- a/packages/core/src/buckthornpond_core/serving/candidates.py
+++ b/packages/core/src/buckthornpond_core/serving/candidates.py
@@ -10,6 +10,7 @@
 from .fleet import Fleet, TargetView
 from .load_exchange import LoadExchange
 from .placement import Candidate
+from .target_statements import TargetStatements
 
 # Targets compared for one attempt.
 _MAX_CANDIDATES = 96
@@ -21,6 +22,7 @@
     :param settings: settings of the process.
     :param fleet: known targets.
     :param load_exchange: knows the other entries.
+    :param statements: what targets say of themselves.
     :param random: samples the targets of a large service.
     """
 
@@ -29,6 +31,7 @@
         '_fleet',
         '_load_exchange',
         '_random',
+        '_statements',
         'settings',
     )
 
@@ -37,12 +40,14 @@
         settings: DirectSettings,
         fleet: Fleet,
         load_exchange: LoadExchange,
+        statements: TargetStatements,
         random: RandomSource,
     ) -> None:
         self.settings = settings
         self._fleet = fleet
         self._load_exchange = load_exchange
         self._random = random
+        self._statements = statements
         self._cold_users = ColdTargetUsers(
             settings.exchange_address, load_exchange.membership
         )
@@ -50,11 +55,13 @@
     def may_use(self, view: TargetView, now: timedelta) -> bool:
         """Return whether a target may receive one more request of this entry.
 
-        One that is not cold always may.
+        One that is neither cold nor limits its requests always may.
 
         :param view: the target.
         :param now: time on the monotonic clock.
         """
+        if not self._statements.may_send(view, now):
+            return False
         rate_limit = view.cold_rate_limit
         if not view.is_cold(now) or rate_limit is None:
             return True
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -26,6 +26,7 @@
 from .load_exchange import LoadExchange
 from .part_quarantine import QUARANTINE_RETRY_AFTER_MS
 from .placement import (
+    Candidate,
     LeastExpectedLoss,
     LeastInFlight,
     PlacementPolicy,
@@ -100,9 +101,11 @@
             settings.peer_addresses,
             recorder,
         )
-        self.statements = TargetStatements(self.fleet, recorder)
+        self.statements = TargetStatements(
+            self.fleet, self.load_exchange, recorder
+        )
         self._candidates = CandidateFinder(
-            settings, self.fleet, self.load_exchange, random
+            settings, self.fleet, self.load_exchange, self.statements, random
         )
         self._policies: tuple[PlacementPolicy, PlacementPolicy] = (
             LeastInFlight(random),
@@ -209,13 +212,13 @@
         candidates = self._candidates.find(admission, excluded, now)
         if not candidates:
             return self._build_failure('no_target', now)
-        warm = [
+        usable = [
             each
             for each in candidates
             if self._candidates.may_use(each.view, now)
         ]
-        if not warm:
-            return self._build_failure('target_cold', now)
+        if not usable:
+            return self._refuse_limited(candidates, now)
         if is_repeat and not self._find_budget(admission.service).allow_retry(
             now
         ):
@@ -224,7 +227,7 @@
         profile = _build_profile(admission)
         policy = self._policies[service.engine is not None]
         selection = policy.choose(
-            warm,
+            usable,
             service,
             profile,
             now,
@@ -233,7 +236,7 @@
         if not selection.fits_memory:
             return self._build_failure('memory_full', now)
         self._record_attempts(admission, selection, profile, now)
-        return self._build_placement(admission, selection, len(warm), now)
+        return self._build_placement(admission, selection, len(usable), now)
 
     def record_first_byte(self, attempt_id: str, placement: Placement) -> None:
         """Record that a target started its response.
@@ -382,6 +385,8 @@
             )
             if view.cold_rate_limit is not None:
                 view.cold_rate_limit.record(now)
+            if view is selection.target:
+                self.statements.record_request(view)
 
     def _find_views(self, placement: Placement) -> list[TargetView]:
         views = [self.fleet.find(placement.target)]
@@ -415,7 +420,7 @@
             configuration_version=self.configuration_version,
             fleet_revision=self.fleet.revision,
             source_age_ms=self.fleet.source_age(now) // _MS,
-            has_statement=selection.target.stated_limit is not None,
+            has_statement=selection.target.is_limited,
         )
 
     def _build_tickets(self, selection: TargetSelection) -> list[MemoryTicket]:
@@ -436,6 +441,17 @@
             )
         return tickets
 
+    def _refuse_limited(
+        self, candidates: Collection[Candidate], now: timedelta
+    ) -> PlacementFailure:
+        limited = [each.view for each in candidates if each.view.is_limited]
+        if not limited:
+            return self._build_failure('target_cold', now)
+        failure = self._build_failure('target_limited', now)
+        delay = self.statements.find_retry_delay(limited, self._random, now)
+        failure.retry_after_ms = delay // _MS
+        return failure
+
     def _refuse_unknown(self, reason: str, now: timedelta) -> PlacementFailure:
         if self.fleet.source_age(now) > _STALE_SOURCE_AGE:
             return self._build_failure('configuration_stale', now)
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -102,6 +102,12 @@
         """
         return now < self.cold_until
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether the target states a limit of its request rate."""
+        stated = self.stated_limit
+        return stated is not None and stated.requests_per_second is not None
+
     def accepts_work(self, now: timedelta) -> bool:
         """Return whether the target is registered and not draining.
 
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -153,21 +153,23 @@
         self.quarantine.fill_hint(hint, now)
         return hint
 
-    def apply_hint(self, hint: LoadHint, fleet: Fleet, now: timedelta) -> None:
+    def apply_hint(self, hint: LoadHint, fleet: Fleet, now: timedelta) -> bool:
         """Apply a hint of another entry if it is newer than the last one.
 
+        Return whether it was.
+
         :param hint: the hint.
         :param fleet: targets at which the load is recorded.
         :param now: time on the monotonic clock.
         """
         if hint.sender == self.address or not self._accepts_peer(hint.sender):
-            return
+            return False
         peer = self.peers.get(hint.sender)
         if peer is None or peer.incarnation != hint.incarnation:
             peer = Peer(hint.incarnation)
             self.peers[hint.sender] = peer
         if hint.sequence <= peer.sequence:
-            return
+            return False
         peer.sequence = hint.sequence
         peer.last_heard_at = now
         self.membership.record(hint.sender, now)
@@ -180,6 +182,7 @@
                 self.peers[member] = Peer(-1)
                 self.peers[member].last_heard_at = now
                 self.membership.record(member, now)
+        return True
 
     def drop_silent_peers(self, fleet: Fleet, now: timedelta) -> None:
         """Remove peers that sent no hint recently, together with their load.
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -325,9 +325,11 @@
         dispatcher = self._dispatcher
         load_exchange = dispatcher.load_exchange
         if isinstance(message, LoadHint):
-            load_exchange.apply_hint(message, dispatcher.fleet, now)
+            if load_exchange.apply_hint(message, dispatcher.fleet, now):
+                dispatcher.statements.apply_hint(message, now)
             return
         hint = load_exchange.make_hint(dispatcher.fleet, now)
+        dispatcher.statements.fill_hint(hint, now)
         message.inbox.send(HintReply(hint, load_exchange.addresses))
 
     def _update_attempt(
