--- a/packages/agent/src/buckthornpond_agent/bodies.py
+++ b/packages/agent/src/buckthornpond_agent/bodies.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from buckthornpond_core.types import DECODE_ERRORS
+
 _PRIORITY_FIELD = 'priority'
 
 
@@ -17,7 +19,7 @@
     """
     try:
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return body
     fields[_PRIORITY_FIELD] = msgspec.Raw(msgspec.json.encode(priority))
     return msgspec.json.encode(fields)
--- a/packages/agent/src/buckthornpond_agent/orders.py
+++ b/packages/agent/src/buckthornpond_agent/orders.py
@@ -15,7 +15,7 @@
     OrderLimits,
     OrderPlanner,
 )
-from buckthornpond_core.types import Clock
+from buckthornpond_core.types import DECODE_ERRORS, Clock
 from buckthornpond_runtime.connections import HttpCall
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
@@ -28,6 +28,7 @@
 _STATUS_OK = 200
 
 OrderMessage: TypeAlias = DesiredState | HeartbeatReceived
+_CALL_ERRORS = (TargetError, *DECODE_ERRORS)
 
 
 def build_order_task(
@@ -106,7 +107,7 @@
             return
         try:
             self._reconcile()
-        except (TargetError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             self._metrics.count('failed_orders', type(error).__name__)
             self._metrics.log(EventCode.order_failed, error=str(error))
 
--- a/packages/agent/src/buckthornpond_agent/reports.py
+++ b/packages/agent/src/buckthornpond_agent/reports.py
@@ -7,6 +7,7 @@
 
 from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.exceptions import BuckthornpondError
+from buckthornpond_core.types import DECODE_ERRORS
 from buckthornpond_runtime.connections import HttpCall
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
@@ -14,6 +15,7 @@
 _STATUS_OK = 200
 _MAX_REPORT_BYTES = 65_536
 _POLL_TIMEOUT = timedelta(seconds=2)
+_CALL_ERRORS = (BuckthornpondError, *DECODE_ERRORS)
 
 
 class PollEngine:
@@ -63,7 +65,7 @@
         call = HttpCall(self._address, _POLL_TIMEOUT)
         try:
             report = _read_report(call)
-        except (BuckthornpondError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             self._metrics.count('report_errors', type(error).__name__)
             return
         finally:
--- a/packages/core/src/buckthornpond_core/types.py
+++ b/packages/core/src/buckthornpond_core/types.py
@@ -4,12 +4,16 @@
 from datetime import datetime, timedelta
 from typing import Protocol, TypeVar
 
-from msgspec import Struct
+from msgspec import MsgspecError, Struct
 
 from .event_codes import EventCode
 
 ItemT = TypeVar('ItemT')
 
+# What decoding raises for bytes from outside. Values that are nested too deeply
+# exhaust the recursion limit, also in fields that are skipped.
+DECODE_ERRORS = (MsgspecError, RecursionError)
+
 
 class StrictRecord(Struct, forbid_unknown_fields=True):
     """Base class of settings and operators' documents; no unknown keys."""
--- a/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
+++ b/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
@@ -10,7 +10,7 @@
 from buckthornpond_core._generated.serving import FleetView
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.exceptions import TargetError
-from buckthornpond_core.types import Clock
+from buckthornpond_core.types import DECODE_ERRORS, Clock
 from buckthornpond_runtime.administration import EndpointResponse, EndpointTask
 from buckthornpond_runtime.connections import FetchLimits, HttpConnection
 from buckthornpond_runtime.logs import log_event
@@ -30,6 +30,7 @@
 _MAX_VIEW_BYTES = 16_777_216
 _FETCH_LIMITS = FetchLimits(_FETCH_TIME_LIMIT, _MAX_VIEW_BYTES)
 _MAX_REVISION_DIGITS = 18
+_CALL_ERRORS = (TargetError, *DECODE_ERRORS)
 
 
 class FleetViewRequest:
@@ -168,7 +169,7 @@
         connection = HttpConnection(address)
         try:
             view = _fetch(connection, revision)
-        except (TargetError, msgspec.MsgspecError) as error:
+        except _CALL_ERRORS as error:
             self._metrics.count('peer_questions', 'failed')
             log_event(
                 EventCode.peer_unanswered,
--- a/packages/entry/src/buckthornpond_entry/direct/hints.py
+++ b/packages/entry/src/buckthornpond_entry/direct/hints.py
@@ -8,6 +8,7 @@
 from gevent.socket import AF_INET, SOCK_DGRAM, socket
 
 from buckthornpond_core._generated.hints import LoadHint
+from buckthornpond_core.types import DECODE_ERRORS
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Inbox, Mailbox
 
@@ -104,7 +105,7 @@
             return
         try:
             self._inbox.send(decoder.decode(datagram))
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             # Not logged: any host can send datagrams at any rate.
             self._metrics.count('malformed_messages', 'hint')
 
--- a/packages/entry/src/buckthornpond_entry/requests.py
+++ b/packages/entry/src/buckthornpond_entry/requests.py
@@ -13,6 +13,7 @@
 from buckthornpond_core._generated.api import CompletionHead
 from buckthornpond_core._generated.settings import EntrySettings
 from buckthornpond_core.exceptions import BuckthornpondError
+from buckthornpond_core.types import DECODE_ERRORS
 
 _CHARACTERS_PER_TOKEN = 4
 _BEARER_PREFIX = 'Bearer '
@@ -199,7 +200,7 @@
     """
     try:
         return msgspec.json.decode(body, type=CompletionHead)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise RefusedRequestError(
             'invalid_body',
             str(error),
--- a/packages/runtime/src/buckthornpond_runtime/codecs.py
+++ b/packages/runtime/src/buckthornpond_runtime/codecs.py
@@ -15,6 +15,7 @@
     InvalidDocumentError,
     MalformedMessageError,
 )
+from buckthornpond_core.types import DECODE_ERRORS
 
 _WIRE_TYPES: Mapping[bytes, type[WireMessage]] = MappingProxyType(
     {
@@ -82,7 +83,7 @@
         )
     try:
         return decoder.decode(frames[1])
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except DECODE_ERRORS as error:
         raise MalformedMessageError(
             str(error),
             step='decode message',
--- a/packages/runtime/src/buckthornpond_runtime/documents.py
+++ b/packages/runtime/src/buckthornpond_runtime/documents.py
@@ -26,6 +26,7 @@
 from buckthornpond_core.effects import ReadDocument, SendToPeer
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.exceptions import InvalidDocumentError
+from buckthornpond_core.types import DECODE_ERRORS
 
 from .codecs import decode_document
 from .metrics import Metrics
@@ -77,7 +78,7 @@
     """
     try:
         return msgspec.json.decode(content, type=list[str])
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise InvalidDocumentError(
             [str(error)],
             step='check document',
--- a/packages/runtime/src/buckthornpond_runtime/platforms.py
+++ b/packages/runtime/src/buckthornpond_runtime/platforms.py
@@ -12,6 +12,7 @@
 from buckthornpond_core.effects import ReadDocument
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.exceptions import BuckthornpondError, PlatformError
+from buckthornpond_core.types import DECODE_ERRORS
 
 from .connections import HttpCall
 from .logs import log_event
@@ -21,6 +22,7 @@
 _STATUS_OK = 200
 _STATUS_UNCHANGED = 204
 _MAX_DOCUMENT_BYTES = 1_048_576
+_CALL_ERRORS = (BuckthornpondError, *DECODE_ERRORS, ValueError)
 
 
 class PlatformTask:
@@ -65,7 +67,7 @@
         )
         try:
             self._read_into(result, request)
-        except (BuckthornpondError, msgspec.MsgspecError, ValueError) as error:
+        except _CALL_ERRORS as error:
             result.is_reached = False
             result.content = b''
             event = EventCode.configuration_unreachable
