Give callers that still wait at the end of a planned stop a final answer

What comes 3 s after the signal or later is refused as not run. But a write that was taken before and still ran at the end of the grace was cut: its caller got a closed connection.

Change: 0.7 s before the end each caller that still waits gets its final answer, 502 if a server may have run the request and 503 if nothing was sent, and 0.3 s are left to write it.

Evidence: the new scenario sends a write each half second of the grace to servers that hang. Before: 'connection closed before the end of the response' for the write sent 1 ms after the signal; now each has an answer, no status of a write that ran says not run, and late ones reach no server.

--- a/features/reported_faults.feature
+++ b/features/reported_faults.feature
@@ -30,6 +30,16 @@
     And no server ran a request that lacks an answer
     And the body that came late was answered
 
+  Scenario: writes that come late in the grace of a planned stop get a true answer
+    Given an entry process before 2 app servers and 1 llm servers
+    And the routes' time limit is 20000 ms from now on
+    And its servers always do: hang
+    When a stop signal comes and 12 callers send a write each in the 6 seconds after it
+    Then the process ends with code 0 within 8 seconds
+    And each write got an answer
+    And no write that a server ran was answered as not run
+    And the writes of the last 2 seconds reached no server
+
   Scenario Outline: a slow but sound stream is not cut
     Given an entry process before 1 app servers and 2 llm servers
     And llm servers write an event each <interval> seconds
--- a/features/steps/reported_faults_steps.py
+++ b/features/steps/reported_faults_steps.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from datetime import timedelta
 from typing import Any
 
 import gevent
@@ -9,7 +10,7 @@
 from gevent.socket import AF_INET, SOCK_STREAM, socket
 
 from buckthornpond_core.exceptions import BuckthornpondError
-from buckthornpond_platform_standins.clients import Client
+from buckthornpond_platform_standins.clients import Client, ClientResponse
 from buckthornpond_platform_standins.listening import wait_until
 from buckthornpond_platform_standins.local_clusters import (
     API_KEY,
@@ -25,6 +26,7 @@
 
 _WRITE_PATH = '/write/1'
 _PAUSE_SECONDS = 0.005
+_CALLER_TIMEOUT = timedelta(seconds=20)
 _READ_TIMEOUT_SECONDS = 8
 _NEW_KEY = 'secret-2'
 _FIRST_FRESH_HOST = 21
@@ -180,6 +182,76 @@
     gevent.joinall(context.callers)
 
 
+@given("the routes' time limit is {limit_ms:d} ms from now on")
+def extend_time_limits(context: Any, limit_ms: int) -> None:
+    """Write a configuration with other time limits."""
+    routes = make_config(0)['routes']
+    for route in routes:
+        route['timeoutMs'] = limit_ms
+    _configure(context, routes)
+
+
+@when(
+    'a stop signal comes and {count:d} callers send a write each in the'
+    ' {seconds:d} seconds after it'
+)
+def write_after_stop(context: Any, count: int, seconds: int) -> None:
+    """Send writes on connections that were opened before the stop."""
+    clients = [_connect(context) for _ in range(count)]
+    for each in clients:
+        each.connection.connect(_CALLER_TIMEOUT)
+    gevent.sleep(0.1)
+    context.process.send_signal(signal.SIGTERM)
+    context.stop_signal_at = time.monotonic()
+    context.writes = [
+        gevent.spawn_later(seconds * number / count, _write_once, client)
+        for number, client in enumerate(clients)
+    ]
+    wait_until(lambda: not context.process.is_running)
+    gevent.joinall(context.writes)
+
+
+def _write_once(client: Client) -> tuple[float, ClientResponse]:
+    sent_at = time.monotonic()
+    response = client.send('POST', _WRITE_PATH)
+    client.receive(response, 'POST')
+    return sent_at, response
+
+
+@then('each write got an answer')
+def check_writes_answered(context: Any) -> None:
+    """Check the responses, also of those that were running at the end."""
+    for task in context.writes:
+        sent_at, response = task.value
+        age = sent_at - context.stop_signal_at
+        assert response.status and not response.error, (age, response.error)
+
+
+@then('no write that a server ran was answered as not run')
+def check_writes_true(context: Any) -> None:
+    """Compare the statuses with the runs."""
+    runs = _list_runs(context)
+    responses = [task.value[1] for task in context.writes]
+    assert any(each.attempt_id in runs for each in responses)
+    for response in responses:
+        is_refusal = response.status in {408, 421, 429, 503}
+        assert is_refusal != (response.attempt_id in runs), response.status
+
+
+@then('the writes of the last {seconds:d} seconds reached no server')
+def check_late_writes(context: Any, seconds: int) -> None:
+    """Compare the latest writes with the runs."""
+    runs = _list_runs(context)
+    last_sent_at = max(task.value[0] for task in context.writes)
+    late = [
+        task.value[1].attempt_id
+        for task in context.writes
+        if task.value[0] > last_sent_at - seconds
+    ]
+    assert late
+    assert not set(late) & set(runs)
+
+
 @then(
     'no request sent more than {seconds:f} seconds before the end lacks an'
     ' answer'
@@ -233,6 +305,10 @@
     for route in routes:
         if route['name'] == 'stream':
             route['timeoutMs'] = 9000
+    _configure(context, routes)
+
+
+def _configure(context: Any, routes: list[Any]) -> None:
     context.cluster.configure(routes=routes)
     version = context.cluster.version
     wait_until(
--- a/packages/core/src/buckthornpond_core/serving/attempt_history.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_history.py
@@ -1,6 +1,6 @@
 """Attempts that were made for one request."""
 
-from .._generated.serving import Route
+from .._generated.serving import Placement, Route
 
 # Sends allowed beyond the route's runs, since a target may refuse to run one.
 _EXTRA_SEND_COUNT = 2
@@ -73,3 +73,12 @@
         summary = f'{target} {outcome} {elapsed_ms} ms {error}'
         self.summaries.append(summary.strip())
         self.excluded_targets.append(target)
+
+    def list_tried(self, running: Placement | None) -> list[str]:
+        """Return the names of the targets that were tried.
+
+        :param running: placement of the running attempt, if there is one.
+        """
+        if running is None:
+            return list(self.excluded_targets)
+        return [*self.excluded_targets, running.target]
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -194,14 +194,26 @@
         if self.is_done:
             return []
         if now >= self.deadline:
-            return self._handle_deadline(now)
+            return self._give_up('deadline_exceeded', now)
         if self._silence_deadline is None or now < self._silence_deadline:
             return []
         self._silence_deadline = None
         if self.is_awaiting_placement or not self._may_replace(now):
             return []
         self.is_awaiting_placement = True
-        return [RequestPlacement(self._tried_targets(), is_repeat=True)]
+        tried = self.history.list_tried(self._placement)
+        return [RequestPlacement(tried, is_repeat=True)]
+
+    def handle_stop(self, now: timedelta) -> list[ExchangeEffect]:
+        """Give the final answer because the process ends.
+
+        :param now: time on the monotonic clock.
+        """
+        if self.is_done:
+            return []
+        if self.history.may_have_run or self._placement is not None:
+            return self._give_up('answer_lost', now)
+        return self._give_up('entry_stopping', now)
 
     def handle_disconnect(self, now: timedelta) -> list[ExchangeEffect]:
         """Cancel the request after its caller disconnected.
@@ -222,7 +234,7 @@
             report = _build_report(placement, AttemptOutcome.abandoned)
             return [
                 ReportAttempt(placement, report),
-                *self._handle_deadline(now),
+                *self._give_up('deadline_exceeded', now),
             ]
         self._placement = placement
         self._progress = AttemptProgress(now)
@@ -412,7 +424,8 @@
         if self.history.is_exhausted or not has_time:
             return self._finish_unanswered('target_failed')
         self.is_awaiting_placement = True
-        return [RequestPlacement(self._tried_targets(), is_repeat=is_repeat)]
+        tried = self.history.list_tried(self._placement)
+        return [RequestPlacement(tried, is_repeat=is_repeat)]
 
     def _handle_placement_failure(
         self, found: PlacementFailure
@@ -435,14 +448,14 @@
             return [SendRefusal('answer_lost', 0)]
         return [SendRefusal('target_refused', _NOT_RUN_RETRY_AFTER_MS)]
 
-    def _handle_deadline(self, now: timedelta) -> list[ExchangeEffect]:
+    def _give_up(self, reason: str, now: timedelta) -> list[ExchangeEffect]:
         self.is_done = True
         effects = self._cancel_attempt(AttemptOutcome.abandoned, now)
         if self.is_response_started:
-            return [AbortResponse('deadline_exceeded'), *effects]
+            return [AbortResponse(reason), *effects]
         if self._error_response is not None:
             return [self._error_response, *effects]
-        return [SendRefusal('deadline_exceeded', 0), *effects]
+        return [SendRefusal(reason, 0), *effects]
 
     def _cancel_attempt(
         self,
@@ -481,11 +494,6 @@
             and self.deadline - now > _MIN_ATTEMPT_TIME
         )
 
-    def _tried_targets(self) -> list[str]:
-        if self._placement is None:
-            return list(self.history.excluded_targets)
-        return [*self.history.excluded_targets, self._placement.target]
-
 
 _MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
 
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -15,7 +15,7 @@
 from buckthornpond_runtime.tasks import AnyGreenlet, Mailbox
 
 from .dispatch import AdmissionRequest
-from .exchanges import CallerMessage, ExchangeRunner
+from .exchanges import CallerMessage, EntryEnding, ExchangeRunner
 from .frontend import FrontendState
 from .readers import BadRequest, CallerDisconnected, CallerReader, ReaderMessage
 from .requests import CallerRequest
@@ -55,9 +55,18 @@
         self._writer = ResponseWriter(connection, frontend)
         self._pending_messages: list[ReaderMessage] = []
 
+    @property
+    def has_open_request(self) -> bool:
+        """Whether any byte of a request without a complete response came."""
+        return self._reader.has_open_request
+
+    def announce_end(self) -> None:
+        """Tell the task that the process ends."""
+        self._mailbox.offer(EntryEnding())
+
     def run(self) -> None:
         """Serve requests until the connection ends."""
-        self._frontend.connections.add(self._reader)
+        self._frontend.connections.add(self)
         greenlet: AnyGreenlet = gevent.spawn(self._reader.run)
         try:
             while self._writer.is_open:
@@ -66,7 +75,7 @@
             self._close(greenlet)
 
     def _close(self, greenlet: AnyGreenlet) -> None:
-        self._frontend.connections.discard(self._reader)
+        self._frontend.connections.discard(self)
         greenlet.kill(block=False)
         self._reader.release()
         self._connection.close()
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -38,6 +38,9 @@
 _NOTICE_PERIOD = timedelta(seconds=3)
 _STOP_MARGIN_MS = 700
 _STOP_MARGIN = timedelta(milliseconds=_STOP_MARGIN_MS)
+# Part of the margin in which callers that still wait are answered.
+_FINAL_ANSWER_MS = 300
+_FINAL_ANSWER_TIME = timedelta(milliseconds=_FINAL_ANSWER_MS)
 _DRAIN_POLL_SECONDS = 0.1
 # Between two polls, what has arrived at a socket is read.
 _MIN_QUIET_COUNT = 2
@@ -250,6 +253,14 @@
             lambda: self._dispatch.quarantine_count,
         )
 
+    def _end_held_requests(self) -> None:
+        """Let each caller that still waits get a final answer."""
+        for connection in tuple(self._frontend.connections):
+            connection.announce_end()
+        end = self._clock.monotonic() + _FINAL_ANSWER_TIME
+        while self._frontend.held_count and self._clock.monotonic() < end:
+            gevent.sleep(_DRAIN_POLL_SECONDS)
+
     def _drain(self, stop: StopSignal) -> None:
         frontend = self._frontend
         started_at = self._clock.monotonic()
@@ -273,6 +284,7 @@
                 EventCode.stop_cut_short,
                 held_count=frontend.held_count,
             )
+            self._end_held_requests()
         log_event(EventCode.process_stopped)
         flush_logs()
         os._exit(0)
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -52,12 +52,20 @@
     error='held responses exceed the memory budget',
 )
 
+
+class EntryEnding:
+    """Tells a caller task that the process ends; sent at a planned stop."""
+
+    __slots__ = ()
+
+
 CallerMessage: TypeAlias = (
     BadRequest
     | CallerDisconnected
     | CallerRequest
     | DispatchReply
     | AttemptUpdate
+    | EntryEnding
 )
 
 
@@ -175,6 +183,8 @@
             self.deferred_messages.append(message)
         if isinstance(message, CallerDisconnected):
             return self._handle_disconnect(message, now)
+        if isinstance(message, EntryEnding):
+            return self._exchange.handle_stop(now)
         return []
 
     def _handle_placement(
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -16,6 +16,9 @@
     def has_open_request(self) -> bool:
         """Whether any byte of a request without a complete response came."""
 
+    def announce_end(self) -> None:
+        """Tell the task of the caller that the process ends."""
+
 
 class FrontendState:
     """State that all caller tasks share.
