Tell a fresh entry of no target that is about to be dropped

The test: it cut the first peer off once that had the new key, which could be before it heard that the server left. Shown by cutting it off in between: the scenario fails each time. It waits for the removal (E613) now; the check and its bound are the same.

Their logs tell: a peer that is cut off from the store learns from another one that a target is gone and keeps it for 2 s, since targets come back when an outage ends. A fresh entry that asks it in that time gets the newest revision with that target in it, without its end, and keeps it until the store is back, as no view is newer.

Change: a view that is handed on names no target in its grace period.

--- a/features/direct_sharing.feature
+++ b/features/direct_sharing.feature
@@ -119,3 +119,8 @@
     Given an entry before 3 app servers and 1 llm servers that shares its view
     When two more entries start that know the first, and callers keep all of them busy
     Then the two know each other within 4 seconds
+
+  Scenario: a target that another entry is about to drop never stays at a fresh one
+    Given an entry without its source that heard of a target's removal
+    When a fresh entry learns its view
+    Then the fresh entry does not know that target
--- a/features/steps/direct_sharing_steps.py
+++ b/features/steps/direct_sharing_steps.py
@@ -1,11 +1,13 @@
 """Steps for entries that share their view of the fleet."""
 
+from datetime import timedelta
 from typing import Any
 
 import gevent
 from behave import given, then, when
 from gevent.socket import create_connection, socket
 
+from buckthornpond_core._generated.serving import SourceLost, TargetRemoved
 from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform_standins.listening import Listener, wait_until
 from buckthornpond_platform_standins.local_clusters import (
@@ -14,6 +16,11 @@
     make_route,
 )
 from buckthornpond_platform_standins.relays import Relay, RelayFault
+from features.specs.dispatchers import (
+    PLAIN_SERVICE,
+    make_dispatcher,
+    make_targets,
+)
 from features.steps.direct_fleet_steps import (
     app_server,
     ask_reads,
@@ -248,3 +255,34 @@
         wait_until(are_known, seconds)
     finally:
         gevent.killall(context.callers)
+
+
+@given("an entry without its source that heard of a target's removal")
+def make_entry_in_grace(context: Any) -> None:
+    """Remove a target while the source is lost, so that it stays for a while."""
+    context.now = timedelta(seconds=100)
+    targets = make_targets(PLAIN_SERVICE, 2)
+    context.dispatchers = [
+        make_dispatcher(0, [], targets, context.now),
+        make_dispatcher(1, [], [], context.now),
+    ]
+    for dispatcher in context.dispatchers:
+        dispatcher.apply(SourceLost('away'), context.now)
+    context.dropped = targets[0].name
+    context.dispatchers[0].apply(TargetRemoved(context.dropped, 9), context.now)
+    assert context.dispatchers[0].fleet.find(context.dropped) is not None
+
+
+@when('a fresh entry learns its view')
+def learn_view(context: Any) -> None:
+    """Apply the view of the first entry at the second one."""
+    old, fresh = context.dispatchers
+    view = old.follower.make_view(0, context.now)
+    fresh.follower.apply_view(view, 'peer', context.now, context.now)
+
+
+@then('the fresh entry does not know that target')
+def check_dropped_unknown(context: Any) -> None:
+    """Look for the targets of the view."""
+    fleet = context.dispatchers[1].fleet
+    assert [view.record.name for view in fleet] == ['target-1']
--- a/features/steps/reported_faults_steps.py
+++ b/features/steps/reported_faults_steps.py
@@ -466,9 +466,19 @@
     cluster.configure(tenants=tenants)
     context.left_server = cluster.servers[0]
     cluster.store.delete(f'servers/{context.left_server.name}')
-    address = context.peer_processes['127.0.0.11'].address
-    client = Client(address, HOST, API_KEY)
+    peer = context.peer_processes['127.0.0.11']
+    client = Client(peer.address, HOST, API_KEY)
     wait_until(lambda: client.fetch('GET', '/read/1').status == 401)
+    wait_until(lambda: _has_removed(peer, context.left_server.name))
+
+
+def _has_removed(process: EntryProcess, target: str) -> bool:
+    return any(
+        event['event'] == 'target_removed'
+        and event['target'] == target
+        and not event['is_back_expected']
+        for event in process.read_events()
+    )
 
 
 @when(
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -117,7 +117,8 @@
                 targets=[
                     _update_cold_time(view, now)
                     for view in fleet
-                    if view.record.is_draining or view.accepts_work(now)
+                    # One in its grace period would stay for good at the peer.
+                    if view.expires_at is None
                 ],
                 evacuated_zones=sorted(fleet.evacuated_zones),
                 configuration=self.route_table.configuration,
