Count requests against a limit from the moment at which it is stated

Found by reading the change as a newcomer, before it landed: requests to a target whose limit had ended were still counted, so that a limit stated again later was taken for used up, for minutes after some hundred requests. A limit that begins anew starts its count anew.

Evidence: the new scenario of stated_limits fails without the change (0 requests in the last second) and passes with it.

--- a/features/stated_limits.feature
+++ b/features/stated_limits.feature
@@ -23,6 +23,16 @@
     And 4 callers stream for 4 seconds
     Then llm server 1 got more than 30 requests in the last second
 
+  Scenario: requests while no limit was stated do not count against a later limit
+    Given an entry before 1 app servers and 1 llm servers
+    And llm server 1 states "Server-Limit: 1.0"
+    When 4 callers stream for 1 seconds
+    And llm server 1 states nothing
+    And 4 callers stream for 3 seconds
+    And llm server 1 states "Server-Limit: 4.0"
+    And 4 callers stream for 2 seconds
+    Then llm server 1 got more than 2 requests in the last second
+
   Scenario Outline: a fleet of any size keeps to the limits that targets state
     Given <count> entries before <targets> targets that state <limit> requests a second
     When they send as fast as allowed for 20 seconds while entries <faults>
--- a/packages/core/src/buckthornpond_core/serving/stated_limits.py
+++ b/packages/core/src/buckthornpond_core/serving/stated_limits.py
@@ -99,6 +99,15 @@
         self._spent_count = 0.0
         self._updated_at = heard_at
 
+    def begin(self, heard_at: timedelta) -> None:
+        """Start to count requests, as the target limits them from now on.
+
+        :param heard_at: when it stated that, on the monotonic clock.
+        """
+        self.began_at = heard_at
+        self._spent_count = 0.0
+        self._updated_at = heard_at
+
     def find_delay(self, share: LimitShare, now: timedelta) -> timedelta:
         """Return the time until this entry may send one more request.
 
--- a/packages/core/src/buckthornpond_core/serving/target_statements.py
+++ b/packages/core/src/buckthornpond_core/serving/target_statements.py
@@ -183,7 +183,7 @@
         stated.heard_at = heard_at
         stated.requests_per_second = limit
         if limit is not None and not was_limited:
-            stated.began_at = heard_at
+            stated.begin(heard_at)
             self._log(EventCode.target_limited, view, stated, now)
         if was_limited != (limit is not None):
             self._load_exchange.mark_changed(view.record.name)
