--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -81,7 +81,8 @@
         for element in feature.get('elements', []):
             if element['type'] == 'background':
                 continue
-            name = f'{feature["name"]}: {element["name"]}'
+            # The name of an unnamed example ends with a space.
+            name = f'{feature["name"]}: {element["name"]}'.strip()
             has_passed = element.get('status') == 'passed'
             (result.passed if has_passed else result.failed).append(name)
 
