Log what an attempt left of an event, and what followed an answer

Change: the summary of an attempt names the bytes of the event inside which its response ended; E620 tells that bytes followed a complete response. No decision reads either.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -40,6 +40,11 @@
       | cut cut_head             | 1.1     |
       | cut cut_head             | 1.0     |
 
+  Scenario: the log of a request names the bytes of an event that an attempt left unfinished
+    Given the next llm servers do: cut_event
+    When a caller streams /stream/1
+    Then the log of the request says: inside an event after 9 bytes of it
+
   Scenario: a target that ends a stream inside an event counts as lost
     Given the next llm servers do: unframed_empty
     When a caller streams /stream/1 with the prompt parts a1:40,b2:300,c3:90
--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -79,6 +79,7 @@
     Given the next app servers do: extra extra extra extra
     When a caller gets /read/1 8 times
     Then each answer belongs to its request
+    And event E620 is logged
 
   Scenario: the disconnect of a caller cancels its attempt at once
     Given the next llm servers do: hang
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -1,5 +1,6 @@
 """Steps on answers that break off or belong to an earlier request."""
 
+import json
 from collections import deque
 from typing import Any
 
@@ -63,6 +64,20 @@
     return client.fetch('POST', STREAM_PATH, X_Token_Count=_TOKEN_COUNT)
 
 
+@then('the log of the request says: {text}')
+def check_attempts_logged(context: Any, text: str) -> None:
+    """Look for a text in the summaries of the attempts."""
+    attempt_id = context.answers[-1].attempt_id
+    events = map(json.loads, b''.join(context.log_lines).splitlines())
+    summaries = [
+        summary
+        for event in events
+        if event.get('request') == attempt_id
+        for summary in event.get('attempts', ())
+    ]
+    assert any(text in summary for summary in summaries), summaries
+
+
 @then('{count:d} {service:w} servers ran it')
 def check_run_count(context: Any, count: int, service: str) -> None:
     """Count the runs of the last request."""
--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -47,6 +47,7 @@
     fleet_read = 617
     idle_input_received = 618
     stale_response_skipped = 619
+    response_followed = 620
     source_lost = 621
     source_regained = 622
     source_history_lost = 623
--- a/packages/core/src/buckthornpond_core/serving/attempt_history.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_history.py
@@ -61,7 +61,12 @@
         self._run_count += 1
 
     def record_end(
-        self, target: str, outcome: str, elapsed_ms: int, error: str
+        self,
+        target: str,
+        outcome: str,
+        elapsed_ms: int,
+        error: str,
+        unfinished_bytes: int = 0,
     ) -> None:
         """Record the end of an attempt.
 
@@ -69,9 +74,14 @@
         :param outcome: how the attempt ended.
         :param elapsed_ms: time since its start.
         :param error: description of the failure, or empty.
+        :param unfinished_bytes: size of the event inside which its response
+            ended.
         """
-        summary = f'{target} {outcome} {elapsed_ms} ms {error}'
-        self.summaries.append(summary.strip())
+        remark = ''
+        if unfinished_bytes:
+            remark = f', inside an event after {unfinished_bytes} bytes of it'
+        summary = f'{target} {outcome} {elapsed_ms} ms {error}'.strip()
+        self.summaries.append(f'{summary}{remark}')
         self.excluded_targets.append(target)
 
     def list_tried(self, running: Placement | None) -> list[str]:
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -53,6 +53,11 @@
         """Return whether the received bytes end inside an event."""
         return bool(self._partial.strip())
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Return the size of the event inside which the received bytes end."""
+        return len(self._partial) if self.has_partial_event else 0
+
     def feed(self, received: bytes) -> bytes:
         """Return the complete events that were not returned before.
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -479,7 +479,13 @@
             return []
         failed = target or placement.target
         elapsed_ms = self._progress.elapsed_ms(now)
-        self.history.record_end(failed, outcome, elapsed_ms, error)
+        self.history.record_end(
+            failed,
+            outcome,
+            elapsed_ms,
+            error,
+            self._assembler.partial_event_bytes,
+        )
         self._placement = None
         self._silence_deadline = None
         report = self._progress.make_report(failed, outcome, now)
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -307,7 +307,14 @@
         connection: HttpConnection,
         response: HttpResponse,
     ) -> None:
-        if response.has_trailing_bytes or not response.keeps_alive:
+        if response.has_trailing_bytes:
+            log_event(
+                EventCode.response_followed,
+                request=self._effect.attempt_id,
+                address=connection.address,
+            )
+            return
+        if not response.keeps_alive:
             return
         if response.has_skipped:
             log_event(
