Keep the bytes of each attempt apart, so that none stands in the answer of another

Cause: the part of an event that an attempt had sent stayed in the request's assembler. It was dropped only where the response had begun; before, the next attempt's bytes were appended to it. Change: what arrives from an attempt (body, unfinished event) belongs to the attempt and ends with it; the request keeps only how far the stream has come (StreamPosition). Nothing has to be reset any more, so that no case can be left out.

--- a/features/specs/endless_readers.py
+++ b/features/specs/endless_readers.py
@@ -1,7 +1,7 @@
 """Parsers of an entry, with what they hold of input that never ends."""
 
 from buckthornpond_core._generated.serving import CallerLimits
-from buckthornpond_core.serving.events import EventAssembler
+from buckthornpond_core.serving.events import EventAssembler, StreamPosition
 from buckthornpond_entry.direct.requests import RequestParser
 from buckthornpond_runtime.responses import (
     HttpResponse,
@@ -48,7 +48,7 @@
     """Splitter of an event stream."""
 
     def __init__(self) -> None:
-        self._assembler = EventAssembler()
+        self._assembler = EventAssembler(StreamPosition())
         self._fed_bytes = 0
         self._returned_bytes = 0
 
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -18,7 +18,7 @@
 from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core._generated.serving import CallerLimits, TargetRecord
 from buckthornpond_core.exceptions import BuckthornpondError
-from buckthornpond_core.serving.events import EventAssembler
+from buckthornpond_core.serving.events import EventAssembler, StreamPosition
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
 from buckthornpond_entry.direct.requests import RequestParser
@@ -335,13 +335,14 @@
 
     def check(example: tuple[int, list[int]]) -> None:
         content, events = _make_stream(example[0])
-        assembler = EventAssembler()
+        stream_position = StreamPosition()
+        assembler = EventAssembler(stream_position)
         passed = [assembler.feed(part) for part in _split(content, example[1])]
         for part in passed:
             assert part.endswith(b'\n\n') or not part
         assert b''.join(passed) == content
         assert not assembler.has_partial_event
-        assert assembler.last_event_id == f'{len(events)}'
+        assert stream_position.last_event_id == f'{len(events)}'
 
     run_generated(count, _SPLIT_STREAMS, check)
     context.is_checked = True
@@ -355,11 +356,12 @@
 
     def check(example: tuple[int, list[int]]) -> None:
         content, events = _make_stream(example[0])
-        assembler = EventAssembler()
+        stream_position = StreamPosition()
+        assembler = EventAssembler(stream_position)
         position = hash(tuple(example[1])) % (len(content) + 1)
         passed = assembler.feed(content[:position])
-        known = int(assembler.last_event_id or 0)
-        assembler.resume()
+        known = int(stream_position.last_event_id or 0)
+        assembler = EventAssembler(stream_position, is_resumed=bool(passed))
         # A target may repeat the last event when it resumes a stream.
         rest = b''.join(events[max(known - 1, 0) :])
         parts = [assembler.feed(part) for part in _split(rest, example[1])]
--- a/features/steps/endless_input_steps.py
+++ b/features/steps/endless_input_steps.py
@@ -13,7 +13,7 @@
 
 from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core.input_limits import InputLimitError
-from buckthornpond_core.serving.events import EventAssembler
+from buckthornpond_core.serving.events import EventAssembler, StreamPosition
 from buckthornpond_platform_standins.clients import Client, ClientResponse
 from buckthornpond_platform_standins.endless import (
     EndlessPart,
@@ -435,7 +435,7 @@
 @when('an event of 1 MiB arrives in pieces of {length:d} bytes')
 def feed_long_event(context: Any, length: int) -> None:
     """Feed an event without an end until it exceeds its limit."""
-    assembler = EventAssembler()
+    assembler = EventAssembler(StreamPosition())
     context.buffer = SearchedBuffer()
     assembler._partial = context.buffer  # noqa: SLF001
     try:
--- a/packages/core/src/buckthornpond_core/serving/attempt_progress.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -4,6 +4,7 @@
 
 from .._generated.serving import AttemptReport
 from .effects import ResponseHead
+from .events import EventAssembler, StreamPosition
 from .health import AttemptOutcome
 from .response_checks import is_success
 
@@ -16,19 +17,32 @@
     """Parts of the response to an attempt that have arrived, and when.
 
     :param sent_at: when the attempt started, on the monotonic clock.
+    :param position: how far the stream has come that the caller gets.
+    :param is_resumed: whether the caller has a part of the stream.
     """
 
     __slots__ = (
         '_event_count',
         '_head_at',
         '_proven_at',
+        'body',
+        'events',
         'head',
         'is_first_byte_reported',
         'sent_at',
     )
 
-    def __init__(self, sent_at: timedelta) -> None:
+    def __init__(
+        self,
+        sent_at: timedelta,
+        position: StreamPosition,
+        *,
+        is_resumed: bool = False,
+    ) -> None:
         self.sent_at = sent_at
+        self.events = EventAssembler(position, is_resumed=is_resumed)
+        # Body of a response that is forwarded as a whole.
+        self.body = bytearray()
         self.head: ResponseHead | None = None
         self.is_first_byte_reported = False
         self._head_at = timedelta()
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -17,36 +17,52 @@
 _MAX_NUMBER_DIGITS = 18
 
 
-class EventAssembler:
-    """Extracts complete events from a stream and tracks the last event ID.
+class StreamPosition:
+    """How far a stream has come, over all attempts at it.
 
     :param last_event_id: ID of the event after which the stream starts, or
         empty for the start.
     """
 
+    __slots__ = ('highest_number', 'last_event_id', 'received_bytes')
+
+    def __init__(self, last_event_id: str = '') -> None:
+        self.last_event_id = last_event_id
+        self.highest_number = _parse_number(last_event_id)
+        self.received_bytes = 0
+
+
+class EventAssembler:
+    """Extracts complete events from the response to one attempt.
+
+    :param position: position of the stream, which the events move on.
+    :param is_resumed: whether the caller has a part of the stream, so that
+        numbered events up to the position are skipped.
+    """
+
     __slots__ = (
         '_empty_bytes',
-        '_highest_number',
         '_partial',
-        '_received_bytes',
+        '_position',
         '_searched_bytes',
         '_skip_up_to',
         'has_progressed',
-        'last_event_id',
     )
 
-    def __init__(self, last_event_id: str = '') -> None:
-        self.last_event_id = last_event_id
+    def __init__(
+        self, position: StreamPosition, *, is_resumed: bool = False
+    ) -> None:
         # Whether the events returned last hold one that the caller can use:
         # with data and, if the stream is numbered, with a higher number.
         self.has_progressed = False
-        self._highest_number = _parse_number(last_event_id)
+        self._position = position
         self._partial = bytearray()
         # Bytes of the partial event that hold no end of an event.
         self._searched_bytes = 0
-        self._received_bytes = 0
         self._empty_bytes = 0
         self._skip_up_to: int | None = None
+        if is_resumed:
+            self._skip_up_to = _parse_number(position.last_event_id)
 
     @property
     def has_partial_event(self) -> bool:
@@ -65,8 +81,8 @@
         :raises InputLimitError: when an event or the stream is too long, or
             the stream goes on without usable events.
         """
-        self._received_bytes += len(received)
-        if self._received_bytes > MAX_STREAM_BYTES:
+        self._position.received_bytes += len(received)
+        if self._position.received_bytes > MAX_STREAM_BYTES:
             raise _limit_error(InputLimit.stream, MAX_STREAM_BYTES)
         events = self._split_off_complete(received)
         if not events:
@@ -77,16 +93,6 @@
         self._record_progress(selected)
         return selected
 
-    def resume(self) -> None:
-        """Continue with the response of another target.
-
-        Drops a partial event, and skips numbered events returned before.
-        """
-        self._partial.clear()
-        self._searched_bytes = 0
-        self._empty_bytes = 0
-        self._skip_up_to = _parse_number(self.last_event_id)
-
     def _split_off_complete(self, received: bytes) -> bytes:
         partial = self._partial
         partial += received
@@ -115,7 +121,7 @@
         found = _find_id(events)
         self.has_progressed = self._is_usable(events, found)
         if found:
-            self.last_event_id = found
+            self._position.last_event_id = found
         if self.has_progressed:
             self._empty_bytes = 0
             return
@@ -125,12 +131,12 @@
 
     def _is_usable(self, events: bytes, last_id: str) -> bool:
         number = _parse_number(last_id)
+        highest = self._position.highest_number
         if number is None:
-            is_numbered = self._highest_number is not None
-            return not is_numbered and bool(_DATA_LINE.search(events))
-        if self._highest_number is not None and number <= self._highest_number:
+            return highest is None and bool(_DATA_LINE.search(events))
+        if highest is not None and number <= highest:
             return False
-        self._highest_number = number
+        self._position.highest_number = number
         return True
 
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -24,7 +24,7 @@
     StartAttempt,
     StopAttempt,
 )
-from .events import EventAssembler
+from .events import StreamPosition
 from .health import AttemptOutcome
 from .messages import (
     AttemptBody,
@@ -77,11 +77,10 @@
     """
 
     __slots__ = (
-        '_assembler',
-        '_body',
         '_error_response',
         '_last_event_at',
         '_placement',
+        '_position',
         '_progress',
         '_silence_deadline',
         '_started_head',
@@ -107,14 +106,14 @@
         self.longest_gap_ms = 0
         self._last_event_at: timedelta | None = None
         self.history = AttemptHistory(admission.route)
-        self._assembler = EventAssembler(admission.metadata.last_event_id)
-        self._body = bytearray()
         self._error_response: SendResponse | None = None
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
         # Head of the stream that the caller gets, once it has begun.
         self._started_head: ResponseHead | None = None
-        self._progress = AttemptProgress(arrival)
+        # How far the stream has come that the caller gets.
+        self._position = StreamPosition(admission.metadata.last_event_id)
+        self._progress = AttemptProgress(arrival, self._position)
         # Whether the dispatcher has yet to reply with a placement.
         self.is_awaiting_placement = False
 
@@ -131,7 +130,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the size of the response held until it is complete."""
-        return len(self._body)
+        return len(self._progress.body)
 
     @property
     def wake_at(self) -> timedelta:
@@ -237,11 +236,10 @@
                 *self._give_up('deadline_exceeded', now),
             ]
         self._placement = placement
-        self._progress = AttemptProgress(now)
-        self._body = bytearray()
+        self._progress = AttemptProgress(
+            now, self._position, is_resumed=self.is_response_started
+        )
         self.history.record_send()
-        if self.is_response_started:
-            self._assembler.resume()
         may_repeat = self.admission.route.may_repeat
         if may_repeat:
             timeout = find_first_byte_timeout(self.admission.route, placement)
@@ -251,7 +249,7 @@
                 placement,
                 self.deadline - now,
                 attempt_id=self.admission.metadata.attempt_id,
-                last_event_id=self._assembler.last_event_id,
+                last_event_id=self._position.last_event_id,
                 # A request that may run once waits for a target that is cut
                 # off for a while, unless that holds memory elsewhere.
                 detects_dead_target=may_repeat or bool(placement.tickets),
@@ -280,18 +278,18 @@
         now: timedelta,
     ) -> list[ExchangeEffect]:
         if not self.is_streaming:
-            self._body += content
-            if len(self._body) > MAX_RESPONSE_BODY_BYTES:
+            self._progress.body += content
+            if len(self._progress.body) > MAX_RESPONSE_BODY_BYTES:
                 return self._fail_attempt(_RESPONSE_TOO_LARGE, now)
             return []
         try:
-            events = self._assembler.feed(content)
+            events = self._progress.events.feed(content)
         except InputLimitError as error:
             return self._fail_attempt(_exceeded_limit(error), now)
         if not events:
             return []
         effects = self._start_stream(now)
-        if self._assembler.has_progressed:
+        if self._progress.events.has_progressed:
             effects.extend(self._record_event(now))
         return [*effects, SendEvents(events)]
 
@@ -343,7 +341,7 @@
             )
         if self.is_response_started:
             return self._fail_attempt(_NO_CONTINUATION, now)
-        response = SendResponse(head, bytes(self._body))
+        response = SendResponse(head, bytes(self._progress.body))
         if metadata.status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._finish(response, AttemptOutcome.answered, now)
         self._error_response = response
@@ -361,7 +359,7 @@
         has_content = self._progress.has_events or (
             message.is_delimited and self._last_event_at is not None
         )
-        if has_content and not self._assembler.has_partial_event:
+        if has_content and not self._progress.events.has_partial_event:
             return self._finish(EndStream(), AttemptOutcome.answered, now)
         outcome = AttemptOutcome.failed
         if not message.is_delimited:
@@ -484,7 +482,7 @@
             outcome,
             elapsed_ms,
             error,
-            self._assembler.partial_event_bytes,
+            self._progress.events.partial_event_bytes,
         )
         self._placement = None
         self._silence_deadline = None
