Give up an answer without a length behind which another answer begins

Cause: an answer with neither a length nor chunks ends with its connection, and everything up to there was taken for it, a second answer of a server that answers twice too. Change: such a body is searched for the head of a response that names an attempt. If one is found the attempt has failed: where the first answer ended, and whether it was whole, cannot be told.

--- a/features/doubled_answers.feature
+++ b/features/doubled_answers.feature
@@ -44,3 +44,11 @@
       | unframed | at once         | unframed |
       | length   | before the next | unframed |
       | chunked  | before the next | unframed |
+
+  Scenario: wherever its bytes are split, a second answer behind one without a length is found
+    When 600 answers without a length and a second one are split at random positions
+    Then each was given up, with nothing passed on but bytes of the first
+
+  Scenario: a sound answer without a length may hold the text of any other message
+    When 600 answers without a length hold parts of other messages
+    Then each was passed on whole
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -314,7 +314,8 @@
     return b''.join(events), events
 
 
-def _split(content: bytes, positions: list[int]) -> list[bytes]:
+def split_content(content: bytes, positions: list[int]) -> list[bytes]:
+    """Return the parts of a content between some positions."""
     ends = sorted({position % (len(content) + 1) for position in positions})
     starts = [0, *ends]
     return [
@@ -337,7 +338,9 @@
         content, events = _make_stream(example[0])
         stream_position = StreamPosition()
         assembler = EventAssembler(stream_position)
-        passed = [assembler.feed(part) for part in _split(content, example[1])]
+        passed = [
+            assembler.feed(part) for part in split_content(content, example[1])
+        ]
         for part in passed:
             assert part.endswith(b'\n\n') or not part
         assert b''.join(passed) == content
@@ -364,7 +367,9 @@
         assembler = EventAssembler(stream_position, is_resumed=bool(passed))
         # A target may repeat the last event when it resumes a stream.
         rest = b''.join(events[max(known - 1, 0) :])
-        parts = [assembler.feed(part) for part in _split(rest, example[1])]
+        parts = [
+            assembler.feed(part) for part in split_content(rest, example[1])
+        ]
         assert passed + b''.join(parts) == content
 
     run_generated(count, _SPLIT_STREAMS, check)
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -214,7 +214,9 @@
         self._send(connection)
         if self._reservations is not None:
             self._memory_guard = gevent.spawn(self._guard_memory, connection)
-        response = HttpResponse(self._request.method, self._is_stale)
+        response = HttpResponse(
+            self._request.method, self._is_stale, self._names_attempt
+        )
         while not response.is_head_complete:
             self._receive(connection, response)
         fields = response.fields
@@ -252,6 +254,12 @@
         is_own = named_id == self._effect.attempt_id
         return not is_own and named_id in connection.recent_ids
 
+    def _names_attempt(
+        self, status_code: int, fields: list[tuple[str, str]]
+    ) -> bool:
+        """Return whether a head is that of a response to some attempt."""
+        return bool(self._codec.read_response(status_code, fields).attempt_id)
+
     def _reserve_memory(self) -> None:
         placement = self._effect.placement
         if not placement.tickets:
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -18,6 +18,8 @@
     InputLimitError,
 )
 
+from .embedded_heads import find_heads, find_unfinished_head
+
 _LOWEST_FINAL_STATUS = 200
 _MAX_BUFFERED_BYTES = 1_048_576
 _EVENT_END = b'\n\n'
@@ -25,7 +27,7 @@
 _DELIMITING_FIELDS = frozenset(('content-length', 'transfer-encoding'))
 
 
-StaleCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
+HeadCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
 
 
 class MalformedResponseError(BuckthornpondError):
@@ -46,6 +48,9 @@
     :param is_stale: tells from status and header fields whether a response
         answers an earlier request. Such a response is skipped, and counts
         towards the limit on the head.
+    :param is_further: tells from status and header fields whether a head
+        inside a body that ends with its connection is that of a further
+        response. Without it, such bodies are not searched.
     """
 
     __slots__ = (
@@ -53,6 +58,8 @@
         '_fields',
         '_framing',
         '_head_bytes',
+        '_held_back_bytes',
+        '_is_further',
         '_is_skipping',
         '_is_stale',
         '_method',
@@ -71,7 +78,8 @@
     def __init__(
         self,
         method: str,
-        is_stale: StaleCheck | None = None,
+        is_stale: HeadCheck | None = None,
+        is_further: HeadCheck | None = None,
     ) -> None:
         self.status_code = 0
         self.is_head_complete = False
@@ -84,6 +92,7 @@
         self.fields: list[tuple[str, str]] = []
         self._method = method
         self._is_stale = is_stale
+        self._is_further = is_further
         self._is_skipping = False
         self._fields: dict[str, str] = {}
         self._head_bytes = 0
@@ -92,6 +101,8 @@
         # Bytes of the buffered body that hold no end of an event.
         self._searched_bytes = 0
         self._body = bytearray()
+        # Last bytes of the buffered body that may begin a further response.
+        self._held_back_bytes = 0
         self._parser = HttpResponseParser(self)
 
     @property
@@ -104,7 +115,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Number of body bytes that nobody has taken yet."""
-        return len(self._body)
+        return len(self._body) - self._held_back_bytes
 
     def get(self, name: str, default: str) -> str:
         """Return a header field, or the default.
@@ -126,7 +137,9 @@
             return
         had_head = self.is_head_complete
         earlier_body_bytes = self._received_body_bytes
+        searched_bytes = self.buffered_bytes
         self._parse(received)
+        self._search_further(searched_bytes)
         if not self.is_head_complete:
             self._check_head(len(received))
         elif had_head and not self.is_complete:
@@ -159,8 +172,9 @@
         :param length_bytes: most bytes to return.
         """
         self._searched_bytes = 0
-        taken = bytes(self._body[:length_bytes])
-        del self._body[:length_bytes]
+        taken_bytes = min(length_bytes, self.buffered_bytes)
+        taken = bytes(self._body[:taken_bytes])
+        del self._body[:taken_bytes]
         return taken
 
     def has_buffered(self, length_bytes: int) -> bool:
@@ -168,7 +182,7 @@
 
         :param length_bytes: number of body bytes.
         """
-        return self.is_complete or len(self._body) >= length_bytes
+        return self.is_complete or self.buffered_bytes >= length_bytes
 
     # Callbacks of the parser.
 
@@ -239,8 +253,23 @@
             raise MalformedResponseError(
                 'connection closed before the end of the response'
             )
+        self._held_back_bytes = 0
         self.is_complete = True
 
+    def _search_further(self, searched_bytes: int) -> None:
+        """Look for a further response behind the bytes searched before."""
+        if self._is_further is None or self.is_complete:
+            return
+        if self.is_body_delimited or not self.is_head_complete:
+            return
+        for head in find_heads(self._body, searched_bytes):
+            if self._is_further(head.status_code, head.fields):
+                raise MalformedResponseError(
+                    'another response inside a body without a length'
+                )
+        unfinished = find_unfinished_head(self._body, searched_bytes)
+        self._held_back_bytes = len(self._body) - unfinished
+
     def _parse(self, received: bytes) -> None:
         try:
             self._parser.feed_data(received)
