--- a/features/steps/doubled_answers_steps.py
+++ b/features/steps/doubled_answers_steps.py
@@ -117,10 +117,15 @@
     return any(name == 'X-Attempt-Id' for name, _ in fields)
 
 
-def _receive(
+def receive(
     content: bytes, positions: list[int], received: bytearray
 ) -> HttpResponse:
-    """Feed a response in parts; what is passed on goes to ``received``."""
+    """Feed a response in parts; what is passed on goes to ``received``.
+
+    :param content: bytes of the response.
+    :param positions: where they are split.
+    :param received: is given the body bytes that are passed on.
+    """
     response = HttpResponse('GET', is_further=_names_attempt)
     for part in split_content(content, positions):
         if part:
@@ -143,7 +148,7 @@
         body = b''.join(example[0])
         received = bytearray()
         try:
-            _receive(head + body + head + body, example[1], received)
+            receive(head + body + head + body, example[1], received)
         except MalformedResponseError:
             assert body.startswith(bytes(received)), (body, received)
             return
@@ -163,7 +168,7 @@
         if _FURTHER_HEAD.search(body):
             return
         received = bytearray()
-        _receive(head + body, example[1], received)
+        receive(head + body, example[1], received)
         assert bytes(received) == body, (body, received)
 
     run_generated(count, st.tuples(_MESSAGE_PARTS, _POSITIONS), check)
--- a/features/steps/separate_attempts_steps.py
+++ b/features/steps/separate_attempts_steps.py
@@ -70,6 +70,11 @@
 )
 
 
+def make_admission() -> AdmittedRequest:
+    """Return a request for a stream that may be resumed."""
+    return AdmittedRequest(_REQUEST, _ROUTE, None, 'llm')
+
+
 class BreakingTargets:
     """Targets that break off one after another; the last one does not.
 
@@ -81,8 +86,7 @@
     def __init__(self, breaks: list[tuple[int, int, bool]]) -> None:
         self._breaks = list(breaks)
         self._now = timedelta(seconds=1)
-        admission = AdmittedRequest(_REQUEST, _ROUTE, None, 'llm')
-        self._exchange = RequestExchange(admission, self._now)
+        self._exchange = RequestExchange(make_admission(), self._now)
         # What the caller got.
         self.received = b''
         self.has_end = False
