Give up an answer without a length that ends inside the head of another

Change: a body that ends behind a complete status line, inside its fields, has failed. A head counts as a target's if it names an attempt, is signed or says that nothing ran. Only a length or a last coding 'chunked' delimits a body.

--- a/features/doubled_answers.feature
+++ b/features/doubled_answers.feature
@@ -50,5 +50,5 @@
     Then each was given up, with nothing passed on but bytes of the first
 
   Scenario: a sound answer without a length may hold the text of any other message
-    When 600 answers without a length hold parts of other messages
+    When 600 answers without a length hold parts of other messages, and end in no head
     Then each was passed on whole
--- a/features/steps/doubled_answers_steps.py
+++ b/features/steps/doubled_answers_steps.py
@@ -1,6 +1,7 @@
 """Steps on servers that send each answer twice."""
 
 import re
+from contextlib import suppress
 from typing import Any
 
 from behave import given, then, when
@@ -31,6 +32,10 @@
     rb'(?:[\w-]+:[^\r\n]*\r\n)*X-Attempt-Id:[^\r\n]*\r\n'
     rb'(?:[\w-]+:[^\r\n]*\r\n)*\r\n'
 )
+# Status line, and fields that go on to the end.
+_UNFINISHED_HEAD = re.compile(
+    rb'HTTP/1\.1 200 OK[^\r\n]*\r\n(?:[\w-]+:[^\r\n]*\r\n)*[^\n]*\Z'
+)
 _STREAM_FIELDS = {'X_Token_Count': '100,40'}
 
 
@@ -158,7 +163,10 @@
     context.is_checked = True
 
 
-@when('{count:d} answers without a length hold parts of other messages')
+@when(
+    '{count:d} answers without a length hold parts of other messages, and end'
+    ' in no head'
+)
 def pass_on_messages(context: Any, count: int) -> None:
     """Feed responses that hold anything but a head that names an attempt."""
     head = b'HTTP/1.1 200 OK\r\n\r\n'
@@ -168,6 +176,12 @@
         if _FURTHER_HEAD.search(body):
             return
         received = bytearray()
+        if _UNFINISHED_HEAD.search(body):
+            # It may be that of another answer, which broke off.
+            with suppress(MalformedResponseError):
+                receive(head + body, example[1], received)
+                raise AssertionError((body, received))
+            return
         receive(head + body, example[1], received)
         assert bytes(received) == body, (body, received)
 
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -215,7 +215,7 @@
         if self._reservations is not None:
             self._memory_guard = gevent.spawn(self._guard_memory, connection)
         response = HttpResponse(
-            self._request.method, self._is_stale, self._names_attempt
+            self._request.method, self._is_stale, self._is_of_target
         )
         while not response.is_head_complete:
             self._receive(connection, response)
@@ -254,11 +254,16 @@
         is_own = named_id == self._effect.attempt_id
         return not is_own and named_id in connection.recent_ids
 
-    def _names_attempt(
+    def _is_of_target(
         self, status_code: int, fields: list[tuple[str, str]]
     ) -> bool:
-        """Return whether a head is that of a response to some attempt."""
-        return bool(self._codec.read_response(status_code, fields).attempt_id)
+        """Return whether a head is that of a target's response."""
+        metadata = self._codec.read_response(status_code, fields)
+        return (
+            bool(metadata.attempt_id)
+            or metadata.is_signed
+            or metadata.is_not_run
+        )
 
     def _reserve_memory(self) -> None:
         placement = self._effect.placement
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -23,9 +23,9 @@
 _LOWEST_FINAL_STATUS = 200
 _MAX_BUFFERED_BYTES = 1_048_576
 _EVENT_END = b'\n\n'
+_LINE_END = b'\r\n'
 _BODILESS_STATUSES = frozenset((204, 304))
-_DELIMITING_FIELDS = frozenset(('content-length', 'transfer-encoding'))
-
+_CHUNKED = 'chunked'
 
 HeadCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
 
@@ -108,9 +108,10 @@
     @property
     def is_body_delimited(self) -> bool:
         """Whether the head says how the body ends."""
-        return self._is_bodiless or any(
-            name in self._fields for name in _DELIMITING_FIELDS
-        )
+        if self._is_bodiless or 'content-length' in self._fields:
+            return True
+        codings = self.get('transfer-encoding', '')
+        return codings.rpartition(',')[2].strip().lower() == _CHUNKED
 
     @property
     def buffered_bytes(self) -> int:
@@ -253,6 +254,11 @@
             raise MalformedResponseError(
                 'connection closed before the end of the response'
             )
+        held_back = self._body[self.buffered_bytes :]
+        if _LINE_END in held_back:
+            raise MalformedResponseError(
+                'connection closed inside the head of another response'
+            )
         self._held_back_bytes = 0
         self.is_complete = True
 
