Pass on nothing behind the head of an answer to HEAD

Cause: an answer to HEAD is complete with its head, but what followed was still taken for its body and written behind the head. Change: bytes that follow a complete answer mark its connection as not reusable and go nowhere; answers to HEAD are written without a body.

--- a/packages/entry/src/buckthornpond_entry/direct/writers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/writers.py
@@ -24,6 +24,7 @@
 _MIN_SEND_TIMEOUT = timedelta(milliseconds=_MIN_SEND_TIMEOUT_MS)
 _REFUSAL_SEND_TIMEOUT = timedelta(seconds=1)
 _LINE_END = '\r\n'
+_HEAD_METHOD = 'HEAD'
 # Values of SO_LINGER: whether it is on, and for how many seconds.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _FINISH_ON_CLOSE = struct.pack('ii', 0, 0)
@@ -39,6 +40,7 @@
     __slots__ = (
         '_connection',
         '_frontend',
+        '_is_head_only',
         '_is_http10',
         '_keeps_alive',
         'error',
@@ -49,6 +51,7 @@
         self._connection = connection
         self._frontend = frontend
         self._is_http10 = False
+        self._is_head_only = False
         self._keeps_alive = False
         # Whether the connection can serve another request.
         self.is_open = True
@@ -61,6 +64,7 @@
         :param request: the caller's request.
         """
         self._is_http10 = request.is_http10
+        self._is_head_only = request.method == _HEAD_METHOD
         self._keeps_alive = request.keeps_alive
 
     def send_response(
@@ -78,10 +82,13 @@
         :param time_limit: longest wait for the caller to read.
         """
         response_fields = list(fields)
-        if status_code not in BODILESS_STATUS_CODES:
+        content = body
+        if self._is_head_only:
+            content = b''
+        elif status_code not in BODILESS_STATUS_CODES:
             response_fields.append(('Content-Length', f'{len(body)}'))
         self._send(
-            self._render_head(status_code, response_fields) + body,
+            self._render_head(status_code, response_fields) + content,
             time_limit,
         )
 
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -220,6 +220,10 @@
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body to the buffer."""
+        if self.is_complete:
+            # Nothing follows the head of an answer to HEAD, or 204 and 304.
+            self.has_trailing_bytes = True
+            return
         if not self._is_skipping and not self.has_trailing_bytes:
             self._body += part
             self._received_body_bytes += len(part)
