Move the position of a stream on only with what its caller got

Cause: the position was set before the limit was checked, and to any id. Change: it is set after the check; a number that isn't higher leaves it.

--- a/features/separate_messages.feature
+++ b/features/separate_messages.feature
@@ -38,3 +38,7 @@
   Scenario: the position of a stream is that of the caller after a limit
     When a stream fails for events without progress
     Then its position is the last event that was passed on
+
+  Scenario: the position of a stream does not go back with its numbers
+    When a stream sends events 1, 2, 3 and 1, and another attempt goes on
+    Then that one starts behind event 3 and repeats none of them
--- a/features/steps/separate_messages_steps.py
+++ b/features/steps/separate_messages_steps.py
@@ -293,3 +293,24 @@
     """Compare the position with the last event."""
     line = f'id: {context.position.last_event_id}\n'.encode()
     assert context.passed_on.startswith(line), (line, context.passed_on[:20])
+
+
+@when('a stream sends events 1, 2, 3 and 1, and another attempt goes on')
+def send_earlier_number(context: Any) -> None:
+    """Let the number of the last event be lower than before."""
+    context.position = StreamPosition()
+    first = EventAssembler(context.position)
+    for number in (1, 2, 3, 1):
+        first.feed(render_event(number, _ATTEMPT_ID))
+    second = EventAssembler(context.position, is_resumed=True)
+    context.passed_on = b''.join(
+        second.feed(render_event(repeated, _ATTEMPT_ID))
+        for repeated in (2, 3, 4)
+    )
+
+
+@then('that one starts behind event 3 and repeats none of them')
+def check_resumed(context: Any) -> None:
+    """Check the position, and what the second attempt passed on."""
+    assert context.passed_on == render_event(4, _ATTEMPT_ID)
+    assert context.position.last_event_id == '4'
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -120,14 +120,17 @@
     def _record_progress(self, events: bytes) -> None:
         found = _find_id(events)
         self.has_progressed = self._is_usable(events, found)
-        if found:
-            self._position.last_event_id = found
         if self.has_progressed:
             self._empty_bytes = 0
-            return
-        self._empty_bytes += len(events)
+        else:
+            self._empty_bytes += len(events)
         if self._empty_bytes > MAX_EMPTY_EVENT_BYTES:
             raise _limit_error(InputLimit.empty_events, MAX_EMPTY_EVENT_BYTES)
+        is_earlier = (
+            not self.has_progressed and _parse_number(found) is not None
+        )
+        if found and not is_earlier:
+            self._position.last_event_id = found
 
     def _is_usable(self, events: bytes, last_id: str) -> bool:
         number = _parse_number(last_id)
