Ask for one replacement of an attempt that fails while its replacement is placed

Cause: a failure asked for a placement though one was awaited. Change: it waits for the one that was asked for.

--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -421,6 +421,9 @@
         has_time = self.deadline - now >= _MIN_ATTEMPT_TIME
         if self.history.is_exhausted or not has_time:
             return self._finish_unanswered('target_failed')
+        if self.is_awaiting_placement:
+            # The one asked for when the target fell silent.
+            return []
         self.is_awaiting_placement = True
         tried = self.history.list_tried(self._placement)
         return [RequestPlacement(tried, is_repeat=is_repeat)]
