End a stream of an agent's target with its end event

Cause: a stream without a length was relayed up to the end of the connection; only its last event had to be an end event. Change: the first [DONE] or error event ends the stream.

--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -19,8 +19,7 @@
 from buckthornpond_runtime.tasks import AnyGreenlet
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
-_DONE_EVENT_START = b'data: [DONE]'
-_ERROR_EVENT_START = b'event: error'
+_END_EVENT_STARTS = (b'data: [DONE]', b'event: error')
 _EVENT_END = b'\n\n'
 _CONNECT_STEP = 'connect'
 
@@ -132,20 +131,19 @@
             self._relay_blocks()
 
     def _relay_events(self) -> None:
-        has_end_event = False
         while True:
             self._has_credit.wait()
             events = self._call.read_events(self._max_frame_bytes)
             if not events:
-                break
-            has_end_event = _find_last_event(events).startswith(
-                (_DONE_EVENT_START, _ERROR_EVENT_START)
-            )
+                raise self._make_error(
+                    'event stream ended without a [DONE] or error event'
+                )
+            end = _find_end_event(events)
+            if end:
+                # What follows is not part of the stream.
+                self._forward(events[:end])
+                return
             self._forward(events)
-        if not has_end_event:
-            raise self._make_error(
-                'event stream ended without a [DONE] or error event'
-            )
 
     def _relay_blocks(self) -> None:
         while True:
@@ -172,8 +170,12 @@
         )
 
 
-def _find_last_event(events: bytes) -> bytes:
-    separator_start = events.rfind(_EVENT_END, 0, -len(_EVENT_END))
-    if separator_start < 0:
-        return events
-    return events[separator_start + len(_EVENT_END) :]
+def _find_end_event(events: bytes) -> int:
+    """Return where the event ends that ends the stream, zero without one."""
+    end = 0
+    while end < len(events):
+        start = end
+        end = events.index(_EVENT_END, start) + len(_EVENT_END)
+        if events.startswith(_END_EVENT_STARTS, start):
+            return end
+    return 0
