Let the caller's task write an interim response, between answers

Cause: the reading task wrote it on the socket that the caller's task writes. Change: the reader sends ContinueAwaited, and the caller's task writes the interim response once the earlier requests are answered.

--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -17,7 +17,13 @@
 from .dispatch import AdmissionRequest
 from .exchanges import CallerMessage, EntryEnding, ExchangeRunner
 from .frontend import FrontendState
-from .readers import BadRequest, CallerDisconnected, CallerReader, ReaderMessage
+from .readers import (
+    BadRequest,
+    CallerDisconnected,
+    CallerReader,
+    ContinueAwaited,
+    ReaderMessage,
+)
 from .requests import CallerRequest
 from .writers import ResponseWriter
 
@@ -84,6 +90,8 @@
         message = self._receive()
         if isinstance(message, CallerRequest):
             self._serve_counted(message)
+        elif isinstance(message, ContinueAwaited):
+            self._writer.send_interim()
         elif isinstance(message, BadRequest):
             self._reject_invalid(message.error)
         elif isinstance(message, CallerDisconnected):
@@ -147,10 +155,7 @@
             message = self._mailbox.receive()
             if isinstance(message, (AdmittedRequest, PlacementFailure)):
                 return message
-            if isinstance(
-                message,
-                (BadRequest, CallerDisconnected, CallerRequest),
-            ):
+            if isinstance(message, ReaderMessage):
                 self._pending_messages.append(message)
 
     def _send_refusal(self, refused: PlacementFailure, attempt_id: str) -> None:
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -37,7 +37,7 @@
     PlacementRequest,
 )
 from .frontend import FrontendState
-from .readers import BadRequest, CallerDisconnected
+from .readers import CallerDisconnected, ReaderMessage
 from .requests import CallerRequest
 from .writers import ResponseWriter
 
@@ -60,12 +60,7 @@
 
 
 CallerMessage: TypeAlias = (
-    BadRequest
-    | CallerDisconnected
-    | CallerRequest
-    | DispatchReply
-    | AttemptUpdate
-    | EntryEnding
+    ReaderMessage | DispatchReply | AttemptUpdate | EntryEnding
 )
 
 
@@ -114,9 +109,7 @@
         self._idle_connection: HttpConnection | None = None
         self._disconnected: CallerDisconnected | None = None
         # Messages of the reader to process after this request.
-        self.deferred_messages: list[
-            BadRequest | CallerDisconnected | CallerRequest
-        ] = []
+        self.deferred_messages: list[ReaderMessage] = []
         self._effect_handlers: dict[type, Callable[[Any], None]] = {
             RequestPlacement: self._request_placement,
             AbortResponse: self._abort_response,
@@ -179,7 +172,7 @@
             return self._handle_placement(message, now)
         if isinstance(message, AttemptUpdate):
             return self._handle_update(message, now)
-        if isinstance(message, (BadRequest, CallerDisconnected, CallerRequest)):
+        if isinstance(message, ReaderMessage):
             self.deferred_messages.append(message)
         if isinstance(message, CallerDisconnected):
             return self._handle_disconnect(message, now)
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -21,7 +21,6 @@
 _MIN_WAIT_SECONDS = 0.001
 # Bounds the requests that a caller may pipeline on one connection.
 _MAX_PIPELINED_COUNT = 2
-_CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _STEP = 'read request'
 
 
@@ -66,7 +65,15 @@
         self.error = error
 
 
-ReaderMessage: TypeAlias = BadRequest | CallerDisconnected | CallerRequest
+class ContinueAwaited:
+    """Tells that the caller waits for an interim response to send a body."""
+
+    __slots__ = ()
+
+
+ReaderMessage: TypeAlias = (
+    BadRequest | CallerDisconnected | CallerRequest | ContinueAwaited
+)
 
 
 class CallerReader:
@@ -212,7 +219,7 @@
             )
         if parser.expects_continue:
             parser.expects_continue = False
-            self._connection.sendall(_CONTINUE_RESPONSE)
+            self._inbox.send(ContinueAwaited())
 
     def _handle_timeout(self) -> str:
         if not self._parser.has_started:
--- a/packages/entry/src/buckthornpond_entry/direct/writers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/writers.py
@@ -24,6 +24,7 @@
 _MIN_SEND_TIMEOUT = timedelta(milliseconds=_MIN_SEND_TIMEOUT_MS)
 _REFUSAL_SEND_TIMEOUT = timedelta(seconds=1)
 _LINE_END = '\r\n'
+_CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD_METHOD = 'HEAD'
 # Values of SO_LINGER: whether it is on, and for how many seconds.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -92,6 +93,10 @@
             time_limit,
         )
 
+    def send_interim(self) -> None:
+        """Ask the caller for the body of its next request."""
+        self._send(_CONTINUE_RESPONSE, _REFUSAL_SEND_TIMEOUT)
+
     def start_stream(self, head: ResponseHead, time_limit: timedelta) -> None:
         """Send the head of an event stream.
 
