Compare revisions of the store within its era only, and keep what a copy lacks

For 5 s, or until it is written again, a target that drains, has left or has started anew and an evacuation stay as known.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -169,3 +169,41 @@
       | without restores              |
       | without restores, with no era |
       | with restores                 |
+
+  Scenario Outline: what is known to have happened after the copy holds until it is written again
+    Given a dispatcher before 2 plain targets
+    And the store has reported that <change>
+    When the store comes back in a new era with a copy from before
+    Then the first target receives nothing for 4.0 seconds
+    When 2 seconds pass
+    And the store of the new era reports nothing new
+    Then the first target receives requests again
+
+    Examples:
+      | change                    |
+      | the first target drains   |
+      | the first target left     |
+      | its zone is evacuated     |
+
+  Scenario: a target that leaves once more after the copy came back stays out of use
+    Given a dispatcher before 2 plain targets
+    And the store has reported that the first target drains
+    When the store comes back in a new era with a copy from before
+    And the store of the new era reports that the first target drains
+    And 6 seconds pass
+    And the store of the new era reports nothing new
+    Then the first target receives nothing for 0.4 seconds
+
+  Scenario: a view that a peer told is no reason to drop the changes of a new era
+    Given a dispatcher before 2 plain targets
+    When the store is lost
+    And a peer at revision 900 reports that the first target drains and zone-b is evacuated
+    And the store comes back in a new era with a copy from before
+    And the store of the new era reports that the first target starts anew
+    Then the first target receives requests again
+
+  Scenario: a target that started anew after the copy was taken keeps its start
+    Given a dispatcher before 2 plain targets
+    And the store has reported that the first target starts anew
+    When the store comes back in a new era with a copy from before
+    Then the first target is known with its later start
--- a/features/steps/direct_learning_steps.py
+++ b/features/steps/direct_learning_steps.py
@@ -20,6 +20,7 @@
     ZoneReturned,
 )
 from buckthornpond_core.serving.dispatcher import Dispatcher
+from buckthornpond_core.serving.source_positions import SourcePosition
 from buckthornpond_platform_standins.local_clusters import HOST
 from buckthornpond_runtime.clocks import SystemClock
 from features.specs.dispatchers import place
@@ -250,7 +251,7 @@
         context.states.append(
             (dispatcher.fleet.revision, dispatcher.configuration_version),
         )
-        dispatcher.follower.make_view(0, context.now)
+        dispatcher.follower.make_view(SourcePosition(), context.now)
 
     run_generated(count, _VIEWS | st.binary(max_size=30), check)
 
--- a/features/steps/direct_sharing_steps.py
+++ b/features/steps/direct_sharing_steps.py
@@ -8,6 +8,7 @@
 from gevent.socket import create_connection, socket
 
 from buckthornpond_core._generated.serving import SourceLost, TargetRemoved
+from buckthornpond_core.serving.source_positions import SourcePosition
 from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform_standins.listening import Listener, wait_until
 from buckthornpond_platform_standins.local_clusters import (
@@ -277,7 +278,7 @@
 def learn_view(context: Any) -> None:
     """Apply the view of the first entry at the second one."""
     old, fresh = context.dispatchers
-    view = old.follower.make_view(0, context.now)
+    view = old.follower.make_view(SourcePosition(), context.now)
     fresh.follower.apply_view(view, 'peer', context.now, context.now)
 
 
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -295,6 +295,13 @@
     evacuated_zones: list[str]
     configuration: ServingConfiguration | None
     revision: Annotated[int, Meta(ge=0)]
+    era: Annotated[
+        int,
+        Meta(
+            description='Era of the source, which rises each time that it comes back from an older copy; zero if it names none.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class FleetView(Struct):
@@ -324,6 +331,13 @@
         ]
         | None
     )
+    era: Annotated[
+        int,
+        Meta(
+            description='Era of the source in which the entry knows that revision, zero if it names none.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class SourceConfirmed(Struct):
@@ -332,6 +346,9 @@
     """
 
     revision: Annotated[int, Meta(ge=0)]
+    era: Annotated[
+        int, Meta(description='Era of the source, zero if it names none.', ge=0)
+    ] = 0
 
 
 class SourceLost(Struct):
--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -54,6 +54,7 @@
     record_unreadable = 624
     fleet_learned = 625
     peer_unanswered = 626
+    source_restored = 627
     settings_read = 631
     log_lines_dropped = 632
     target_limited = 633
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -6,14 +6,19 @@
 
 from .._generated.serving import SourceSnapshot, TargetRecord
 from .budgets import ColdRateLimit
+from .departures import Departures
 from .engine_load import InFlightAttempt
 from .health import TargetHealth
 from .reported_load import UnexplainedLoad
+from .source_positions import SourcePosition
 from .stated_limits import StatedLimit
 
 # Targets whose records expired during an outage of the source register again
 # within this time, if at all.
 REREGISTRATION_GRACE = timedelta(seconds=2)
+# Operators and targets write again within this time what a copy of the source
+# lacks. Records of targets that do not run lapse in it.
+_RESTORATION_TIME = timedelta(seconds=5)
 # Time after an outage in which the source still counts as unstable.
 _INSTABILITY_TIME = timedelta(seconds=3)
 _LATENCY_WEIGHT = 0.2
@@ -34,6 +39,7 @@
         'cold_until',
         'expires_at',
         'health',
+        'held_until',
         'peer_attempts',
         'record',
         'stated_limit',
@@ -53,6 +59,9 @@
         self._latency_ms = 0.0
         self._latency_updated_at = timedelta()
         self.expires_at: timedelta | None = None
+        # A target that has left, and that an older copy lists, is not used
+        # before this time.
+        self.held_until = timedelta()
 
     @property
     def all_attempts(self) -> list[InFlightAttempt]:
@@ -113,7 +122,7 @@
 
         :param now: time on the monotonic clock.
         """
-        if self.record.is_draining:
+        if self.record.is_draining or now < self.held_until:
             return False
         return self.expires_at is None or now < self.expires_at
 
@@ -122,26 +131,36 @@
     """Known targets, evacuated availability zones and state of the source."""
 
     __slots__ = (
+        '_departures',
         '_first_lost_at',
         '_services',
         '_targets',
+        '_zone_ends',
         'confirmed_at',
         'evacuated_zones',
         'lost_at',
+        'position',
         'regained_at',
-        'revision',
     )
 
     def __init__(self) -> None:
         self._targets: dict[str, TargetView] = {}
         self._services: dict[str, dict[str, TargetView]] = {}
         self._first_lost_at: timedelta | None = None
+        self._departures = Departures()
         self.evacuated_zones: set[str] = set()
-        self.revision = 0
+        # When evacuations end that a copy of the source does not list.
+        self._zone_ends: dict[str, timedelta] = {}
+        self.position = SourcePosition()
         self.confirmed_at: timedelta | None = None
         self.lost_at: timedelta | None = None
         self.regained_at: timedelta | None = None
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the source that is known, zero for none."""
+        return self.position.revision
+
     def __iter__(self) -> Iterator[TargetView]:
         """Iterate over all known targets."""
         return iter(self._targets.values())
@@ -194,6 +213,7 @@
         self._services.setdefault(record.service, {})[record.name] = view
         view.record = record
         view.expires_at = None
+        view.held_until = timedelta()
         return view
 
     def remove(self, name: str, now: timedelta) -> bool:
@@ -211,22 +231,57 @@
         if self.is_source_unstable(now) and not view.record.is_draining:
             view.expires_at = self._grace_end(now)
             return False
+        self._departures.record(view.record, now)
         self._drop(name)
         return True
 
+    def evacuate(self, zone: str) -> None:
+        """Record the evacuation of an availability zone.
+
+        :param zone: name of the zone.
+        """
+        self.evacuated_zones.add(zone)
+        self._zone_ends.pop(zone, None)
+
+    def return_zone(self, zone: str) -> None:
+        """Record the end of an evacuation.
+
+        :param zone: name of the zone.
+        """
+        self.evacuated_zones.discard(zone)
+        self._zone_ends.pop(zone, None)
+
     def replace_all(self, snapshot: SourceSnapshot, now: timedelta) -> None:
         """Replace all targets and evacuated availability zones.
 
         :param snapshot: everything that the source holds.
         :param now: time on the monotonic clock.
         """
-        present = {record.name for record in snapshot.targets}
-        for name in tuple(self._targets):
-            if name not in present:
-                self.remove(name, now)
+        self._remove_absent(snapshot, now)
         for record in snapshot.targets:
             self.put(record)
         self.evacuated_zones = set(snapshot.evacuated_zones)
+        self._zone_ends.clear()
+
+    def restore_all(self, snapshot: SourceSnapshot, now: timedelta) -> None:
+        """Replace all by what a source holds that came back older.
+
+        Until it is written again, what is known to have happened since the
+        copy was taken stays in force: evacuations, and that targets drain,
+        have left or have started anew.
+
+        :param snapshot: everything that the source holds.
+        :param now: time on the monotonic clock.
+        """
+        self.regained_at = now
+        self._remove_absent(snapshot, now)
+        for record in snapshot.targets:
+            self._restore(record, now)
+        present = set(snapshot.evacuated_zones)
+        for zone in self.evacuated_zones - present:
+            self._zone_ends.setdefault(zone, now + _RESTORATION_TIME)
+        for zone in present:
+            self.evacuate(zone)
 
     def drop_expired(self, now: timedelta) -> list[str]:
         """Drop targets whose grace period is over and return their names.
@@ -239,9 +294,21 @@
             if view.expires_at is not None and now >= view.expires_at
         ]
         for name in gone:
+            self._departures.record(self._targets[name].record, now)
             self._drop(name)
+        self._departures.drop_expired(now)
         return gone
 
+    def end_evacuations(self, now: timedelta) -> list[str]:
+        """End the evacuations that were not written again; return the zones.
+
+        :param now: time on the monotonic clock.
+        """
+        ended = [zone for zone, end in self._zone_ends.items() if now >= end]
+        for zone in ended:
+            self.return_zone(zone)
+        return ended
+
     def mark_source_lost(self, now: timedelta) -> bool:
         """Record that the source does not answer; return whether that is new.
 
@@ -253,13 +320,16 @@
             self.lost_at = now
         return is_new
 
-    def confirm(self, revision: int, now: timedelta) -> bool:
+    def confirm(self, position: SourcePosition, now: timedelta) -> bool:
         """Record an answer of the source; return whether it was lost before.
 
-        :param revision: revision of the source.
+        :param position: position of the source. That of another era is not
+            taken over, since what it holds is not known.
         :param now: time on the monotonic clock.
         """
-        self.revision = max(self.revision, revision)
+        is_same_era = position.era == self.position.era
+        if is_same_era and self.position.is_before(position):
+            self.position = position
         self.confirmed_at = now
         was_lost = self.lost_at is not None
         if was_lost:
@@ -267,13 +337,16 @@
             self.regained_at = now
         return was_lost
 
-    def confirm_by_peer(self, revision: int, confirmed_at: timedelta) -> None:
-        """Record the revision that a peer received from the source.
+    def confirm_by_peer(
+        self, position: SourcePosition, confirmed_at: timedelta
+    ) -> None:
+        """Record the position that a peer received from the source.
 
-        :param revision: revision of the source that the peer follows.
+        :param position: position of the source that the peer follows.
         :param confirmed_at: time at which the source last answered the peer.
         """
-        self.revision = max(self.revision, revision)
+        if self.position.is_before(position):
+            self.position = position
         self.confirmed_at = max(self.confirmed_at or confirmed_at, confirmed_at)
 
     def is_source_unstable(self, now: timedelta) -> bool:
@@ -301,6 +374,28 @@
         """Return the names of all targets."""
         return self._targets.keys()
 
+    def _remove_absent(self, snapshot: SourceSnapshot, now: timedelta) -> None:
+        present = {record.name for record in snapshot.targets}
+        for name in tuple(self._targets):
+            if name not in present:
+                self.remove(name, now)
+
+    def _restore(self, record: TargetRecord, now: timedelta) -> None:
+        """Put a record that may be older than what is known of its target."""
+        known = self._targets.get(record.name)
+        if known is None:
+            has_left = self._departures.includes(record)
+        elif known.record.started_ms > record.started_ms:
+            return
+        else:
+            is_same_start = known.record.started_ms == record.started_ms
+            has_left = is_same_start and (
+                known.record.is_draining or now < known.held_until
+            )
+        view = self.put(record)
+        if has_left:
+            view.held_until = now + _RESTORATION_TIME
+
     def _drop(self, name: str) -> None:
         view = self._targets.pop(name, None)
         if view is not None:
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -24,6 +24,7 @@
 from ..types import Recorder
 from .fleet import Fleet, TargetView
 from .routes import RouteTable
+from .source_positions import SourcePosition
 
 _MS = timedelta(milliseconds=1)
 # Time in which the source resends the changes missed during its outage.
@@ -89,43 +90,50 @@
         if isinstance(change, SourceLost):
             self._record_source_loss(change, now)
             return
-        if self.fleet.confirm(change.revision, now):
+        era = self.fleet.position.era
+        if isinstance(change, SourceConfirmed | SourceSnapshot):
+            era = change.era
+        if self.fleet.confirm(SourcePosition(era, change.revision), now):
             self._recorder.log(
                 EventCode.source_regained,
+                era=era,
                 revision=change.revision,
             )
-        self._apply_change(change, now)
-        for name in self.fleet.drop_expired(now):
-            self._recorder.log(
-                EventCode.target_removed,
-                target=name,
-                is_back_expected=False,
-            )
+        if isinstance(change, SourceSnapshot):
+            # It is newer than what any peer told before.
+            self._peer_revision = 0
+            self._apply_snapshot(change, now)
+        else:
+            self._apply_change(change, now)
+        self._end_grace_periods(now)
 
-    def make_view(self, revision: int, now: timedelta) -> FleetView:
+    def make_view(self, position: SourcePosition, now: timedelta) -> FleetView:
         """Return this entry's view, for a peer that cannot reach the source.
 
-        The view has a snapshot only if the peer follows an older revision.
+        The view has a snapshot only if the peer's position is older.
 
-        :param revision: revision of the source that the peer follows.
+        :param position: position of the source that the peer follows.
         :param now: time on the monotonic clock.
         """
         fleet = self.fleet
         snapshot = None
-        if self.route_table is not None and fleet.revision > revision:
+        if self.route_table is not None and position.is_before(fleet.position):
             snapshot = SourceSnapshot(
                 targets=[
                     _update_cold_time(view, now)
                     for view in fleet
-                    # One in its grace period would stay for good at the peer.
-                    if view.expires_at is None
+                    # One in its grace period would stay for good at the peer,
+                    # and one that is held would be used there at once.
+                    if view.expires_at is None and now >= view.held_until
                 ],
                 evacuated_zones=sorted(fleet.evacuated_zones),
                 configuration=self.route_table.configuration,
                 revision=fleet.revision,
+                era=fleet.position.era,
             )
         return FleetView(
             revision=fleet.revision,
+            era=fleet.position.era,
             source_age_ms=fleet.source_age(now) // _MS,
             snapshot=snapshot,
         )
@@ -144,14 +152,14 @@
         :param requested_at: when the peer was asked, on the monotonic clock.
         :param now: time on the monotonic clock.
         """
-        revision = self.fleet.revision
+        position = SourcePosition(view.era, view.revision)
         if (
             self.is_source_reachable
             or not view.revision
-            or view.revision < revision
+            or position.is_before(self.fleet.position)
         ):
             return
-        if view.revision > revision:
+        if self.fleet.position.is_before(position):
             if view.snapshot is None:
                 return
             self._peer_revision = view.revision
@@ -162,11 +170,12 @@
                 target_count=len(view.snapshot.targets),
                 evacuated_zones=view.snapshot.evacuated_zones,
                 version=self.version,
+                era=view.era,
                 revision=view.revision,
                 source_age_ms=view.source_age_ms,
             )
         confirmed_at = requested_at - view.source_age_ms * _MS
-        self.fleet.confirm_by_peer(view.revision, confirmed_at)
+        self.fleet.confirm_by_peer(position, confirmed_at)
 
     def mark_cold(
         self,
@@ -186,6 +195,20 @@
         )
         view.mark_cold(until, allowed)
 
+    def _end_grace_periods(self, now: timedelta) -> None:
+        for name in self.fleet.drop_expired(now):
+            self._recorder.log(
+                EventCode.target_removed,
+                target=name,
+                is_back_expected=False,
+            )
+        for zone in self.fleet.end_evacuations(now):
+            self._recorder.log(
+                EventCode.zone_returned,
+                availability_zone=zone,
+                revision=self.fleet.revision,
+            )
+
     def _record_source_loss(self, change: SourceLost, now: timedelta) -> None:
         if self.fleet.mark_source_lost(now):
             self._recorder.count('source_losses', 'unreachable')
@@ -204,8 +227,6 @@
             self._apply_zone_change(change)
         elif isinstance(change, ConfigurationRead):
             self._accept_configuration(change.configuration)
-        elif isinstance(change, SourceSnapshot):
-            self._apply_snapshot(change, now)
 
     def _is_replay(self, change: FleetChange, now: timedelta) -> bool:
         """Return whether a peer already reported this change or a later one."""
@@ -234,18 +255,30 @@
         )
 
     def _apply_zone_change(self, change: ZoneEvacuated | ZoneReturned) -> None:
-        zones = self.fleet.evacuated_zones
         if isinstance(change, ZoneEvacuated):
-            zones.add(change.availability_zone)
+            self.fleet.evacuate(change.availability_zone)
             self._log_zone(EventCode.zone_evacuated, change)
         else:
-            zones.discard(change.availability_zone)
+            self.fleet.return_zone(change.availability_zone)
             self._log_zone(EventCode.zone_returned, change)
 
     def _apply_snapshot(self, change: SourceSnapshot, now: timedelta) -> None:
         if change.configuration is not None:
             self._accept_configuration(change.configuration)
-        self.fleet.replace_all(change, now)
+        known = self.fleet.position
+        if known.revision and change.era != known.era:
+            self._recorder.count('source_losses', 'restored')
+            self._recorder.log(
+                EventCode.source_restored,
+                era=change.era,
+                revision=change.revision,
+                earlier_era=known.era,
+                earlier_revision=known.revision,
+            )
+            self.fleet.restore_all(change, now)
+        else:
+            self.fleet.replace_all(change, now)
+        self.fleet.position = SourcePosition(change.era, change.revision)
         for record in change.targets:
             view = self.fleet.find(record.name)
             if view is not None:
@@ -254,6 +287,7 @@
             EventCode.fleet_read,
             target_count=len(change.targets),
             evacuated_zones=change.evacuated_zones,
+            era=change.era,
             revision=change.revision,
         )
 
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -267,8 +267,8 @@
     def _query_peer(self) -> None:
         addresses = self._dispatcher.choose_peers()
         if addresses:
-            revision = self._dispatcher.fleet.revision
-            self.peer_task.mailbox.offer(PeerQuery(addresses, revision))
+            position = self._dispatcher.fleet.position
+            self.peer_task.mailbox.offer(PeerQuery(addresses, position))
 
     def _exchange_fleet_views(
         self,
@@ -277,7 +277,7 @@
     ) -> None:
         if isinstance(message, FleetViewRequest):
             message.inbox.offer(
-                self._dispatcher.follower.make_view(message.revision, now),
+                self._dispatcher.follower.make_view(message.position, now),
             )
             return
         self._dispatcher.follower.apply_view(
--- a/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
+++ b/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
@@ -10,6 +10,7 @@
 from buckthornpond_core._generated.serving import FleetView
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.exceptions import TargetError
+from buckthornpond_core.serving.source_positions import SourcePosition
 from buckthornpond_core.types import DECODE_ERRORS, Clock
 from buckthornpond_runtime.administration import EndpointResponse, EndpointTask
 from buckthornpond_runtime.connections import FetchLimits, HttpConnection
@@ -30,20 +31,23 @@
 _MAX_VIEW_BYTES = 16_777_216
 _FETCH_LIMITS = FetchLimits(_FETCH_TIME_LIMIT, _MAX_VIEW_BYTES)
 _MAX_REVISION_DIGITS = 18
+_ERA_SEPARATOR = '.'
 _CALL_ERRORS = (TargetError, *DECODE_ERRORS)
 
 
 class FleetViewRequest:
     """Asks the dispatch task for its fleet view; sent by the endpoint.
 
-    :param revision: last revision of the source that the peer has applied.
+    :param position: last position of the source that the peer has applied.
     :param inbox: receives the view.
     """
 
-    __slots__ = ('inbox', 'revision')
+    __slots__ = ('inbox', 'position')
 
-    def __init__(self, revision: int, inbox: Inbox[FleetView]) -> None:
-        self.revision = revision
+    def __init__(
+        self, position: SourcePosition, inbox: Inbox[FleetView]
+    ) -> None:
+        self.position = position
         self.inbox = inbox
 
 
@@ -53,14 +57,14 @@
     Sent by the dispatch task.
 
     :param addresses: addresses of the peers.
-    :param revision: last revision of the source that this entry has applied.
+    :param position: last position of the source that this entry has applied.
     """
 
-    __slots__ = ('addresses', 'revision')
+    __slots__ = ('addresses', 'position')
 
-    def __init__(self, addresses: list[str], revision: int) -> None:
+    def __init__(self, addresses: list[str], position: SourcePosition) -> None:
         self.addresses = addresses
-        self.revision = revision
+        self.position = position
 
 
 class PeerFleetView:
@@ -108,12 +112,13 @@
     def render(self, query: str) -> EndpointResponse:
         """Return the response with the fleet view.
 
-        :param query: last revision of the source that the peer has applied.
+        :param query: last position of the source that the peer has applied.
         """
-        if not query.isdecimal() or len(query) > _MAX_REVISION_DIGITS:
+        position = _parse_position(query)
+        if position is None:
             return EndpointResponse(HTTPStatus.BAD_REQUEST, b'not a revision\n')
         replies: Mailbox[FleetView] = Mailbox(1)
-        self._dispatch.send(FleetViewRequest(int(query), replies))
+        self._dispatch.send(FleetViewRequest(position, replies))
         view = replies.receive(_REPLY_TIMEOUT_SECONDS)
         if view is None:
             return EndpointResponse(HTTPStatus.SERVICE_UNAVAILABLE, b'busy\n')
@@ -155,20 +160,24 @@
 
     def _query(self, query: PeerQuery) -> None:
         jobs = [
-            gevent.spawn(self._query_one, address, query.revision)
+            gevent.spawn(self._query_one, address, query.position)
             for address in query.addresses
         ]
         gevent.joinall(jobs)
         views = [job.value for job in jobs if job.value is not None]
         if views:
-            newest = max(views, key=lambda each: each.view.revision)
+            newest = max(
+                views, key=lambda each: (each.view.era, each.view.revision)
+            )
             self._dispatch.send(newest)
 
-    def _query_one(self, address: str, revision: int) -> PeerFleetView | None:
+    def _query_one(
+        self, address: str, position: SourcePosition
+    ) -> PeerFleetView | None:
         requested_at = self._clock.monotonic()
         connection = HttpConnection(address)
         try:
-            view = _fetch(connection, revision)
+            view = _fetch(connection, position)
         except _CALL_ERRORS as error:
             self._metrics.count('peer_questions', 'failed')
             log_event(
@@ -183,12 +192,27 @@
         return PeerFleetView(view, address, requested_at)
 
 
-def _fetch(connection: HttpConnection, revision: int) -> FleetView:
+def _render_position(position: SourcePosition) -> str:
+    """Return the revision, after the era if the source names one."""
+    if position.era:
+        return f'{position.era}{_ERA_SEPARATOR}{position.revision}'
+    return f'{position.revision}'
+
+
+def _parse_position(query: str) -> SourcePosition | None:
+    era, separator, revision = query.rpartition(_ERA_SEPARATOR)
+    numbers = [era, revision] if separator else [revision]
+    for number in numbers:
+        if not number.isdecimal() or len(number) > _MAX_REVISION_DIGITS:
+            return None
+    return SourcePosition(int(era or 0), int(revision))
+
+
+def _fetch(connection: HttpConnection, position: SourcePosition) -> FleetView:
     connection.connect(_CONNECT_TIMEOUT)
     connection.set_timeout(_READ_TIMEOUT)
-    head = (
-        f'GET {_PATH}?{revision} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n'
-    )
+    query = _render_position(position)
+    head = f'GET {_PATH}?{query} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n'
     response = connection.fetch(
         'GET', head.encode('ascii'), _STEP, _FETCH_LIMITS
     )
