Wait for no input when a connection is asked whether it holds any

Seen: the step that silences the engine of a long prompt took 10.0 s each time (features/direct_tickets.feature), although the engine ran the request within 0.1 s. A scratch trial that polled such a connection under wait_until with a limit of 0.5 s never ended.

Cause: HttpConnection.has_input peeks with MSG_DONTWAIT, but the socket is gevent's, whose recv waits for input up to the socket's timeout whatever the flags say. It then takes the timeout for a reset, as TimeoutError is an OSError, and by the same clause it swallows the TimeoutError that wait_until throws into it, so that the limit of the wait is lost.

Ruled out for the product: idle connections are asked only once a poll has found them readable, and then the call does not wait.

Change: ask the kernel first whether there is anything to read.

The new scenario failed before (the check had not returned after one turn of the event loop) and passes now.

--- a/features/silent_targets.feature
+++ b/features/silent_targets.feature
@@ -15,3 +15,7 @@
     When a caller streams a prompt of 430000 tokens and its engine falls silent
     Then the caller has events 1 to 4 once each, and the end
     And it arrived after 1.0 to 5.0 seconds
+
+  Scenario: a check for input waits for none at a connection to a silent target
+    Given an open connection to an app server that sends nothing
+    Then a check for input returns without waiting, and finds none
--- a/features/steps/silent_target_steps.py
+++ b/features/steps/silent_target_steps.py
@@ -1,15 +1,18 @@
 """Steps on targets that fall silent without closing a connection."""
 
 import time
+from datetime import timedelta
 from typing import Any
 
-from behave import given, when
+import gevent
+from behave import given, then, when
 
 from buckthornpond_platform_standins.listening import wait_until
 from buckthornpond_platform_standins.local_clusters import (
     STREAM_PATH,
     WRITE_PATH,
 )
+from buckthornpond_runtime.connections import HttpConnection
 from features.steps.direct_steps import list_servers
 
 
@@ -47,3 +50,21 @@
     context.seconds = time.monotonic() - sent_at
     context.answers.append(response)
     client.connection.close()
+
+
+@given('an open connection to an app server that sends nothing')
+def connect_idle(context: Any) -> None:
+    """Connect without a request."""
+    server = list_servers(context, 'app')[0]
+    context.connection = HttpConnection(server.address)
+    context.connection.connect(timedelta(seconds=10))
+    context.add_cleanup(context.connection.close)
+
+
+@then('a check for input returns without waiting, and finds none')
+def check_no_wait(context: Any) -> None:
+    """Let the check run up to its first wait."""
+    check = gevent.spawn(context.connection.has_input)
+    gevent.sleep(0)
+    assert check.ready()
+    assert check.value is False
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -179,8 +179,12 @@
         return bool(poller.poll(0))
 
     def has_input(self) -> bool:
-        """Return whether a readable connection holds bytes, not its end."""
-        if self._socket is None:
+        """Return whether bytes can be read now; waits for none.
+
+        The end of the connection is no input.
+        """
+        # The socket's own call would wait despite its flag.
+        if self._socket is None or self.is_usable():
             return False
         flags = standard_socket.MSG_PEEK | standard_socket.MSG_DONTWAIT
         try:
