Wait for no request in flight when the tasks of an entry are cancelled

Seen: in scratch trials of direct_tickets that stopped the test process for 1.1 s around the release of memory, the scenario passed and then behave ended with "gevent.timeout.Timeout: 1 second" from Supervisor.stop, so that the feature counts as failed without a scenario.

Cause: cancelling the task that accepts callers stops gevent's server, which waits a second (its default) for the requests in flight before it ends them. Supervisor.stop gives all tasks a second together, so its own limit passes first. In these trials a caller's task was still inside its request's exchange.

Ruled out for a process that runs by itself: it ends with os._exit, and never cancels its tasks.

Change: the server's stop waits for none.

--- a/features/direct_requests.feature
+++ b/features/direct_requests.feature
@@ -141,3 +141,8 @@
     When the app servers close their idle connections
     And a caller posts 10 bytes to /write/1
     Then the answer is 200
+
+  Scenario: cancelling the tasks of an entry waits for no request in flight
+    Given the next app servers do: hang
+    When the tasks of the entry are cancelled while a read runs
+    Then the answer is incomplete
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -15,6 +15,7 @@
 from buckthornpond_platform_standins.local_clusters import (
     API_KEY,
     HOST,
+    READ_PATH,
     STREAM_PATH,
     TENANT,
     LocalCluster,
@@ -228,6 +229,17 @@
     sender.kill()
 
 
+@when('the tasks of the entry are cancelled while a read runs')
+def cancel_tasks(context: Any) -> None:
+    """Cancel the tasks once a server runs the request."""
+    client = context.cluster.connect()
+    answer = client.send('GET', READ_PATH)
+    wait_until(lambda: count_runs(context))
+    context.cluster.entries[0].stop_tasks()
+    client.receive(answer)
+    context.answers.append(answer)
+
+
 @when('the app servers close their idle connections')
 def drop(context: Any) -> None:
     """Close the idle connections at the servers."""
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -84,7 +84,8 @@
 
     def run(self) -> None:
         """Accept connections until the process ends."""
-        self._server.serve_forever()
+        # A cancelled task waits for no request in flight.
+        self._server.serve_forever(stop_timeout=0)
 
     def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
         connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
