--- a/features/direct_soak.feature
+++ b/features/direct_soak.feature
@@ -15,3 +15,9 @@
       | 2612050121 | 10      |
       # Sound requests were refused for 0.1 s for the first part that they share with deadly ones.
       | 2612050205 | 8       |
+
+  Scenario: a missing answer is reported without what its entry did
+    Given a caller of a soak that waits for its answer
+    When no answer comes, and the soak writes its report
+    Then the violation names the entry and when the request was sent
+    And the report holds the log of that entry
