--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -42,6 +42,12 @@
     Then requests with the parts dead are refused at every entry
     And requests with the parts shared are served at every entry
 
+  Scenario: the log of a quarantine tells the crashes and the answers that are known
+    Given 1 entries that exchange hints
+    When a request with the parts shared is answered at entry 0
+    And 3 targets crash one after another while a request with the parts shared dead is unanswered
+    Then a quarantine of the part dead is logged with 3 crashes and without an answer
+
   Scenario: a part that was sound and now crashes targets is refused after a fourth crash
     Given 3 entries that exchange hints
     When a request with the parts dead is answered at entry 0
--- a/features/specs/quarantines.py
+++ b/features/specs/quarantines.py
@@ -3,8 +3,10 @@
 import itertools
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
+from typing import Any
 
 from buckthornpond_core._generated.hints import LoadHint
+from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.serving.crash_evidence import Suspect
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
@@ -17,6 +19,18 @@
 _TARGET_NUMBERS = itertools.count()
 
 
+class QuarantineLog(NullRecorder):
+    """Keeps the events on quarantines that began."""
+
+    def __init__(self) -> None:
+        self.events: list[dict[str, Any]] = []
+
+    def log(self, code: EventCode, **fields: object) -> None:
+        """Keep an event."""
+        if code is EventCode.parts_quarantined:
+            self.events.append(fields)
+
+
 class EntryGroup:
     """Entries that deliver each other's hints without loss.
 
@@ -25,6 +39,7 @@
 
     def __init__(self, count: int) -> None:
         self.now = _START
+        self.log = QuarantineLog()
         self.entries: list[LoadExchange] = []
         self._fleet = Fleet()
         self._turn = 0
@@ -45,7 +60,7 @@
                 f'10.0.0.{number}:1',
                 number,
                 ['10.0.0.0:1'],
-                NullRecorder(),
+                self.log,
             )
         )
 
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -153,6 +153,20 @@
             assert is_sent, (part_set, number)
 
 
+@then(
+    'a quarantine of the part {part:w} is logged with {count:d} crashes and'
+    ' without an answer'
+)
+def check_logged(context: Any, part: str, count: int) -> None:
+    """Compare the evidence in the log with the crashes."""
+    events = context.group.log.events
+    assert len(events) == 1, events
+    assert events[0]['parts'] == [part], events
+    assert len(events[0]['crashes']) == count, events
+    assert events[0]['crashes'][-1].endswith(' 0 ms'), events
+    assert events[0]['answered_ms'] == {part: None}, events
+
+
 @when('a hint quarantines no parts')
 def quarantine_nothing(context: Any) -> None:
     """Send a hint with an empty set of parts."""
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -11,6 +11,7 @@
 
 PartSet = frozenset[str]
 
+_MS = timedelta(milliseconds=1)
 _RETENTION_MS = 600_000
 _RETENTION = timedelta(milliseconds=_RETENTION_MS)
 # Crashes in turn after which a part is a cause, and the same for a part of
@@ -27,6 +28,7 @@
 _MAX_CRASHES = 256
 _MAX_SUSPECTS = 32
 _MAX_SOUND_PARTS = 8192
+_MAX_LOGGED_CRASHES = 8
 
 
 class Suspect:
@@ -203,6 +205,32 @@
                 if not crash.is_explained_by(cause.parts)
             ]
 
+    def describe(
+        self, parts: PartSet, last_crash_at: timedelta
+    ) -> dict[str, object]:
+        """Return what is known of parts, as fields of a log event.
+
+        :param parts: parts that together may have crashed targets.
+        :param last_crash_at: time of the last crash on the monotonic clock.
+        """
+        crashes = [
+            crash
+            for crash in self
+            if any(parts <= suspected for suspected in crash.suspects)
+        ]
+        proofs = ((part, self._sound_at.get(part)) for part in sorted(parts))
+        return {
+            'crashes': [
+                f'{crash.target} {crash.started_ms}'
+                f' {(last_crash_at - crash.occurred_at) // _MS} ms'
+                for crash in crashes[-_MAX_LOGGED_CRASHES:]
+            ],
+            'answered_ms': {
+                part: None if at is None else (last_crash_at - at) // _MS
+                for part, at in proofs
+            },
+        }
+
     def _index(self, crash: TargetCrash) -> None:
         for part in frozenset[str]().union(*crash.suspects):
             crashes = self._crashes_by_part.setdefault(part, [])
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -352,6 +352,7 @@
             parts=sorted(quarantine.parts),
             crash_count=quarantine.crash_count,
             origin=origin,
+            **self.evidence.describe(quarantine.parts, quarantine.evidence_at),
         )
 
     def _release_sound(self, parts: PartSet, proven_at: timedelta) -> None:
