Tell the answers of a crash's parts whenever the crash is told

Cause: an entry repeats a crash in its hints for three seconds, but told only once that a part of it had been answered. An entry that started in between, or missed that datagram, heard the accusations without the answers: it took a part in constant use for one never answered, and counted crashes that answers had long cleared. The class: evidence relayed without the evidence against it. Evidence: with logs: crashes at 0.17, 0.39 and 1.28 s with requests of shared, answered by two entries all the time; an entry that had started and one that woke after them quarantined shared by just these crashes, E641 answered_ms null, until the next answer. Change: a hint tells, with each crash in it, the last answer of each part of its requests.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -91,6 +91,15 @@
     And after 60 seconds another entry starts
     Then requests with the parts shared dead are refused at every entry
 
+  Scenario: an entry that has just started does not blame a part that the others saw answered
+    Given 3 entries that exchange hints
+    When a request with the parts shared is answered at entry 1
+    And 2 targets crash 200 ms apart while requests with the parts shared; shared dead wait
+    And 1 targets crash 200 ms apart while requests with the parts shared wait
+    And a request with the parts shared is answered at entry 1
+    And after 0 seconds another entry starts
+    Then requests with the parts shared are served at every entry
+
   Scenario: one request is let through in ten minutes while requests keep coming
     Given 5 entries that exchange hints
     When 3 targets crash one after another while a request with the parts dead is unanswered
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -89,6 +89,17 @@
         group.advance(duration)
 
 
+@when(
+    '{count:d} targets crash {interval:d} ms apart while requests with the'
+    ' parts {parts} wait'
+)
+def crash_apart(context: Any, count: int, interval: int, parts: str) -> None:
+    """Lose targets at which the same requests wait each time."""
+    for _ in range(count):
+        context.group.crash(_split(parts))
+        context.group.advance(timedelta(milliseconds=interval))
+
+
 @when('a request with the parts {parts} is answered at entry {number:d}')
 def answer(context: Any, parts: str, number: int) -> None:
     """Answer a request."""
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -6,6 +6,7 @@
 request with it has been answered since.
 """
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 
@@ -152,6 +153,20 @@
         """
         return self._sound_at.get(part)
 
+    def find_answered(self, crashes: Iterable[TargetCrash]) -> list[str]:
+        """Return the parts of crashes that are known to have been answered.
+
+        Those that stand in the most of the crashes come first.
+
+        :param crashes: crashes with the suspected requests.
+        """
+        counts: Counter[str] = Counter()
+        for crash in crashes:
+            counts.update(frozenset[str]().union(*crash.suspects))
+        return [
+            part for part, _ in counts.most_common() if part in self._sound_at
+        ]
+
     def is_cleared_by(self, part: str, proven_at: timedelta) -> bool:
         """Return whether an answer ends the suspicion of a part.
 
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -190,16 +190,14 @@
                 for crash in self.evidence
                 if now - crash.occurred_at < _RELAY_TIME
             ]
-        hint.crashes = [
-            _make_crash_hint(crash, now)
-            for crash in crashes[-_MAX_TOLD_CRASHES:]
-        ]
+        crashes = crashes[-_MAX_TOLD_CRASHES:]
+        hint.crashes = [_make_crash_hint(crash, now) for crash in crashes]
         if hint.is_full:
             hint.quarantines = [
                 _make_quarantine_hint(quarantine, now)
                 for quarantine in self._list_latest()
             ]
-        hint.sound_parts = self._make_sound_hints(now)
+        hint.sound_parts = self._make_sound_hints(crashes, now)
         self._has_news = False
         self._new_crashes = []
         self._told_sound_parts.clear()
@@ -271,11 +269,6 @@
         crash = TargetCrash(target, started_ms, occurred_at)
         crash.suspects = {each.parts: each for each in suspects}
         self._new_crashes.append(crash)
-        self._told_sound_parts.update(
-            part
-            for part in frozenset[str]().union(*crash.suspects)
-            if self.evidence.sound_at(part) is not None
-        )
         return True
 
     def _list_latest(self) -> list[_Quarantine]:
@@ -284,9 +277,17 @@
             -_MAX_TOLD_QUARANTINES:
         ]
 
-    def _make_sound_hints(self, now: timedelta) -> list[SoundPartHint]:
+    def _make_sound_hints(
+        self, told_crashes: Iterable[TargetCrash], now: timedelta
+    ) -> list[SoundPartHint]:
+        """Return the answers that refute suspicions, and those of told crashes.
+
+        Who hears of a crash only now must not take an answered part for new.
+        """
+        parts = dict.fromkeys(sorted(self._told_sound_parts))
+        parts.update(dict.fromkeys(self.evidence.find_answered(told_crashes)))
         hints = []
-        for part in sorted(self._told_sound_parts)[:_MAX_TOLD_PARTS]:
+        for part in tuple(parts)[:_MAX_TOLD_PARTS]:
             proven_at = self.evidence.sound_at(part)
             if proven_at is not None:
                 hints.append(SoundPartHint(part, (now - proven_at) // _MS))
