Judge a quarantine anew when an earlier answer becomes known

Cause: an answer is told when its stream ends, or by a hint that may be lost. One from before the last crash ended no quarantine, though it left one crash of three to count; the entry judged anew only at the next crash, and then took the quarantine over from its peers again. The histories kept the attempts of a server in a set, so that this order came from addresses in memory. Change: an answer that is heard of judges all crashes again and tells the other entries. A quarantine lasts ten minutes from its last crash, not from the time at which it was worked out. The histories draw the order from their seed.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -100,6 +100,13 @@
     And after 0 seconds another entry starts
     Then requests with the parts shared are served at every entry
 
+  Scenario: a part is no longer blamed when an answer between the crashes becomes known
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts rare is unanswered
+    And requests with the parts rare are refused at every entry
+    And entry 2 learns that a request with the parts rare was answered 1500 ms ago
+    Then requests with the parts rare are served at every entry
+
   Scenario: one request is let through in ten minutes while requests keep coming
     Given 5 entries that exchange hints
     When 3 targets crash one after another while a request with the parts dead is unanswered
--- a/features/specs/crash_histories.py
+++ b/features/specs/crash_histories.py
@@ -76,11 +76,14 @@
         self.sound_sent_count = 0
         self._plan = plan
         self._random = random.Random(plan.seed)
+        # Apart from the others: the order in which lost connections are seen.
+        self._order_random = random.Random(plan.seed)
         self._fleet = Fleet()
         self._numbers = itertools.count()
         self._queue: list[_Event] = []
-        self._running: list[set[_Attempt]] = [
-            set() for _ in range(_TARGET_COUNT)
+        # Attempts at each target, as keys in the order in which they began.
+        self._running: list[dict[_Attempt, None]] = [
+            {} for _ in range(_TARGET_COUNT)
         ]
         self._starts = [1 for _ in range(_TARGET_COUNT)]
         self._up_at = [_START for _ in range(_TARGET_COUNT)]
@@ -137,7 +140,7 @@
             self.sound_sent_count += 1
         attempt.target = self._random.choice(up)
         attempt.sent_at = self.now
-        self._running[attempt.target].add(attempt)
+        self._running[attempt.target][attempt] = None
         self._schedule(_PREFILL_MS, lambda: self._begin(attempt))
 
     def _begin(self, attempt: _Attempt) -> None:
@@ -158,7 +161,7 @@
         if attempt.has_ended:
             return
         attempt.has_ended = True
-        self._running[attempt.target].discard(attempt)
+        self._running[attempt.target].pop(attempt, None)
         self._report(attempt, 0)
 
     def _crash_any(self) -> None:
@@ -172,7 +175,9 @@
         start = self._starts[target]
         self._starts[target] += 1
         self._up_at[target] = self.now + _RESTART_MS * _MS
-        for attempt in tuple(self._running[target]):
+        attempts = list(self._running[target])
+        self._order_random.shuffle(attempts)
+        for attempt in attempts:
             attempt.has_ended = True
             self._report(attempt, start)
             if attempt.run == 1:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -107,6 +107,18 @@
     context.group.advance(_SECOND)
 
 
+@when(
+    'entry {number:d} learns that a request with the parts {parts} was answered'
+    ' {age:d} ms ago'
+)
+def learn_answer(context: Any, number: int, parts: str, age: int) -> None:
+    """Record an answer late."""
+    group = context.group
+    proven_at = group.now - timedelta(milliseconds=age)
+    group.entries[number].quarantine.record_sound(parts.split(), proven_at)
+    group.advance(_SECOND)
+
+
 @when('no request comes for {count:d} seconds')
 def advance(context: Any, count: int) -> None:
     """Let time pass with a full hint each second."""
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -156,7 +156,7 @@
         """
         if self._record_crash(target, started_ms, [suspect], now):
             self._has_news = True
-            self._update([suspect], now, _OWN_ORIGIN)
+            self._update([suspect], _OWN_ORIGIN)
 
     def record_sound(
         self, shared_parts: Iterable[str], proven_at: timedelta
@@ -225,7 +225,7 @@
             if self._record_crash(
                 crash.target, crash.started_ms, suspects, occurred_at
             ):
-                self._update(suspects, now, hint.sender)
+                self._update(suspects, hint.sender)
         for quarantine in hint.quarantines:
             self._adopt(quarantine, hint.sender, now)
 
@@ -293,22 +293,24 @@
                 hints.append(SoundPartHint(part, (now - proven_at) // _MS))
         return hints
 
-    def _update(
-        self, suspects: Sequence[Suspect], now: timedelta, origin: str
-    ) -> None:
+    def _update(self, suspects: Sequence[Suspect], origin: str) -> None:
         """Quarantine the likely causes of the crashes after a new one."""
-        if not any(self.evidence.is_repeated(each.parts) for each in suspects):
-            return
+        if any(self.evidence.is_repeated(each.parts) for each in suspects):
+            self._apply_causes(origin)
+
+    def _apply_causes(self, origin: str) -> None:
+        """Quarantine what the crashes show now, and nothing else."""
         causes = self.evidence.find_causes()
         self._withdraw({cause.parts for cause in causes})
         for cause in causes:
+            ends_at = cause.last_crash_at + _QUARANTINE_TIME
             known = self._quarantines.get(cause.parts)
             if known is None:
-                self._start(_Quarantine(cause, now + _QUARANTINE_TIME), origin)
+                self._start(_Quarantine(cause, ends_at), origin)
             elif cause.last_crash_at > known.evidence_at:
                 known.crash_count = cause.crash_count
                 known.evidence_at = cause.last_crash_at
-                known.ends_at = now + _QUARANTINE_TIME
+                known.ends_at = max(known.ends_at, ends_at)
 
     def _withdraw(self, causes: Collection[PartSet]) -> None:
         """End quarantines of which a fuller view of the crashes shows no cause.
@@ -357,12 +359,24 @@
         )
 
     def _release_sound(self, parts: PartSet, proven_at: timedelta) -> None:
-        """End or narrow the quarantines that an answer refutes."""
-        for quarantine in tuple(self._quarantines.values()):
-            is_refuted = quarantine.evidence_at < proven_at
-            if is_refuted and not quarantine.parts.isdisjoint(parts):
+        """End or narrow the quarantines that an answer refutes.
+
+        An answer from before the last crash may leave too few crashes.
+        """
+        found = [
+            quarantine
+            for quarantine in self._quarantines.values()
+            if not quarantine.parts.isdisjoint(parts)
+        ]
+        if not found:
+            return
+        for quarantine in found:
+            if quarantine.evidence_at < proven_at:
                 self._release(quarantine, 'answered')
                 self._keep_rest(quarantine, quarantine.parts - parts)
+        self._apply_causes(_OWN_ORIGIN)
+        for quarantine in found:
+            if quarantine.parts not in self._quarantines:
                 self._told_sound_parts |= quarantine.parts & parts
                 self._has_news = True
 
