Report that a target survives a request when it shows, not when the stream ends

Cause: the second event of a stream proves its parts, but the caller's task told the dispatcher only with the report at the end of the attempt. Until then a part in use everywhere counted as never answered; with streams of many seconds that is long. The class: evidence in one task, withheld from the task that judges by it. Soak, with logs: shared was blamed 72 ms after the start, at 790.511; a stream at another entry had got its second event at about 790.501 and told it at its end, at 790.602. Eight sound streams were refused until 790.649. Change: the exchange reports the proof with the event that is one (ReportProof, a message to the dispatch task as ReportStatement is). The histories tell it then too.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -15,6 +15,12 @@
     And the last 4 of them were refused with 503 and reason prompt_quarantined
     And each sound caller got its whole stream
 
+  Scenario: a part counts as answered while its stream goes on
+    Given an entry before 1 app servers and 1 llm servers
+    And streams of the llm servers have 40 events, 100 ms apart
+    When a caller begins to stream /stream/1 with the prompt parts a1:40,b2:300
+    Then the part a1 counts as answered before the stream ends
+
   Scenario Outline: a part is refused after three crashes without an answer
     Given <entries> entries that exchange hints
     When <crashes> targets crash one after another while a request with the parts <parts> is unanswered
--- a/features/specs/crash_histories.py
+++ b/features/specs/crash_histories.py
@@ -155,7 +155,11 @@
         self._schedule(_ANSWER_MS, lambda: self._finish(attempt))
 
     def _prove(self, attempt: _Attempt) -> None:
+        if attempt.has_ended:
+            return
         attempt.proven_at = self.now
+        quarantine = self._entries[attempt.entry].quarantine
+        quarantine.record_sound(attempt.parts, self.now)
 
     def _finish(self, attempt: _Attempt) -> None:
         if attempt.has_ended:
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -12,7 +12,7 @@
     STREAM_PATH,
     find_free_port,
 )
-from features.steps.direct_steps import start_world
+from features.steps.direct_steps import list_servers, start_world
 
 _LOST_EVENT = 'target_connection_lost'
 _TOKEN_COUNT = '430,40'
@@ -32,6 +32,32 @@
     )
 
 
+@given(
+    'streams of the llm servers have {count:d} events, {interval:d} ms apart'
+)
+def set_events(context: Any, count: int, interval: int) -> None:
+    """Set the length and the pace of streams."""
+    for server in list_servers(context, 'llm'):
+        server.event_count = count
+        server.event_interval_seconds = interval / 1000
+
+
+@when('a caller begins to stream /stream/1 with the prompt parts {parts}')
+def begin_stream(context: Any, parts: str) -> None:
+    """Send a request and do not wait for the end of its response."""
+    context.stream = gevent.spawn(stream_parts, context, parts)
+
+
+@then('the part {part:w} counts as answered before the stream ends')
+def check_answered(context: Any, part: str) -> None:
+    """Wait until the entry takes the part for answered."""
+    entry = context.cluster.entries[0]
+    evidence = entry.dispatcher.load_exchange.quarantine.evidence
+    wait_until(lambda: evidence.sound_at(part) is not None)
+    assert 'attempts_total' not in entry.metrics.render()
+    context.stream.join()
+
+
 @then(
     '{count:d} lost connections are logged with the shared parts'
     ' {first:w} and {second:w}'
--- a/packages/core/src/buckthornpond_core/serving/attempt_progress.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -57,14 +57,19 @@
         self.head = head
         self._head_at = now
 
-    def record_event(self, now: timedelta) -> None:
+    def record_event(self, now: timedelta) -> bool:
         """Record events that the caller can use.
 
+        Return whether they are the first to show that the target survives
+        answering the request.
+
         :param now: time on the monotonic clock.
         """
         self._event_count += 1
-        if self._event_count == _PROOF_EVENT_COUNT:
+        is_proof = self._event_count == _PROOF_EVENT_COUNT
+        if is_proof:
             self._proven_at = now
+        return is_proof
 
     def make_report(
         self, target: str, outcome: AttemptOutcome, now: timedelta
--- a/packages/core/src/buckthornpond_core/serving/effects.py
+++ b/packages/core/src/buckthornpond_core/serving/effects.py
@@ -128,6 +128,22 @@
         self.placement = placement
 
 
+class ReportProof:
+    """Notice to the dispatch task that a target survives a request.
+
+    :param shared_parts: parts of its prompt that others may hold too.
+    :param proven_at: time on the monotonic clock.
+    """
+
+    __slots__ = ('proven_at', 'shared_parts')
+
+    def __init__(
+        self, shared_parts: Sequence[str], proven_at: timedelta
+    ) -> None:
+        self.shared_parts = shared_parts
+        self.proven_at = proven_at
+
+
 class ReportStatement:
     """Notice to the dispatch task of what a target says of itself.
 
@@ -232,6 +248,7 @@
     RequestPlacement
     | AbortResponse
     | ReportFirstByte
+    | ReportProof
     | ReportStatement
     | ReportAttempt
     | EndStream
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -14,6 +14,7 @@
     ExchangeEffect,
     ReportAttempt,
     ReportFirstByte,
+    ReportProof,
     ReportStatement,
     RequestPlacement,
     ResponseHead,
@@ -305,14 +306,15 @@
             gap_ms = (now - self._last_event_at) // _MS
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_at = now
-        self._progress.record_event(now)
+        is_proof = self._progress.record_event(now)
+        effects = _report_proof(self.admission, now) if is_proof else []
         route = self.admission.route
         if route.may_repeat:
             self._silence_deadline = now + find_event_timeout(route)
         if self._placement is None or self._progress.is_first_byte_reported:
-            return []
+            return effects
         self._progress.is_first_byte_reported = True
-        return [ReportFirstByte(self._placement)]
+        return [ReportFirstByte(self._placement), *effects]
 
     def _start_stream(self, now: timedelta) -> list[ExchangeEffect]:
         head = self._progress.head
@@ -532,3 +534,10 @@
     if metadata.statement is None and not placement.has_statement:
         return []
     return [ReportStatement(placement, metadata.statement)]
+
+
+def _report_proof(
+    admission: AdmittedRequest, now: timedelta
+) -> list[ExchangeEffect]:
+    shared_parts = admission.metadata.shared_parts
+    return [ReportProof(shared_parts, now)] if shared_parts else []
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -20,6 +20,7 @@
 from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.dispatcher import Dispatcher
 from buckthornpond_core.serving.effects import (
+    ReportProof,
     ReportStatement,
     RequestPlacement,
 )
@@ -157,6 +158,7 @@
     | DirectSettings
     | AttemptEnded
     | FirstByteReceived
+    | ReportProof
     | ReportStatement
     | FleetChange
     | PeerFleetView
@@ -211,6 +213,7 @@
             DirectSettings: self._change_settings,
             AttemptEnded: self._update_attempt,
             FirstByteReceived: self._update_attempt,
+            ReportProof: self._record_proof,
             ReportStatement: self._record_statement,
             PeerFleetView: self._exchange_fleet_views,
             LoadHint: self._exchange_hints,
@@ -358,6 +361,11 @@
             message.placement, message.statement, now
         )
 
+    def _record_proof(self, message: ReportProof, now: timedelta) -> None:
+        self._dispatcher.load_exchange.quarantine.record_sound(
+            message.shared_parts, message.proven_at
+        )
+
     def _place(self, message: PlacementRequest, now: timedelta) -> None:
         admission = message.admission
         decision = self._dispatcher.place(
