--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -84,15 +84,6 @@
     When 3 targets crash 40 ms apart, each by the next attempt of a request with the parts dead
     Then requests with the parts dead are refused at every entry
 
-  Scenario: requests that share a part and lose targets within a moment are not added up
-    Given 3 entries that exchange hints
-    When targets crash with requests that were sent after the crash before
-      | after_ms | requests            |
-      | 7        | shared dead         |
-      | 13       | shared dead; shared |
-      | 58       | shared              |
-    Then requests with the parts shared are served at every entry
-
   Scenario: an answer after the crashes ends a quarantine at every entry
     Given 3 entries that exchange hints
     When 3 targets crash one after another while a request with the parts rare is unanswered
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -100,16 +100,6 @@
         context.group.advance(timedelta(milliseconds=interval))
 
 
-@when('targets crash with requests that were sent after the crash before')
-def crash_in_burst(context: Any) -> None:
-    """Lose a target for each row, some milliseconds after the one before."""
-    for row in context.table:
-        duration = timedelta(milliseconds=int(row['after_ms']))
-        context.group.advance(duration)
-        context.group.crash(_split(row['requests']), duration)
-    context.group.advance(timedelta())
-
-
 @when('a request with the parts {parts} is answered at entry {number:d}')
 def answer(context: Any, parts: str, number: int) -> None:
     """Answer a request."""
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -308,23 +308,28 @@
             needed_count = _CRASH_COUNT_IF_SOUND_BEFORE
         return self._count_apart(part, crashes) >= needed_count
 
-    def _count_apart(self, part: str, crashes: Collection['_OpenCrash']) -> int:
+    def _count_apart(self, part: str, crashes: Iterable['_OpenCrash']) -> int:
         """Count crashes with a part, those that may be one event as one.
 
         A request that was sent after one crash and met another met two. That
         proves little for a part that was answered before, while many targets
-        are lost, or for crashes that different requests met.
+        are lost.
         """
-        if part in self._sound_at:
-            return _count_spaced(crashes, frozenset())
-        return max(
-            _count_spaced(crashes, request)
-            for request in {
-                request
-                for crash in crashes
-                for request in crash.find_requests(part)
-            }
-        )
+        count = 0
+        last_at: timedelta | None = None
+        for crash in crashes:
+            is_apart = (
+                last_at is None
+                or crash.occurred_at - last_at >= _MIN_CRASH_INTERVAL
+                or (
+                    part not in self._sound_at
+                    and crash.last_sent_at(part) >= last_at
+                )
+            )
+            if is_apart:
+                count += 1
+                last_at = crash.occurred_at
+        return count
 
     def _find_companions(
         self, worst: str, crashes_by_part: dict[str, list['_OpenCrash']]
@@ -363,21 +368,13 @@
         ]
         self.open_parts = frozenset[str]().union(*self.requests)
 
-    def find_requests(self, part: str) -> list[PartSet]:
-        """Return the parts of each suspected request that holds a part."""
-        return [
-            suspect.parts for suspect in self._suspects if part in suspect.parts
-        ]
-
-    def sent_at(self, request: PartSet) -> timedelta | None:
-        """Return when a suspected request was sent, ``None`` without it.
-
-        :param request: its parts.
-        """
-        for suspect in self._suspects:
-            if suspect.parts == request:
-                return suspect.sent_at
-        return None
+    def last_sent_at(self, part: str) -> timedelta:
+        """Return when the last suspected request with a part was sent."""
+        return max(
+            suspect.sent_at
+            for suspect in self._suspects
+            if part in suspect.parts
+        )
 
     def has_begun(self, part: str) -> bool:
         """Return whether the target had begun to answer one with a part."""
@@ -411,33 +408,6 @@
     return crashes_by_part
 
 
-def _count_spaced(crashes: Iterable[_OpenCrash], request: PartSet) -> int:
-    """Count crashes that lie apart, or that a request met one after another.
-
-    :param crashes: the crashes, oldest first.
-    :param request: parts of the request.
-    """
-    count = 0
-    last_at: timedelta | None = None
-    last_met_at: timedelta | None = None
-    for crash in crashes:
-        sent_at = crash.sent_at(request)
-        if (
-            last_at is None
-            or crash.occurred_at - last_at >= _MIN_CRASH_INTERVAL
-            or _is_later(sent_at, last_met_at)
-        ):
-            count += 1
-            last_at = crash.occurred_at
-        if sent_at is not None:
-            last_met_at = crash.occurred_at
-    return count
-
-
-def _is_later(sent_at: timedelta | None, crash_at: timedelta | None) -> bool:
-    return sent_at is not None and crash_at is not None and sent_at >= crash_at
-
-
 def _occurred_at(crash: TargetCrash | _OpenCrash) -> timedelta:
     return crash.occurred_at
 
