Count the ages in a hint from when it arrived, not from when it is read

Cause: hints that came while a process was stopped waited in its socket, and the ages in them were taken as of the moment at which they were read. A crash of seconds ago became a new one, each repetition in a full hint one more; the entry told it on, and entries that knew it by its true time counted it again. The class: an age without the time at which it was stated. Evidence: soak with logs: an entry that woke at 978.650 blamed shared at 978.653, by crashes of 973.4 to 974.7 that were repeated for 3 s only, and another entry at 978.672 by what it told. Change: the kernel tells when a datagram arrived; HintReceived carries that time. It holds for loads and limits of targets in hints too, as the cause is the same.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -113,6 +113,10 @@
     And entry 2 learns that a request with the parts rare was answered 1500 ms ago
     Then requests with the parts rare are served at every entry
 
+  Scenario: a crash that an entry reads of late is not taken for a new one
+    When a hint waits 300 ms in the socket of an entry that is stopped
+    Then it counts from at least 250 ms before it is read
+
   Scenario: one request is let through in ten minutes while requests keep coming
     Given 5 entries that exchange hints
     When 3 targets crash one after another while a request with the parts dead is unanswered
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -1,22 +1,32 @@
 """Steps on prompt parts that crash the engines that answer them."""
 
 import json
+from datetime import timedelta
 from typing import Any
 
 import gevent
+import msgspec
 from behave import given, then, when
+from gevent.event import Event
+from gevent.socket import AF_INET, SOCK_DGRAM, socket
 
+from buckthornpond_core._generated.hints import LoadHint
+from buckthornpond_entry.direct.hints import HintReceived, HintTask
 from buckthornpond_platform_standins.clients import ClientResponse
 from buckthornpond_platform_standins.listening import wait_until
 from buckthornpond_platform_standins.local_clusters import (
     STREAM_PATH,
     find_free_port,
 )
+from buckthornpond_runtime.clocks import SystemClock
+from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.tasks import Mailbox
 from features.steps.direct_steps import list_servers, start_world
 
 _LOST_EVENT = 'target_connection_lost'
 _TOKEN_COUNT = '430,40'
 _ARRIVAL_INTERVAL_SECONDS = 0.15
+_RECEIVE_TIMEOUT_SECONDS = 10
 
 
 @when('a caller streams /stream/1 with the prompt parts {parts}')
@@ -136,6 +146,33 @@
         gevent.sleep(_ARRIVAL_INTERVAL_SECONDS)
 
 
+@when('a hint waits {wait:d} ms in the socket of an entry that is stopped')
+def receive_late(context: Any, wait: int) -> None:
+    """Send a hint to a task that begins to receive later."""
+    clock = SystemClock()
+    address = f'127.0.0.1:{find_free_port()}'
+    mailbox: Mailbox[HintReceived] = Mailbox()
+    task = HintTask(address, mailbox, Metrics(), Event(), clock)
+    host, port = address.split(':')
+    hint = LoadHint('127.0.0.1:9', 1, 1, is_full=False, targets=[])
+    with socket(AF_INET, SOCK_DGRAM) as sender:
+        sender.sendto(msgspec.msgpack.encode(hint), (host, int(port)))
+    gevent.sleep(wait / 1000)
+    context.read_at = clock.monotonic()
+    receiver = gevent.spawn(task.receive)
+    context.received = mailbox.receive(_RECEIVE_TIMEOUT_SECONDS)
+    receiver.kill()
+
+
+@then('it counts from at least {wait:d} ms before it is read')
+def check_arrival(context: Any, wait: int) -> None:
+    """Compare the time from which the ages in the hint count."""
+    assert context.received is not None
+    arrived_at = context.received.arrived_at
+    limit = context.read_at - timedelta(milliseconds=wait)
+    assert arrived_at <= limit, (arrived_at, limit)
+
+
 def _stream(context: Any, entry_index: int, parts: str) -> ClientResponse:
     return context.cluster.connect(entry_index).fetch(
         'POST', STREAM_PATH, X_Token_Count=_TOKEN_COUNT, X_Prefix_Hash=parts
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -6,7 +6,6 @@
 
 from gevent.event import Event
 
-from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core._generated.serving import (
     AttemptReport,
     CallerLimits,
@@ -37,7 +36,7 @@
     PeerQuery,
     PeerQueryTask,
 )
-from .hints import HintReply, HintRequest
+from .hints import HintReceived, HintReply, HintRequest
 from .idle_connections import IdleConnections
 
 _TICK_INTERVAL_SECONDS = 0.5
@@ -164,7 +163,7 @@
     | PeerFleetView
     | FleetViewRequest
     | HintRequest
-    | LoadHint
+    | HintReceived
     | ConnectionReturned
 )
 
@@ -216,7 +215,7 @@
             ReportProof: self._record_proof,
             ReportStatement: self._record_statement,
             PeerFleetView: self._exchange_fleet_views,
-            LoadHint: self._exchange_hints,
+            HintReceived: self._exchange_hints,
             ConnectionReturned: self._return_connection,
         }
 
@@ -322,14 +321,16 @@
 
     def _exchange_hints(
         self,
-        message: HintRequest | LoadHint,
+        message: HintRequest | HintReceived,
         now: timedelta,
     ) -> None:
         dispatcher = self._dispatcher
         load_exchange = dispatcher.load_exchange
-        if isinstance(message, LoadHint):
-            if load_exchange.apply_hint(message, dispatcher.fleet, now):
-                dispatcher.statements.apply_hint(message, now)
+        if isinstance(message, HintReceived):
+            hint = message.hint
+            arrived_at = message.arrived_at
+            if load_exchange.apply_hint(hint, dispatcher.fleet, arrived_at):
+                dispatcher.statements.apply_hint(hint, arrived_at)
             return
         hint = load_exchange.make_hint(dispatcher.fleet, now)
         dispatcher.statements.fill_hint(hint, now)
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -209,6 +209,7 @@
             self._dispatch.mailbox,
             self.metrics,
             self._dispatch.hint_due,
+            self._clock,
         )
         self._start('hint receiver', task.receive)
         self._start('hint sender', task.run)
