--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -15,6 +15,12 @@
     And the last 4 of them were refused with 503 and reason prompt_quarantined
     And each sound caller got its whole stream
 
+  Scenario: a part counts as answered while its stream goes on
+    Given an entry before 1 app servers and 1 llm servers
+    And streams of the llm servers have 40 events, 100 ms apart
+    When a caller begins to stream /stream/1 with the prompt parts a1:40,b2:300
+    Then the part a1 counts as answered before the stream ends
+
   Scenario Outline: a part is refused after three crashes without an answer
     Given <entries> entries that exchange hints
     When <crashes> targets crash one after another while a request with the parts <parts> is unanswered
@@ -42,6 +48,12 @@
     Then requests with the parts dead are refused at every entry
     And requests with the parts shared are served at every entry
 
+  Scenario: the log of a quarantine tells the crashes and the answers that are known
+    Given 1 entries that exchange hints
+    When a request with the parts shared is answered at entry 0
+    And 3 targets crash one after another while a request with the parts shared dead is unanswered
+    Then a quarantine of the part dead is logged with 3 crashes and without an answer
+
   Scenario: a part that was sound and now crashes targets is refused after a fourth crash
     Given 3 entries that exchange hints
     When a request with the parts dead is answered at entry 0
@@ -85,6 +97,26 @@
     And after 60 seconds another entry starts
     Then requests with the parts shared dead are refused at every entry
 
+  Scenario: an entry that has just started does not blame a part that the others saw answered
+    Given 3 entries that exchange hints
+    When a request with the parts shared is answered at entry 1
+    And 2 targets crash 200 ms apart while requests with the parts shared; shared dead wait
+    And 1 targets crash 200 ms apart while requests with the parts shared wait
+    And a request with the parts shared is answered at entry 1
+    And after 0 seconds another entry starts
+    Then requests with the parts shared are served at every entry
+
+  Scenario: a part is no longer blamed when an answer between the crashes becomes known
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts rare is unanswered
+    And requests with the parts rare are refused at every entry
+    And entry 2 learns that a request with the parts rare was answered 1500 ms ago
+    Then requests with the parts rare are served at every entry
+
+  Scenario: a crash that an entry reads of late is not taken for a new one
+    When a hint waits 300 ms in the socket of an entry that is stopped
+    Then it counts from at least 250 ms before it is read
+
   Scenario: one request is let through in ten minutes while requests keep coming
     Given 5 entries that exchange hints
     When 3 targets crash one after another while a request with the parts dead is unanswered
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -89,6 +89,17 @@
         group.advance(duration)
 
 
+@when(
+    '{count:d} targets crash {interval:d} ms apart while requests with the'
+    ' parts {parts} wait'
+)
+def crash_apart(context: Any, count: int, interval: int, parts: str) -> None:
+    """Lose targets at which the same requests wait each time."""
+    for _ in range(count):
+        context.group.crash(_split(parts))
+        context.group.advance(timedelta(milliseconds=interval))
+
+
 @when('a request with the parts {parts} is answered at entry {number:d}')
 def answer(context: Any, parts: str, number: int) -> None:
     """Answer a request."""
@@ -96,6 +107,18 @@
     context.group.advance(_SECOND)
 
 
+@when(
+    'entry {number:d} learns that a request with the parts {parts} was answered'
+    ' {age:d} ms ago'
+)
+def learn_answer(context: Any, number: int, parts: str, age: int) -> None:
+    """Record an answer late."""
+    group = context.group
+    proven_at = group.now - timedelta(milliseconds=age)
+    group.entries[number].quarantine.record_sound(parts.split(), proven_at)
+    group.advance(_SECOND)
+
+
 @when('no request comes for {count:d} seconds')
 def advance(context: Any, count: int) -> None:
     """Let time pass with a full hint each second."""
@@ -153,6 +176,20 @@
             assert is_sent, (part_set, number)
 
 
+@then(
+    'a quarantine of the part {part:w} is logged with {count:d} crashes and'
+    ' without an answer'
+)
+def check_logged(context: Any, part: str, count: int) -> None:
+    """Compare the evidence in the log with the crashes."""
+    events = context.group.log.events
+    assert len(events) == 1, events
+    assert events[0]['parts'] == [part], events
+    assert len(events[0]['crashes']) == count, events
+    assert events[0]['crashes'][-1].endswith(' 0 ms'), events
+    assert events[0]['answered_ms'] == {part: None}, events
+
+
 @when('a hint quarantines no parts')
 def quarantine_nothing(context: Any) -> None:
     """Send a hint with an empty set of parts."""
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -6,11 +6,13 @@
 request with it has been answered since.
 """
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 
 PartSet = frozenset[str]
 
+_MS = timedelta(milliseconds=1)
 _RETENTION_MS = 600_000
 _RETENTION = timedelta(milliseconds=_RETENTION_MS)
 # Crashes in turn after which a part is a cause, and the same for a part of
@@ -27,6 +29,7 @@
 _MAX_CRASHES = 256
 _MAX_SUSPECTS = 32
 _MAX_SOUND_PARTS = 8192
+_MAX_LOGGED_CRASHES = 8
 
 
 class Suspect:
@@ -150,6 +153,20 @@
         """
         return self._sound_at.get(part)
 
+    def find_answered(self, crashes: Iterable[TargetCrash]) -> list[str]:
+        """Return the parts of crashes that are known to have been answered.
+
+        Those that stand in the most of the crashes come first.
+
+        :param crashes: crashes with the suspected requests.
+        """
+        counts: Counter[str] = Counter()
+        for crash in crashes:
+            counts.update(frozenset[str]().union(*crash.suspects))
+        return [
+            part for part, _ in counts.most_common() if part in self._sound_at
+        ]
+
     def is_cleared_by(self, part: str, proven_at: timedelta) -> bool:
         """Return whether an answer ends the suspicion of a part.
 
@@ -203,6 +220,32 @@
                 if not crash.is_explained_by(cause.parts)
             ]
 
+    def describe(
+        self, parts: PartSet, last_crash_at: timedelta
+    ) -> dict[str, object]:
+        """Return what is known of parts, as fields of a log event.
+
+        :param parts: parts that together may have crashed targets.
+        :param last_crash_at: time of the last crash on the monotonic clock.
+        """
+        crashes = [
+            crash
+            for crash in self
+            if any(parts <= suspected for suspected in crash.suspects)
+        ]
+        proofs = ((part, self._sound_at.get(part)) for part in sorted(parts))
+        return {
+            'crashes': [
+                f'{crash.target} {crash.started_ms}'
+                f' {(last_crash_at - crash.occurred_at) // _MS} ms'
+                for crash in crashes[-_MAX_LOGGED_CRASHES:]
+            ],
+            'answered_ms': {
+                part: None if at is None else (last_crash_at - at) // _MS
+                for part, at in proofs
+            },
+        }
+
     def _index(self, crash: TargetCrash) -> None:
         for part in frozenset[str]().union(*crash.suspects):
             crashes = self._crashes_by_part.setdefault(part, [])
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -156,7 +156,7 @@
         """
         if self._record_crash(target, started_ms, [suspect], now):
             self._has_news = True
-            self._update([suspect], now, _OWN_ORIGIN)
+            self._update([suspect], _OWN_ORIGIN)
 
     def record_sound(
         self, shared_parts: Iterable[str], proven_at: timedelta
@@ -190,16 +190,14 @@
                 for crash in self.evidence
                 if now - crash.occurred_at < _RELAY_TIME
             ]
-        hint.crashes = [
-            _make_crash_hint(crash, now)
-            for crash in crashes[-_MAX_TOLD_CRASHES:]
-        ]
+        crashes = crashes[-_MAX_TOLD_CRASHES:]
+        hint.crashes = [_make_crash_hint(crash, now) for crash in crashes]
         if hint.is_full:
             hint.quarantines = [
                 _make_quarantine_hint(quarantine, now)
                 for quarantine in self._list_latest()
             ]
-        hint.sound_parts = self._make_sound_hints(now)
+        hint.sound_parts = self._make_sound_hints(crashes, now)
         self._has_news = False
         self._new_crashes = []
         self._told_sound_parts.clear()
@@ -227,7 +225,7 @@
             if self._record_crash(
                 crash.target, crash.started_ms, suspects, occurred_at
             ):
-                self._update(suspects, now, hint.sender)
+                self._update(suspects, hint.sender)
         for quarantine in hint.quarantines:
             self._adopt(quarantine, hint.sender, now)
 
@@ -271,11 +269,6 @@
         crash = TargetCrash(target, started_ms, occurred_at)
         crash.suspects = {each.parts: each for each in suspects}
         self._new_crashes.append(crash)
-        self._told_sound_parts.update(
-            part
-            for part in frozenset[str]().union(*crash.suspects)
-            if self.evidence.sound_at(part) is not None
-        )
         return True
 
     def _list_latest(self) -> list[_Quarantine]:
@@ -284,30 +277,40 @@
             -_MAX_TOLD_QUARANTINES:
         ]
 
-    def _make_sound_hints(self, now: timedelta) -> list[SoundPartHint]:
+    def _make_sound_hints(
+        self, told_crashes: Iterable[TargetCrash], now: timedelta
+    ) -> list[SoundPartHint]:
+        """Return the answers that refute suspicions, and those of told crashes.
+
+        Who hears of a crash only now must not take an answered part for new.
+        """
+        parts = dict.fromkeys(sorted(self._told_sound_parts))
+        parts.update(dict.fromkeys(self.evidence.find_answered(told_crashes)))
         hints = []
-        for part in sorted(self._told_sound_parts)[:_MAX_TOLD_PARTS]:
+        for part in tuple(parts)[:_MAX_TOLD_PARTS]:
             proven_at = self.evidence.sound_at(part)
             if proven_at is not None:
                 hints.append(SoundPartHint(part, (now - proven_at) // _MS))
         return hints
 
-    def _update(
-        self, suspects: Sequence[Suspect], now: timedelta, origin: str
-    ) -> None:
+    def _update(self, suspects: Sequence[Suspect], origin: str) -> None:
         """Quarantine the likely causes of the crashes after a new one."""
-        if not any(self.evidence.is_repeated(each.parts) for each in suspects):
-            return
+        if any(self.evidence.is_repeated(each.parts) for each in suspects):
+            self._apply_causes(origin)
+
+    def _apply_causes(self, origin: str) -> None:
+        """Quarantine what the crashes show now, and nothing else."""
         causes = self.evidence.find_causes()
         self._withdraw({cause.parts for cause in causes})
         for cause in causes:
+            ends_at = cause.last_crash_at + _QUARANTINE_TIME
             known = self._quarantines.get(cause.parts)
             if known is None:
-                self._start(_Quarantine(cause, now + _QUARANTINE_TIME), origin)
+                self._start(_Quarantine(cause, ends_at), origin)
             elif cause.last_crash_at > known.evidence_at:
                 known.crash_count = cause.crash_count
                 known.evidence_at = cause.last_crash_at
-                known.ends_at = now + _QUARANTINE_TIME
+                known.ends_at = max(known.ends_at, ends_at)
 
     def _withdraw(self, causes: Collection[PartSet]) -> None:
         """End quarantines of which a fuller view of the crashes shows no cause.
@@ -352,15 +355,28 @@
             parts=sorted(quarantine.parts),
             crash_count=quarantine.crash_count,
             origin=origin,
+            **self.evidence.describe(quarantine.parts, quarantine.evidence_at),
         )
 
     def _release_sound(self, parts: PartSet, proven_at: timedelta) -> None:
-        """End or narrow the quarantines that an answer refutes."""
-        for quarantine in tuple(self._quarantines.values()):
-            is_refuted = quarantine.evidence_at < proven_at
-            if is_refuted and not quarantine.parts.isdisjoint(parts):
+        """End or narrow the quarantines that an answer refutes.
+
+        An answer from before the last crash may leave too few crashes.
+        """
+        found = [
+            quarantine
+            for quarantine in self._quarantines.values()
+            if not quarantine.parts.isdisjoint(parts)
+        ]
+        if not found:
+            return
+        for quarantine in found:
+            if quarantine.evidence_at < proven_at:
                 self._release(quarantine, 'answered')
                 self._keep_rest(quarantine, quarantine.parts - parts)
+        self._apply_causes(_OWN_ORIGIN)
+        for quarantine in found:
+            if quarantine.parts not in self._quarantines:
                 self._told_sound_parts |= quarantine.parts & parts
                 self._has_news = True
 
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -6,7 +6,6 @@
 
 from gevent.event import Event
 
-from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core._generated.serving import (
     AttemptReport,
     CallerLimits,
@@ -20,6 +19,7 @@
 from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.dispatcher import Dispatcher
 from buckthornpond_core.serving.effects import (
+    ReportProof,
     ReportStatement,
     RequestPlacement,
 )
@@ -36,7 +36,7 @@
     PeerQuery,
     PeerQueryTask,
 )
-from .hints import HintReply, HintRequest
+from .hints import HintReceived, HintReply, HintRequest
 from .idle_connections import IdleConnections
 
 _TICK_INTERVAL_SECONDS = 0.5
@@ -157,12 +157,13 @@
     | DirectSettings
     | AttemptEnded
     | FirstByteReceived
+    | ReportProof
     | ReportStatement
     | FleetChange
     | PeerFleetView
     | FleetViewRequest
     | HintRequest
-    | LoadHint
+    | HintReceived
     | ConnectionReturned
 )
 
@@ -211,9 +212,10 @@
             DirectSettings: self._change_settings,
             AttemptEnded: self._update_attempt,
             FirstByteReceived: self._update_attempt,
+            ReportProof: self._record_proof,
             ReportStatement: self._record_statement,
             PeerFleetView: self._exchange_fleet_views,
-            LoadHint: self._exchange_hints,
+            HintReceived: self._exchange_hints,
             ConnectionReturned: self._return_connection,
         }
 
@@ -319,14 +321,16 @@
 
     def _exchange_hints(
         self,
-        message: HintRequest | LoadHint,
+        message: HintRequest | HintReceived,
         now: timedelta,
     ) -> None:
         dispatcher = self._dispatcher
         load_exchange = dispatcher.load_exchange
-        if isinstance(message, LoadHint):
-            if load_exchange.apply_hint(message, dispatcher.fleet, now):
-                dispatcher.statements.apply_hint(message, now)
+        if isinstance(message, HintReceived):
+            hint = message.hint
+            arrived_at = message.arrived_at
+            if load_exchange.apply_hint(hint, dispatcher.fleet, arrived_at):
+                dispatcher.statements.apply_hint(hint, arrived_at)
             return
         hint = load_exchange.make_hint(dispatcher.fleet, now)
         dispatcher.statements.fill_hint(hint, now)
@@ -358,6 +362,11 @@
             message.placement, message.statement, now
         )
 
+    def _record_proof(self, message: ReportProof, now: timedelta) -> None:
+        self._dispatcher.load_exchange.quarantine.record_sound(
+            message.shared_parts, message.proven_at
+        )
+
     def _place(self, message: PlacementRequest, now: timedelta) -> None:
         admission = message.admission
         decision = self._dispatcher.place(
