Move calls out of connections.py, and failures and reports out of exchange.py

Cause: both files had grown large; a call without retries and a connection are two things, as are the state of a request and what it tells of attempts. Change: runtime/calls.py, serving/attempt_failures.py and serving/attempt_reports.py; code moved, names without an underscore.

--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -10,7 +10,7 @@
 from gevent import joinall, sleep, spawn
 
 from buckthornpond_core.exceptions import TargetError
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_standins.caller_groups import (
     find_incomplete,
     start_completions,
--- a/features/steps/target_faults_steps.py
+++ b/features/steps/target_faults_steps.py
@@ -13,8 +13,8 @@
     Attempt,
     Chunk,
 )
+from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_runtime.codecs import encode_message
-from buckthornpond_runtime.connections import HttpCall
 from buckthornpond_standins.callers import call_service
 from buckthornpond_standins.fleets import (
     CREDENTIAL,
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -9,7 +9,7 @@
 import gevent
 from behave import given, then, when
 
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_standins.caller_groups import (
     find_incomplete,
     start_bookings,
--- a/packages/agent/src/buckthornpond_agent/calls.py
+++ b/packages/agent/src/buckthornpond_agent/calls.py
@@ -15,7 +15,7 @@
 from buckthornpond_core.credits import charge_bytes
 from buckthornpond_core.effects import CallMessage
 from buckthornpond_core.exceptions import TargetError
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_runtime.tasks import AnyGreenlet
 
 _EVENT_STREAM_TYPE = 'text/event-stream'
--- a/packages/agent/src/buckthornpond_agent/orders.py
+++ b/packages/agent/src/buckthornpond_agent/orders.py
@@ -16,7 +16,7 @@
     OrderPlanner,
 )
 from buckthornpond_core.types import DECODE_ERRORS, Clock
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
 
--- a/packages/agent/src/buckthornpond_agent/reports.py
+++ b/packages/agent/src/buckthornpond_agent/reports.py
@@ -8,7 +8,7 @@
 from buckthornpond_core._generated.platform import LoadReport
 from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_core.types import DECODE_ERRORS
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Mailbox
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -3,19 +3,29 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-from .._generated.serving import AttemptReport, Placement, PlacementFailure
+from .._generated.serving import Placement, PlacementFailure
 from ..input_limits import MAX_RESPONSE_BODY_BYTES, InputLimitError
 from .admissions import AdmittedRequest
+from .attempt_failures import (
+    NO_CONTINUATION,
+    RESPONSE_TOO_LARGE,
+    make_exceeded_limit,
+    make_invalid_response,
+)
 from .attempt_history import AttemptHistory
 from .attempt_progress import AttemptProgress
+from .attempt_reports import (
+    MISDIRECTED,
+    make_unused_report,
+    report_proof,
+    report_statement,
+)
 from .effects import (
     AbortResponse,
     EndStream,
     ExchangeEffect,
     ReportAttempt,
     ReportFirstByte,
-    ReportProof,
-    ReportStatement,
     RequestPlacement,
     ResponseHead,
     SendEvents,
@@ -53,20 +63,6 @@
 )
 
 
-_RESPONSE_TOO_LARGE = AttemptFailed(
-    AttemptOutcome.response_too_large,
-    is_sent=True,
-    error=f'body exceeds {MAX_RESPONSE_BODY_BYTES} bytes',
-)
-
-# The caller has a part of a stream, which an error or a page cannot end.
-_NO_CONTINUATION = AttemptFailed(
-    AttemptOutcome.failed,
-    is_sent=True,
-    error='answer that does not continue the stream',
-)
-
-
 class RequestExchange:
     """State of one request and its attempts.
 
@@ -159,7 +155,7 @@
         if isinstance(found, PlacementFailure):
             return [] if self.is_done else self._handle_placement_failure(found)
         if self.is_done:
-            report = _build_report(found, AttemptOutcome.abandoned)
+            report = make_unused_report(found, AttemptOutcome.abandoned)
             return [ReportAttempt(found, report)]
         effects: list[ExchangeEffect] = []
         if self._placement is not None:
@@ -231,7 +227,7 @@
         now: timedelta,
     ) -> list[ExchangeEffect]:
         if self.deadline - now < _MIN_ATTEMPT_TIME:
-            report = _build_report(placement, AttemptOutcome.abandoned)
+            report = make_unused_report(placement, AttemptOutcome.abandoned)
             return [
                 ReportAttempt(placement, report),
                 *self._give_up('deadline_exceeded', now),
@@ -264,13 +260,13 @@
     ) -> list[ExchangeEffect]:
         fault = find_head_fault(head, self.admission.metadata.attempt_id)
         if fault:
-            return self._fail_attempt(_invalid_response(fault), now)
+            return self._fail_attempt(make_invalid_response(fault), now)
         self._progress.record_head(head, now)
-        effects = _report_statement(self._placement, head)
+        effects = report_statement(self._placement, head)
         started = self._started_head
         if started is not None and is_success(head.metadata.status_code):
             if not continues_stream(started, head):
-                effects.extend(self._fail_attempt(_NO_CONTINUATION, now))
+                effects.extend(self._fail_attempt(NO_CONTINUATION, now))
         return effects
 
     def _handle_body(
@@ -281,12 +277,12 @@
         if not self.is_streaming:
             self._progress.body += content
             if len(self._progress.body) > MAX_RESPONSE_BODY_BYTES:
-                return self._fail_attempt(_RESPONSE_TOO_LARGE, now)
+                return self._fail_attempt(RESPONSE_TOO_LARGE, now)
             return []
         try:
             events = self._progress.events.feed(content)
         except InputLimitError as error:
-            return self._fail_attempt(_exceeded_limit(error), now)
+            return self._fail_attempt(make_exceeded_limit(error), now)
         if not events:
             return []
         effects = self._start_stream(now)
@@ -305,7 +301,7 @@
             self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
         self._last_event_at = now
         is_proof = self._progress.record_event(now)
-        effects = _report_proof(self.admission, now) if is_proof else []
+        effects = report_proof(self.admission, now) if is_proof else []
         route = self.admission.route
         if route.may_repeat:
             self._silence_deadline = now + find_event_timeout(route)
@@ -329,20 +325,22 @@
         head = self._progress.head
         if head is None:
             return self._fail_attempt(
-                _invalid_response('response without a head'), now
+                make_invalid_response('response without a head'), now
             )
         if self.is_streaming:
             return self._end_stream(message, now)
         metadata = head.metadata
-        if metadata.is_not_run or metadata.status_code == _MISDIRECTED:
+        if metadata.is_not_run or metadata.status_code == MISDIRECTED:
             return self._handle_refusal(head, now)
         if metadata.status_code in _NOT_RUN_STATUSES:
             return self._fail_attempt(
-                _invalid_response('refusal without proof that it did not run'),
+                make_invalid_response(
+                    'refusal without proof that it did not run'
+                ),
                 now,
             )
         if self.is_response_started:
-            return self._fail_attempt(_NO_CONTINUATION, now)
+            return self._fail_attempt(NO_CONTINUATION, now)
         response = SendResponse(head, bytes(self._progress.body))
         if metadata.status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._finish(response, AttemptOutcome.answered, now)
@@ -377,7 +375,7 @@
         now: timedelta,
     ) -> list[ExchangeEffect]:
         outcome = AttemptOutcome.refused
-        if head.metadata.status_code == _MISDIRECTED:
+        if head.metadata.status_code == MISDIRECTED:
             outcome = AttemptOutcome.moved
         ended = self._end_attempt(outcome, now, f'{head.metadata.status_code}')
         return [*ended, *self._retry(now, is_repeat=True)]
@@ -502,43 +500,3 @@
             and self.history.may_add_run
             and self.deadline - now > _MIN_ATTEMPT_TIME
         )
-
-
-_MISDIRECTED = HTTPStatus.MISDIRECTED_REQUEST
-
-
-def _invalid_response(error: str) -> AttemptFailed:
-    return AttemptFailed(AttemptOutcome.failed, is_sent=True, error=error)
-
-
-def _exceeded_limit(error: InputLimitError) -> AttemptFailed:
-    return AttemptFailed(
-        AttemptOutcome.limit_exceeded, is_sent=True, error=error.message
-    )
-
-
-def _build_report(
-    placement: Placement, outcome: AttemptOutcome
-) -> AttemptReport:
-    return AttemptReport(
-        target=placement.target, outcome=outcome.value, load=None
-    )
-
-
-def _report_statement(
-    placement: Placement | None, head: ResponseHead
-) -> list[ExchangeEffect]:
-    metadata = head.metadata
-    if placement is None or metadata.status_code == _MISDIRECTED:
-        # Another target answered.
-        return []
-    if metadata.statement is None and not placement.has_statement:
-        return []
-    return [ReportStatement(placement, metadata.statement)]
-
-
-def _report_proof(
-    admission: AdmittedRequest, now: timedelta
-) -> list[ExchangeEffect]:
-    shared_parts = admission.metadata.shared_parts
-    return [ReportProof(shared_parts, now)] if shared_parts else []
--- a/packages/runtime/src/buckthornpond_runtime/__init__.py
+++ b/packages/runtime/src/buckthornpond_runtime/__init__.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
+    from .calls import HttpCall as HttpCall
     from .clocks import SystemClock as SystemClock
-    from .connections import HttpCall as HttpCall
     from .logs import log_event as log_event
     from .logs import start_logging as start_logging
     from .metrics import Metrics as Metrics
@@ -20,7 +20,7 @@
 _MODULES: Mapping[str, str] = MappingProxyType(
     {
         'SystemClock': '.clocks',
-        'HttpCall': '.connections',
+        'HttpCall': '.calls',
         'log_event': '.logs',
         'start_logging': '.logs',
         'Metrics': '.metrics',
--- a/packages/runtime/src/buckthornpond_runtime/platforms.py
+++ b/packages/runtime/src/buckthornpond_runtime/platforms.py
@@ -14,7 +14,7 @@
 from buckthornpond_core.exceptions import BuckthornpondError, PlatformError
 from buckthornpond_core.types import DECODE_ERRORS
 
-from .connections import HttpCall
+from .calls import HttpCall
 from .logs import log_event
 from .metrics import Metrics
 from .tasks import Mailbox
--- a/packages/standins/src/buckthornpond_standins/callers.py
+++ b/packages/standins/src/buckthornpond_standins/callers.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from buckthornpond_core.exceptions import TargetError
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 
 _CHARACTERS_PER_TOKEN = 4
 _CALL_TIMEOUT = timedelta(seconds=120)
--- a/packages/standins/src/buckthornpond_standins/fleets.py
+++ b/packages/standins/src/buckthornpond_standins/fleets.py
@@ -18,7 +18,7 @@
 from gevent import sleep, socket
 
 from buckthornpond_core.exceptions import BuckthornpondError
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 
 _PORT_NUMBERS = itertools.count(20_000)
 _POLL_INTERVAL_SECONDS = 0.05
--- a/packages/standins/src/buckthornpond_standins/loads.py
+++ b/packages/standins/src/buckthornpond_standins/loads.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from buckthornpond_core.exceptions import TargetError
-from buckthornpond_runtime.connections import HttpCall
+from buckthornpond_runtime.calls import HttpCall
 
 _CALL_TIMEOUT = timedelta(seconds=60)
 _MS_PER_SECOND = 1000
