--- a/features/restored_again.feature
+++ b/features/restored_again.feature
@@ -59,3 +59,15 @@
     And the store of the old era reports that the first target left
     And the store comes back in a new era with a copy from before
     Then the first target receives nothing for 1.0 seconds
+
+  Scenario Outline: a store that names no era is taken for restored where its revision goes back
+    Given a dispatcher before 2 plain targets
+    And the store has reported that <change>
+    When a store that names no era comes back with a copy from before
+    Then the first target receives nothing for 2.0 seconds
+
+    Examples:
+      | change                  |
+      | the first target drains |
+      | the first target left   |
+      | its zone is evacuated   |
--- a/features/steps/restored_again_steps.py
+++ b/features/steps/restored_again_steps.py
@@ -56,9 +56,7 @@
 @when('the store of the second new era reports nothing new')
 def confirm_second(context: Any) -> None:
     """Apply an answer without changes."""
-    _dispatcher(context).apply(
-        SourceConfirmed(_COPY_REVISION, 2), context.now
-    )
+    _dispatcher(context).apply(SourceConfirmed(_COPY_REVISION, 2), context.now)
 
 
 @when('the store of the old era answers again')
--- a/features/steps/restored_view_steps.py
+++ b/features/steps/restored_view_steps.py
@@ -50,7 +50,7 @@
 
 
 @when('the store comes back in a new era with a copy from before')
-def restore(context: Any) -> None:
+def restore(context: Any, era: int = _ERA) -> None:
     """Apply what is read from the copy."""
     route_table = _dispatcher(context).route_table
     assert route_table is not None
@@ -60,11 +60,17 @@
         [],
         route_table.configuration,
         _COPY_REVISION,
-        _ERA,
+        era,
     )
     _dispatcher(context).apply(snapshot, context.now)
 
 
+@when('a store that names no era comes back with a copy from before')
+def restore_without_era(context: Any) -> None:
+    """Apply a copy at a lower revision."""
+    restore(context, 0)
+
+
 @when('the store of the new era reports nothing new')
 def confirm(context: Any) -> None:
     """Apply an answer without changes."""
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -39,7 +39,7 @@
         'cold_until',
         'expires_at',
         'health',
-        'held_until',
+        'is_held',
         'peer_attempts',
         'record',
         'stated_limit',
@@ -59,9 +59,8 @@
         self._latency_ms = 0.0
         self._latency_updated_at = timedelta()
         self.expires_at: timedelta | None = None
-        # A target that has left, and that an older copy lists, is not used
-        # before this time.
-        self.held_until = timedelta()
+        # Whether it has left and only an older copy of the source lists it.
+        self.is_held = False
 
     @property
     def all_attempts(self) -> list[InFlightAttempt]:
@@ -122,7 +121,7 @@
 
         :param now: time on the monotonic clock.
         """
-        if self.record.is_draining or now < self.held_until:
+        if self.record.is_draining or self.is_held:
             return False
         return self.expires_at is None or now < self.expires_at
 
@@ -135,12 +134,13 @@
         '_first_lost_at',
         '_services',
         '_targets',
-        '_zone_ends',
         'confirmed_at',
         'evacuated_zones',
+        'held_zones',
         'lost_at',
         'position',
         'regained_at',
+        'restored_until',
     )
 
     def __init__(self) -> None:
@@ -149,8 +149,10 @@
         self._first_lost_at: timedelta | None = None
         self._departures = Departures()
         self.evacuated_zones: set[str] = set()
-        # When evacuations end that a copy of the source does not list.
-        self._zone_ends: dict[str, timedelta] = {}
+        # Evacuated zones that an older copy of the source does not list.
+        self.held_zones: set[str] = set()
+        # Until when what an older copy contradicts stays in force.
+        self.restored_until: timedelta | None = None
         self.position = SourcePosition()
         self.confirmed_at: timedelta | None = None
         self.lost_at: timedelta | None = None
@@ -213,7 +215,7 @@
         self._services.setdefault(record.service, {})[record.name] = view
         view.record = record
         view.expires_at = None
-        view.held_until = timedelta()
+        view.is_held = False
         return view
 
     def remove(self, name: str, now: timedelta) -> bool:
@@ -241,7 +243,7 @@
         :param zone: name of the zone.
         """
         self.evacuated_zones.add(zone)
-        self._zone_ends.pop(zone, None)
+        self.held_zones.discard(zone)
 
     def return_zone(self, zone: str) -> None:
         """Record the end of an evacuation.
@@ -249,7 +251,7 @@
         :param zone: name of the zone.
         """
         self.evacuated_zones.discard(zone)
-        self._zone_ends.pop(zone, None)
+        self.held_zones.discard(zone)
 
     def replace_all(self, snapshot: SourceSnapshot, now: timedelta) -> None:
         """Replace all targets and evacuated availability zones.
@@ -261,28 +263,50 @@
         for record in snapshot.targets:
             self.put(record)
         self.evacuated_zones = set(snapshot.evacuated_zones)
-        self._zone_ends.clear()
 
-    def restore_all(self, snapshot: SourceSnapshot, now: timedelta) -> None:
+    def restore_all(
+        self, snapshot: SourceSnapshot, now: timedelta, *, is_new: bool
+    ) -> None:
         """Replace all by what a source holds that came back older.
 
-        Until it is written again, what is known to have happened since the
-        copy was taken stays in force: evacuations, and that targets drain,
-        have left or have started anew.
+        What is known to have happened since the copy was taken stays in
+        force until it is written again, or for a time in which the source
+        answers: evacuations, and that targets drain, have left or have
+        started anew.
 
         :param snapshot: everything that the source holds.
         :param now: time on the monotonic clock.
+        :param is_new: whether the source came back since the last snapshot.
         """
-        self.regained_at = now
+        if is_new:
+            self.regained_at = now
+            self.restored_until = now + _RESTORATION_TIME
         self._remove_absent(snapshot, now)
         for record in snapshot.targets:
-            self._restore(record, now)
+            self._restore(record)
         present = set(snapshot.evacuated_zones)
-        for zone in self.evacuated_zones - present:
-            self._zone_ends.setdefault(zone, now + _RESTORATION_TIME)
+        self.held_zones |= self.evacuated_zones - present
         for zone in present:
             self.evacuate(zone)
 
+    def end_restoration(self, now: timedelta) -> list[str]:
+        """Take the copy as it is once it had time to be written to.
+
+        Returns the zones whose evacuation was not written again.
+
+        :param now: time on the monotonic clock.
+        """
+        end = self.restored_until
+        if end is None or now < end or self.lost_at is not None:
+            return []
+        self.restored_until = None
+        for view in self:
+            view.is_held = False
+        ended = sorted(self.held_zones)
+        for zone in ended:
+            self.return_zone(zone)
+        return ended
+
     def drop_expired(self, now: timedelta) -> list[str]:
         """Drop targets whose grace period is over and return their names.
 
@@ -299,16 +323,6 @@
         self._departures.drop_expired(now)
         return gone
 
-    def end_evacuations(self, now: timedelta) -> list[str]:
-        """End the evacuations that were not written again; return the zones.
-
-        :param now: time on the monotonic clock.
-        """
-        ended = [zone for zone, end in self._zone_ends.items() if now >= end]
-        for zone in ended:
-            self.return_zone(zone)
-        return ended
-
     def mark_source_lost(self, now: timedelta) -> bool:
         """Record that the source does not answer; return whether that is new.
 
@@ -335,6 +349,8 @@
         if was_lost:
             self.lost_at = None
             self.regained_at = now
+            if self.restored_until is not None:
+                self.restored_until = now + _RESTORATION_TIME
         return was_lost
 
     def confirm_by_peer(
@@ -380,7 +396,7 @@
             if name not in present:
                 self.remove(name, now)
 
-    def _restore(self, record: TargetRecord, now: timedelta) -> None:
+    def _restore(self, record: TargetRecord) -> None:
         """Put a record that may be older than what is known of its target."""
         known = self._targets.get(record.name)
         if known is None:
@@ -390,11 +406,9 @@
         else:
             is_same_start = known.record.started_ms == record.started_ms
             has_left = is_same_start and (
-                known.record.is_draining or now < known.held_until
+                known.record.is_draining or known.is_held
             )
-        view = self.put(record)
-        if has_left:
-            view.held_until = now + _RESTORATION_TIME
+        self.put(record).is_held = has_left
 
     def _drop(self, name: str) -> None:
         view = self._targets.pop(name, None)
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -124,9 +124,11 @@
                     for view in fleet
                     # One in its grace period would stay for good at the peer,
                     # and one that is held would be used there at once.
-                    if view.expires_at is None and now >= view.held_until
+                    if view.expires_at is None and not view.is_held
                 ],
-                evacuated_zones=sorted(fleet.evacuated_zones),
+                evacuated_zones=sorted(
+                    fleet.evacuated_zones - fleet.held_zones
+                ),
                 configuration=self.route_table.configuration,
                 revision=fleet.revision,
                 era=fleet.position.era,
@@ -202,7 +204,7 @@
                 target=name,
                 is_back_expected=False,
             )
-        for zone in self.fleet.end_evacuations(now):
+        for zone in self.fleet.end_restoration(now):
             self._recorder.log(
                 EventCode.zone_returned,
                 availability_zone=zone,
@@ -265,17 +267,11 @@
     def _apply_snapshot(self, change: SourceSnapshot, now: timedelta) -> None:
         if change.configuration is not None:
             self._accept_configuration(change.configuration)
-        known = self.fleet.position
-        if known.revision and change.era != known.era:
-            self._recorder.count('source_losses', 'restored')
-            self._recorder.log(
-                EventCode.source_restored,
-                era=change.era,
-                revision=change.revision,
-                earlier_era=known.era,
-                earlier_revision=known.revision,
-            )
-            self.fleet.restore_all(change, now)
+        is_restored = self._is_restored(change)
+        if is_restored:
+            self._record_restoration(change)
+        if is_restored or self.fleet.restored_until is not None:
+            self.fleet.restore_all(change, now, is_new=is_restored)
         else:
             self.fleet.replace_all(change, now)
         self.fleet.position = SourcePosition(change.era, change.revision)
@@ -291,6 +287,24 @@
             revision=change.revision,
         )
 
+    def _is_restored(self, change: SourceSnapshot) -> bool:
+        """Return whether the source came back from an older copy."""
+        known = self.fleet.position
+        if change.era != known.era:
+            return known.revision > 0
+        return change.revision < known.revision
+
+    def _record_restoration(self, change: SourceSnapshot) -> None:
+        known = self.fleet.position
+        self._recorder.count('source_losses', 'restored')
+        self._recorder.log(
+            EventCode.source_restored,
+            era=change.era,
+            revision=change.revision,
+            earlier_era=known.era,
+            earlier_revision=known.revision,
+        )
+
     def _log_zone(
         self,
         code: EventCode,
