Show that a storm of large configurations stops the whole fleet's following

Cause: a reply of the store above 32 MiB is refused and the same changes are asked for again, until the store has dropped its history. 25 versions of 1,044,461 bytes exceed it; they gather while silent connections to the store are not yet found. All entries meet the same, so that none can tell another.

Change: a script in which the open connections to the store go silent once, 25 changes come 0.06 s apart, and the next one withdraws a key.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -98,6 +98,12 @@
         self.revision = 1
         # Ports at which every call gets 503.
         self.busy_ports = set()
+        # Seconds of history that watches can be given; none is dropped at 0.
+        self.history_s = 0.0
+        self._times = []
+        self._dropped_revision = 0
+        # Connections that were accepted before it rose answer no more.
+        self._generation = 0
         self._changed = asyncio.Event()
 
     async def listen(self):
@@ -130,17 +136,32 @@
             {'key': key, 'revision': self.revision, 'deleted': True}
         )
 
+    def silence_connections(self):
+        """Answer nothing more on the open connections; new ones work."""
+        self._generation += 1
+
+    def _drop_history(self):
+        oldest = time.monotonic() - self.history_s
+        while self.history_s and self._times and self._times[0] < oldest:
+            self._times.pop(0)
+            self._dropped_revision = self.events.pop(0)['revision']
+
     def _publish(self, event):
         self.events.append(event)
+        self._times.append(time.monotonic())
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
         port = writer.get_extra_info('sockname')[1]
+        generation = self._generation
         try:
             while True:
                 start, _, _ = await read_message(reader)
                 status, document = await self._answer(start.split(' ')[1], port)
+                if generation != self._generation:
+                    await reader.read()
+                    return
                 body = json.dumps(document).encode()
                 writer.write(
                     f'HTTP/1.1 {status} X\r\nStore-Era: 1\r\n'
@@ -170,6 +191,9 @@
         if url.path != '/kv-watch':
             return 404, {}
         after = int(query['after'])
+        self._drop_history()
+        if after < self._dropped_revision:
+            return 410, {}
         if not self._since(after):
             wait = asyncio.wait_for(
                 self._changed.wait(), int(query['waitMs']) / 1000
