--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'lib'))
+sys.path.insert(0, str(FOLDER.parent))
 
 from standins import (  # noqa: E402
     BROKEN,
--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 HOST = 'shop.example'
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
