--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
-"""After all processes were killed, none reads a large configuration again."""
+"""One faulty answer stops a whole entry for seconds."""
 
 import asyncio
-import json
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -19,136 +19,111 @@
     has_trouble,
     make_config,
     make_route,
+    make_server_entry,
     run_case,
 )
 
 KEY = 'key-1'
-# Slowest link of an edge machine on the grown sheets.
-LINK_MBPS = 10
-SLICE_S = 0.01
-SLICE_BYTES = int(LINK_MBPS * 1e6 / 8 * SLICE_S)
-# Largest value that the store takes.
-VALUE_BYTES = 1_048_576
-CONFIG_BYTES = 1_000_000
-ENTRY_COUNT = 3
-DOWN_S = 1.1
-# RECOVER: seconds after the machines are back; the larger of the sheets'.
-RECOVER_S = 15
-INTERVAL_S = 0.1
-MEASURE_S = 8.0
-
-
-async def open_link(store_address):
-    """Return an address at which the store is behind a machine's link."""
-    host, port = store_address.split(':')
-
-    async def pump(reader, writer):
-        try:
-            while content := await reader.read(SLICE_BYTES):
-                writer.write(content)
-                await writer.drain()
-                await asyncio.sleep(SLICE_S * len(content) / SLICE_BYTES)
-        except OSError:
-            pass
-        writer.close()
-
-    async def serve(reader, writer):
-        store_reader, store_writer = await asyncio.open_connection(
-            host, int(port)
-        )
-        await asyncio.gather(
-            pump(reader, store_writer), pump(store_reader, writer)
-        )
-
-    server = await asyncio.start_server(serve, '127.0.0.1', 0)
-    host_here, port_here = server.sockets[0].getsockname()
-    return f'{host_here}:{port_here}'
-
-
-def make_large_config(version):
-    """Return a configuration below the store's limit, and its size."""
-    routes = [
-        make_route('read', 'idempotent', 'app'),
-        make_route('write', 'non_idempotent', 'app'),
-    ]
-    config = make_config(version, routes, ['app'], [KEY])
-    size = len(json.dumps(config))
-    number = 0
-    while size < CONFIG_BYTES:
-        number += 1
-        route = make_route(f'lohu{number:05}', 'idempotent', 'app')
-        routes.append(route)
-        size += len(json.dumps(route)) + 2
-    return config
+TIMEOUT_S = 1.0
+# CONFIG: half a second after the route's timeout an answer is due.
+LATE_S = 0.5
+CLIENT_DEADLINE_S = 4.0
+INTERVAL_S = 0.025
+TROUBLE_S = 5.0
+RUN_S = 20.0
 
 
 async def play(record, entries):
-    """Kill all entries at once, start them again and serve on."""
+    """Send calm traffic while two of four servers spoil some answers."""
     store = Store()
     store_address = await store.listen()
-    servers = [Server(f'i-{number}', 'app', record) for number in range(3)]
+    servers = [Server(f'i-{number}', 'app', record) for number in range(2)]
     for server in servers:
         await server.listen()
         store.put(f'servers/{server.name}', server.entry())
-    routes = [make_route('read', 'idempotent', 'app')]
-    store.put('op/config', make_config(1, routes, ['app'], [KEY]))
-    for _ in range(ENTRY_COUNT):
-        link = await open_link(store_address)
-        entries.append(Entry(link, link_mbps=float(LINK_MBPS)))
-    for entry in entries:
-        entry.seeds = [each.ip for each in entries]
+    faulty = [launch_faulty(store, f'i-f{number}') for number in range(2)]
+    try:
+        routes = [
+            make_route('read', 'idempotent', 'app'),
+            make_route('write', 'non_idempotent', 'app'),
+        ]
+        store.put('op/config', make_config(1, routes, ['app'], [KEY]))
+        entry = Entry(store_address)
+        entries.append(entry)
         entry.launch()
-    for entry in entries:
         await entry.wait_ready()
-    config = make_large_config(2)
-    size = len(json.dumps(config))
-    store.put('op/config', config)
-    record.write(
-        f'version 2 acknowledged: {len(config["routes"])} routes,'
-        f' {size} bytes of at most {VALUE_BYTES}'
+        return await judge(record, entry, faulty)
+    finally:
+        for process in faulty:
+            process.kill()
+            for line in process.stdout.read().decode().splitlines():
+                record.write(f'server {process.args[-1]} {line}')
+            process.wait()
+
+
+def launch_faulty(store, name):
+    """Start a server that can be told to spoil answers."""
+    process = subprocess.Popen(
+        [sys.executable, str(FOLDER / 'faulty_server.py'), name],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
     )
-    await asyncio.sleep(8)
-    before = await measure(record, entries, 'before')
-    if has_trouble():
-        for entry in entries:
-            entry.kill()
-        record.write('all processes killed')
-        await asyncio.sleep(DOWN_S)
-        for entry in entries:
-            entry.launch()
-        record.write('all processes started')
-    await asyncio.sleep(RECOVER_S)
-    after = await measure(record, entries, 'after')
-    for entry in entries:
-        record.write(f'{entry.ip} is ready: {await entry.is_ready()}')
-    return BROKEN if before >= 0.25 and after < 0.25 else HELD
-
-
-async def measure(record, entries, when):
-    """Return the share of requests that are served."""
+    address = process.stdout.readline().decode().strip()
+    store.put(f'servers/{name}', make_server_entry('app', address))
+    return process
+
+
+def switch(record, faulty, word):
+    """Tell the servers to spoil answers or to stop that."""
+    record.write(f'spoiling {word}')
+    for process in faulty:
+        process.stdin.write(f'{word}\n'.encode())
+        process.stdin.flush()
+
+
+async def judge(record, entry, faulty):
+    """Return whether most of the late requests stay unanswered."""
     tasks = []
-    end = time.monotonic() + MEASURE_S
+    begin = time.monotonic()
+    switches = []
+    if has_trouble():
+        switches = [(begin + 3, 'on'), (begin + 3 + TROUBLE_S, 'off')]
     number = 0
-    while time.monotonic() < end:
-        entry = entries[number % len(entries)]
-        method, path = ('POST', '/write/1') if number % 2 else ('GET', '/read/1')
+    while time.monotonic() < begin + RUN_S:
+        method, path = ('GET', '/read/1') if number % 2 else ('POST', '/write/1')
         tasks.append(asyncio.create_task(send(record, entry, method, path)))
         number += 1
+        if switches and time.monotonic() >= switches[0][0]:
+            switch(record, faulty, switches.pop(0)[1])
         await asyncio.sleep(INTERVAL_S)
     answers = await asyncio.gather(*tasks)
-    served = sum(each.status == 200 for each in answers)
-    text = f'{when}: {served} of {len(answers)} requests served'
+    unanswered = [
+        each for each in answers if each.ended_at - each.sent_at > TIMEOUT_S
+    ]
+    late = [
+        each
+        for each in unanswered
+        if each.ended_at - each.sent_at > TIMEOUT_S + LATE_S
+    ]
+    never = sum(not each.status for each in answers)
+    text = (
+        f'{len(answers)} requests, {len(unanswered)} unanswered at timeoutMs,'
+        f' {len(late)} of them half a second later, {never} never answered'
+    )
     record.write(text)
     print(text)
-    return served / len(answers)
+    return BROKEN if len(late) * 2 > len(unanswered) else HELD
 
 
 async def send(record, entry, method, path):
     """Send one request and record its end."""
-    answer = await fetch(entry.frontend, method, path, key=KEY, limit_s=1.0)
+    answer = await fetch(
+        entry.frontend, method, path, key=KEY, limit_s=CLIENT_DEADLINE_S
+    )
+    took_ms = round((answer.ended_at - answer.sent_at) * 1000)
     record.write(
-        f'client {method} {path} at {entry.ip} {answer.attempt_id}: '
-        f'{answer.status or answer.error} {answer.body[:60]!r}'
+        f'client {method} {path} {answer.attempt_id}: '
+        f'{answer.status or answer.error} after {took_ms} ms'
     )
     return answer
 
