Give each read of a stream its turn, and search a body once

Cause: work was done for each read, and a peer decides how many reads its bytes take. Behind an answer without a length each read, be it of one byte, searched up to 8 KB again for the head of a further response (2 ms); a read of a socket that holds bytes returned at once, and its reader let others run only after 65,536 bytes. The class, not the case: readers bounded bytes and never reads.

Change: streams are read through a socket whose reads pass through the event loop, with at most 100 small reads a second after the first 64. The search looks at each byte a bounded number of times. Reads from targets return 16 KB at most. The same cause is mended where it stood beside this: the size of a request's head, the end of an event in an agent's stream, ZeroMQ sockets that always hold a message, health checks, the rest of refused requests and callers of entries with agents.

Why it works: between two reads of one peer every ready socket and timer has its turn, however small the pieces, and the number of reads no longer grows with the number of pieces.

--- a/features/steps/endless_input_steps.py
+++ b/features/steps/endless_input_steps.py
@@ -16,6 +16,7 @@
 from buckthornpond_core.serving.events import EventAssembler, StreamPosition
 from buckthornpond_platform_standins.clients import Client, ClientResponse
 from buckthornpond_platform_standins.endless import (
+    EndlessPace,
     EndlessPart,
     EndlessServer,
     connect_endless,
@@ -32,6 +33,7 @@
 from buckthornpond_platform_standins.store import StoreFault
 from features.specs.counts import report
 from features.specs.process_worlds import ProcessWorld
+from features.specs.searched_buffers import SearchedBuffer
 
 _MEBIBYTE = 1_048_576
 _SAMPLE_INTERVAL_SECONDS = 0.02
@@ -131,10 +133,10 @@
     )
 
 
-def _start_faulty_service(context: Any, part: str, *, is_slow: bool) -> None:
+def _start_faulty_service(context: Any, part: str, pace: EndlessPace) -> None:
     cluster = context.cluster
     server = EndlessServer(EndlessPart(part))
-    server.is_slow = is_slow
+    server.pace = pace
     cluster.peers.append(server)
     context.faulty_server = server
     default = make_config(1)
@@ -166,13 +168,21 @@
 @given('a faulty service whose servers send {part} without end')
 def start_fast_service(context: Any, part: str) -> None:
     """Start a server that sends as fast as it can."""
-    _start_faulty_service(context, part, is_slow=False)
+    _start_faulty_service(context, part, EndlessPace.fast)
 
 
 @given('a faulty service whose servers slowly send {part} without end')
 def start_slow_service(context: Any, part: str) -> None:
     """Start a server that sends a byte now and then."""
-    _start_faulty_service(context, part, is_slow=True)
+    _start_faulty_service(context, part, EndlessPace.slow)
+
+
+@given(
+    'a faulty service whose servers send {part} without end, in small pieces'
+)
+def start_small_service(context: Any, part: str) -> None:
+    """Start a server that sends many pieces of a few bytes."""
+    _start_faulty_service(context, part, EndlessPace.small)
 
 
 @when(
@@ -218,7 +228,7 @@
                 context.process.address,
                 prefix,
                 filler,
-                is_slow=pace == 'slowly',
+                EndlessPace(pace),
             )
             context.caller_records.append(record)
             ends.append(ended)
@@ -419,19 +429,6 @@
     assert client.fetch('GET', '/read/1').status == status
 
 
-class SearchedBuffer(bytearray):  # noqa: WPS600
-    """Buffer that counts how many bytes were searched."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.searched_bytes = 0
-
-    def rfind(self, sub: Any, start: Any = 0, end: Any = None) -> int:
-        """Search backwards and count the searched bytes."""
-        self.searched_bytes += len(self) - start
-        return super().rfind(sub, start)
-
-
 @when('an event of 1 MiB arrives in pieces of {length:d} bytes')
 def feed_long_event(context: Any, length: int) -> None:
     """Feed an event without an end until it exceeds its limit."""
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -1,7 +1,6 @@
 """Tasks that serve callers' connections."""
 
 import gevent
-from gevent.socket import socket
 
 from buckthornpond_core._generated.serving import (
     PlacementFailure,
@@ -12,6 +11,7 @@
 from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.exchange import RequestExchange
 from buckthornpond_runtime.logs import log_event
+from buckthornpond_runtime.paced_sockets import PacedSocket
 from buckthornpond_runtime.tasks import AnyGreenlet, Mailbox
 
 from .dispatch import AdmissionRequest
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        connection: socket,
+        connection: PacedSocket,
         peer: str,
         frontend: FrontendState,
     ) -> None:
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -20,6 +20,7 @@
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.logs import flush_logs, log_event, start_logging
 from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.paced_sockets import pace_reads
 from buckthornpond_runtime.processes import StopSignal, new_incarnation
 from buckthornpond_runtime.tasks import Inbox, Supervisor
 
@@ -87,7 +88,8 @@
         # A cancelled task waits for no request in flight.
         self._server.serve_forever(stop_timeout=0)
 
-    def _serve(self, connection: Any, peer: tuple[str, int]) -> None:
+    def _serve(self, accepted: Any, peer: tuple[str, int]) -> None:
+        connection = pace_reads(accepted)
         connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         task = CallerTask(connection, f'{peer[0]}:{peer[1]}', self._frontend)
         try:
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -6,9 +6,9 @@
 
 import gevent
 from gevent.event import Event
-from gevent.socket import socket
 
 from buckthornpond_core.exceptions import InvalidRequestError
+from buckthornpond_runtime.paced_sockets import PacedSocket
 from buckthornpond_runtime.tasks import Inbox
 
 from .frontend import FrontendState
@@ -103,7 +103,7 @@
 
     def __init__(
         self,
-        connection: socket,
+        connection: PacedSocket,
         peer: str,
         frontend: FrontendState,
         inbox: Inbox[ReaderMessage],
@@ -164,15 +164,11 @@
     def _receive(self) -> bytes | None:
         with gevent.Timeout.start_new(self._find_wait_seconds()) as timeout:
             try:
-                received = self._connection.recv(_READ_BYTES)
+                return self._connection.recv(_READ_BYTES)
             except gevent.Timeout as expired:
                 if expired is not timeout:
                     raise
                 return None
-        if len(received) == _READ_BYTES:
-            # A socket that is always readable would starve other greenlets.
-            gevent.sleep(0)
-        return received
 
     def _find_wait_seconds(self) -> float:
         """Return the time until the next read times out.
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -54,6 +54,7 @@
         '_body',
         '_fields',
         '_framing',
+        '_head_bytes',
         '_limits',
         '_on_request',
         '_parser',
@@ -76,8 +77,10 @@
         self._peer = peer
         self._parser = HttpRequestParser(self)
         self._limits: CallerLimits | None = None
-        self._path = b''
+        self._path = bytearray()
         self._fields: list[tuple[str, str]] = []
+        # Size of the path and of the header fields.
+        self._head_bytes = 0
         self._body = bytearray()
         self._received_body_bytes = 0
         self._framing = FramingMeter()
@@ -123,6 +126,7 @@
     def on_url(self, url: bytes) -> None:
         """Append to the path."""
         self._path += url
+        self._head_bytes += len(url)
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Add a header field."""
@@ -130,6 +134,7 @@
             # Trailer fields are ignored.
             return
         self._fields.append((name.decode('latin-1'), field.decode('latin-1')))
+        self._head_bytes += len(name) + len(field)
 
     def on_headers_complete(self) -> None:
         """Create the request, now that its head is complete."""
@@ -164,8 +169,9 @@
         request.body = bytes(self._body)
         request.keeps_alive = self._parser.should_keep_alive()
         self._request = None
-        self._path = b''
+        self._path = bytearray()
         self._fields = []
+        self._head_bytes = 0
         self._body = bytearray()
         self._framing = FramingMeter()
         self._received_head_bytes = 0
@@ -191,9 +197,7 @@
 
     def _check_head(self) -> None:
         limits = self._limits
-        head_bytes = len(self._path) + sum(
-            len(name) + len(field) for name, field in self._fields
-        )
+        head_bytes = self._head_bytes
         if not self.is_head_complete:
             head_bytes = max(head_bytes, self._received_head_bytes)
         if limits is not None and head_bytes > limits.head_bytes:
--- a/packages/entry/src/buckthornpond_entry/direct/writers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/writers.py
@@ -8,10 +8,11 @@
 
 import gevent
 import msgspec
-from gevent.socket import SHUT_WR, SO_LINGER, SOL_SOCKET, socket
+from gevent.socket import SHUT_WR, SO_LINGER, SOL_SOCKET
 
 from buckthornpond_core.refusals import find_refusal
 from buckthornpond_core.serving.effects import HeaderFields, ResponseHead
+from buckthornpond_runtime.paced_sockets import PacedSocket
 
 from .frontend import FrontendState
 from .requests import BODILESS_STATUS_CODES, CallerRequest
@@ -48,7 +49,9 @@
         'is_open',
     )
 
-    def __init__(self, connection: socket, frontend: FrontendState) -> None:
+    def __init__(
+        self, connection: PacedSocket, frontend: FrontendState
+    ) -> None:
         self._connection = connection
         self._frontend = frontend
         self._is_http10 = False
--- a/packages/entry/src/buckthornpond_entry/listeners.py
+++ b/packages/entry/src/buckthornpond_entry/listeners.py
@@ -10,6 +10,7 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from buckthornpond_runtime.metrics import Metrics
+from buckthornpond_runtime.paced_sockets import pace_reads
 
 EXCHANGE_ENVIRON_KEY = 'buckthornpond.exchange'
 
@@ -275,9 +276,10 @@
     # Overrides the base class.
     def handle(self, client_socket: Any, address: Any) -> None:
         """Serve one connection."""
-        client_socket.setsockopt(
+        connection = pace_reads(client_socket)
+        connection.setsockopt(
             standard_socket.SOL_SOCKET,
             standard_socket.SO_SNDBUF,
             self._send_buffer_bytes,
         )
-        super().handle(client_socket, address)
+        super().handle(connection, address)
--- a/packages/runtime/src/buckthornpond_runtime/administration.py
+++ b/packages/runtime/src/buckthornpond_runtime/administration.py
@@ -9,6 +9,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from .metrics import Metrics
+from .paced_sockets import pace_reads
 
 _REQUEST_TIMEOUT_SECONDS = 5
 _MAX_REQUEST_BYTES = 16_384
@@ -90,9 +91,10 @@
 
     def _serve(
         self,
-        connection: socket.socket,
+        accepted: socket.socket,
         peer: tuple[str, int],
     ) -> None:
+        connection = pace_reads(accepted)
         connection.settimeout(_REQUEST_TIMEOUT_SECONDS)
         try:
             connection.sendall(_encode_response(self._respond(connection)))
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -6,14 +6,16 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from gevent import Timeout, sleep, socket
+from gevent import Timeout
 
 from buckthornpond_core.exceptions import BuckthornpondError, TargetError
 from buckthornpond_core.input_limits import InputLimit, InputLimitError
 
+from .paced_sockets import PacedSocket
 from .responses import HttpResponse
 
-_READ_BYTES = 65_536
+# Bounds the time for which parsing holds up other tasks.
+_READ_BYTES = 16_384
 _MAX_RECENT_IDS = 8
 # A peer whose machine is gone is found within three seconds.
 _KEEPALIVE_IDLE_SECONDS = 1
@@ -75,7 +77,6 @@
     """
 
     __slots__ = (
-        '_bytes_since_yield',
         '_detects_dead_peer',
         '_socket',
         'address',
@@ -90,8 +91,7 @@
         self.idle_limit = timedelta()
         # Identifiers of the last requests, which a late response may name.
         self.recent_ids: deque[str] = deque(maxlen=_MAX_RECENT_IDS)
-        self._socket: socket.socket | None = None
-        self._bytes_since_yield = 0
+        self._socket: PacedSocket | None = None
         self._detects_dead_peer = False
 
     def connect(self, timeout: timedelta) -> None:
@@ -102,7 +102,7 @@
         """
         host, port = self.address.rsplit(':', 1)
         # An IP address needs no resolver, which would use a thread.
-        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = PacedSocket(family=standard_socket.AF_INET)
         connection.settimeout(timeout.total_seconds())
         try:
             connection.connect((host, int(port)))
@@ -228,7 +228,6 @@
             raise self._wrap_error(
                 error, step, has_received=bool(received)
             ) from error
-        self._yield_if_due(len(received))
 
     def fetch(
         self,
@@ -313,13 +312,6 @@
             exceeds_limit=True,
         )
 
-    def _yield_if_due(self, length_bytes: int) -> None:
-        # A socket that is always readable would starve other greenlets.
-        self._bytes_since_yield += length_bytes
-        if self._bytes_since_yield >= _READ_BYTES:
-            self._bytes_since_yield = 0
-            sleep(0)
-
 
 def find_readable(
     connections: Iterable[HttpConnection],
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -18,12 +18,11 @@
     InputLimitError,
 )
 
-from .embedded_heads import find_heads, find_unfinished_head
+from .embedded_heads import EmbeddedHeadSearch
 
 _LOWEST_FINAL_STATUS = 200
 _MAX_BUFFERED_BYTES = 1_048_576
 _EVENT_END = b'\n\n'
-_LINE_END = b'\r\n'
 _BODILESS_STATUSES = frozenset((204, 304))
 _CHUNKED = 'chunked'
 
@@ -58,14 +57,15 @@
         '_fields',
         '_framing',
         '_head_bytes',
-        '_held_back_bytes',
         '_is_further',
         '_is_skipping',
         '_is_stale',
         '_method',
         '_parser',
         '_received_body_bytes',
+        '_search',
         '_searched_bytes',
+        '_unsearched',
         'fields',
         'has_skipped',
         'has_trailing_bytes',
@@ -101,8 +101,9 @@
         # Bytes of the buffered body that hold no end of an event.
         self._searched_bytes = 0
         self._body = bytearray()
-        # Last bytes of the buffered body that may begin a further response.
-        self._held_back_bytes = 0
+        # Looks for further responses, in a body that ends with its connection.
+        self._search: EmbeddedHeadSearch | None = None
+        self._unsearched = bytearray()
         self._parser = HttpResponseParser(self)
 
     @property
@@ -116,7 +117,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Number of body bytes that nobody has taken yet."""
-        return len(self._body) - self._held_back_bytes
+        return len(self._body)
 
     def get(self, name: str, default: str) -> str:
         """Return a header field, or the default.
@@ -138,9 +139,8 @@
             return
         had_head = self.is_head_complete
         earlier_body_bytes = self._received_body_bytes
-        searched_bytes = self.buffered_bytes
         self._parse(received)
-        self._search_further(searched_bytes)
+        self._search_further()
         if not self.is_head_complete:
             self._check_head(len(received))
         elif had_head and not self.is_complete:
@@ -154,14 +154,13 @@
 
         :param limit_bytes: most bytes to return, unless one event is longer.
         """
-        end = self._body.rfind(_EVENT_END, 0, limit_bytes)
-        if end < 0:
-            end = self._body.find(_EVENT_END, self._searched_bytes)
-        if end < 0:
+        first_end = self._body.find(_EVENT_END, self._searched_bytes)
+        if first_end < 0:
             # The end of an event may itself be split.
             self._searched_bytes = max(len(self._body) - 1, 0)
             return b''
-        return self.take(end + len(_EVENT_END))
+        end = self._body.rfind(_EVENT_END, first_end, limit_bytes)
+        return self.take(max(first_end, end) + len(_EVENT_END))
 
     def take_event(self) -> bytes:
         """Return the first complete server-sent event, or ``b''``."""
@@ -217,6 +216,8 @@
         self.status_code = status_code
         self.is_head_complete = True
         self.is_complete = self._is_bodiless
+        if self._is_further is not None and not self.is_body_delimited:
+            self._search = EmbeddedHeadSearch()
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body to the buffer."""
@@ -225,7 +226,8 @@
             self.has_trailing_bytes = True
             return
         if not self._is_skipping and not self.has_trailing_bytes:
-            self._body += part
+            body = self._body if self._search is None else self._unsearched
+            body += part
             self._received_body_bytes += len(part)
 
     def on_message_complete(self) -> None:
@@ -258,27 +260,30 @@
             raise MalformedResponseError(
                 'connection closed before the end of the response'
             )
-        held_back = self._body[self.buffered_bytes :]
-        if _LINE_END in held_back:
-            raise MalformedResponseError(
-                'connection closed inside the head of another response'
-            )
-        self._held_back_bytes = 0
+        if self._search is not None:
+            self._end_search(self._search)
         self.is_complete = True
 
-    def _search_further(self, searched_bytes: int) -> None:
-        """Look for a further response behind the bytes searched before."""
-        if self._is_further is None or self.is_complete:
-            return
-        if self.is_body_delimited or not self.is_head_complete:
+    def _search_further(self) -> None:
+        """Look for a further response in the next bytes of the body."""
+        search = self._search
+        is_further = self._is_further
+        if search is None or is_further is None:
             return
-        for head in find_heads(self._body, searched_bytes):
-            if self._is_further(head.status_code, head.fields):
+        self._body += search.feed(bytes(self._unsearched))
+        self._unsearched.clear()
+        for head in search.take_heads():
+            if is_further(head.status_code, head.fields):
                 raise MalformedResponseError(
                     'another response inside a body without a length'
                 )
-        unfinished = find_unfinished_head(self._body, searched_bytes)
-        self._held_back_bytes = len(self._body) - unfinished
+
+    def _end_search(self, search: EmbeddedHeadSearch) -> None:
+        if search.is_inside_head:
+            raise MalformedResponseError(
+                'connection closed inside the head of another response'
+            )
+        self._body += search.take_held()
 
     def _parse(self, received: bytes) -> None:
         try:
--- a/packages/runtime/src/buckthornpond_runtime/transports.py
+++ b/packages/runtime/src/buckthornpond_runtime/transports.py
@@ -1,5 +1,6 @@
 """ZeroMQ sockets between processes, each owned by one task."""
 
+from collections.abc import Iterator
 from typing import Any, TypeAlias
 
 import gevent
@@ -32,6 +33,9 @@
 _MAX_MESSAGE_BYTES = 72_000_000
 _RECONNECT_MS = 50
 _MAX_SEND_QUEUE_MESSAGES = 100_000
+# Other tasks run after this many messages, however many more wait.
+_MAX_BURST_MESSAGES = 64
+_BURST_PAUSE_SECONDS = 0.001
 
 
 class ReceivedMessage:
@@ -92,8 +96,7 @@
         )
 
     def _read(self) -> None:
-        while True:
-            identity, *frames = self._socket.recv_multipart()
+        for identity, *frames in receive_in_bursts(self._socket):
             peer = identity.decode('ascii', 'replace')
             try:
                 for each in split_frames(frames, peer):
@@ -197,8 +200,7 @@
         self._socket.close()
 
     def _read(self) -> None:
-        while True:
-            frames = self._socket.recv_multipart()
+        for frames in receive_in_bursts(self._socket):
             try:
                 for each in split_frames(frames, self._instance):
                     self._deliver(each)
@@ -246,6 +248,19 @@
                 self._inbox.send(ReceivedMessage(self._instance, refused))
 
 
+def receive_in_bursts(source: Any) -> Iterator[list[bytes]]:
+    """Yield the frames of each message, without an end.
+
+    A socket that always holds a message would keep its reader running.
+
+    :param source: ZeroMQ socket.
+    """
+    while True:
+        for _ in range(_MAX_BURST_MESSAGES):
+            yield source.recv_multipart()
+        gevent.sleep(_BURST_PAUSE_SECONDS)
+
+
 def refuse_attempt(attempt: Attempt) -> Refused:
     """Return the refusal of an attempt that was never sent.
 
