Let changed settings reach all that use them

Cause: the exchange of hints kept the seeds of its start, and a reload told it nothing. The class: a value is taken out of the settings when an object is made, and a change doesn't come back to that object.

An entry whose seeds name one that it hasn't heard counts the entries as unknown for 2.5 s, as after a start.

Why it works: the new seeds get hints from the next second on, so the entry meets others and asks them when the store turns it away.

--- a/features/steps/small_pieces_steps.py
+++ b/features/steps/small_pieces_steps.py
@@ -123,8 +123,7 @@
         codec=PlatformCodec(),
         clock=SystemClock(),
         metrics=Metrics(),
-        body_budget_bytes=1000,
-        response_budget_bytes=1000,
+        memory_bytes=4000,
     )
 
 
--- a/packages/core/src/buckthornpond_core/serving/budgets.py
+++ b/packages/core/src/buckthornpond_core/serving/budgets.py
@@ -94,9 +94,16 @@
     __slots__ = ('_max_requests', '_sent_times', 'requests_per_second')
 
     def __init__(self, requests_per_second: float) -> None:
+        self._sent_times: deque[timedelta] = deque()
+        self.change(requests_per_second)
+
+    def change(self, requests_per_second: float) -> None:
+        """Change the limit; requests that were sent before still count.
+
+        :param requests_per_second: limit for all entries together.
+        """
         self.requests_per_second = requests_per_second
         self._max_requests = cold_share(requests_per_second).max_requests
-        self._sent_times: deque[timedelta] = deque()
 
     def has_room(self, now: timedelta) -> bool:
         """Return whether the limit permits one more request.
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -155,14 +155,18 @@
         """
         self.load_exchange.drop_silent_peers(self.fleet, now)
 
-    def change_settings(self, settings: DirectSettings) -> None:
+    def change_settings(self, settings: DirectSettings, now: timedelta) -> None:
         """Replace the settings and reset the retry budgets.
 
         :param settings: new settings of the process.
+        :param now: time on the monotonic clock.
         """
+        has_new_seeds = settings.peer_addresses != self._settings.peer_addresses
         self._settings = settings
         self._candidates.settings = settings
-        self.follower.settings = settings
+        self.follower.change_settings(settings)
+        if has_new_seeds:
+            self.load_exchange.change_seeds(settings.peer_addresses, now)
         self._budgets.clear()
 
     def admit(
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -102,6 +102,8 @@
         self.cold_until = max(self.cold_until, until)
         if self.cold_rate_limit is None:
             self.cold_rate_limit = ColdRateLimit(allowed_per_second)
+        else:
+            self.cold_rate_limit.change(allowed_per_second)
 
     def is_cold(self, now: timedelta) -> bool:
         """Return whether the request rate of the target is limited.
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -53,15 +53,15 @@
     __slots__ = (
         '_peer_revision',
         '_recorder',
+        '_settings',
         'fleet',
         'route_table',
-        'settings',
     )
 
     def __init__(self, settings: DirectSettings, recorder: Recorder) -> None:
         self.fleet = Fleet()
         self.route_table: RouteTable | None = None
-        self.settings = settings
+        self._settings = settings
         self._recorder = recorder
         # Revision of the last snapshot that a peer sent.
         self._peer_revision = 0
@@ -81,6 +81,14 @@
         """Return the services of the configuration in force."""
         return self.route_table.services if self.route_table else {}
 
+    def change_settings(self, settings: DirectSettings) -> None:
+        """Replace the settings, also for the limits of cold targets.
+
+        :param settings: new settings of the process.
+        """
+        self._settings = settings
+        self._update_cold_limits()
+
     def apply(self, change: FleetChange, now: timedelta) -> None:
         """Apply a message of the source of the fleet.
 
@@ -191,11 +199,19 @@
         :param service: its service, if the configuration has it.
         :param until: end of the limit, on the monotonic clock.
         """
+        view.mark_cold(until, self._find_cold_limit(service))
+
+    def _find_cold_limit(self, service: Service | None) -> float:
+        """Return the requests per second that a cold target may get."""
+        settings = self._settings
         rate = service.cold_requests_per_second if service else 0.0
-        allowed = (
-            rate * self.settings.cold_burst_ratio + self.settings.cold_allowance
-        )
-        view.mark_cold(until, allowed)
+        return rate * settings.cold_burst_ratio + settings.cold_allowance
+
+    def _update_cold_limits(self) -> None:
+        for view in self.fleet:
+            if view.cold_rate_limit is not None:
+                service = self.services.get(view.record.service)
+                view.cold_rate_limit.change(self._find_cold_limit(service))
 
     def _end_grace_periods(self, now: timedelta) -> None:
         for name in self.fleet.drop_expired(now):
@@ -348,11 +364,12 @@
         if self.route_table and configuration.version <= self.version:
             return
         self.route_table = RouteTable(configuration)
+        self._update_cold_limits()
         self._recorder.log(
             EventCode.configuration_accepted,
             document='serving',
             version=configuration.version,
-            peer=self.settings.source_address,
+            peer=self._settings.source_address,
         )
 
 
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -55,9 +55,9 @@
 
     __slots__ = (
         '_changed_targets',
+        '_discovery_began_at',
         '_last_sequence',
         '_next_full_at',
-        '_started_at',
         'address',
         'incarnation',
         'membership',
@@ -79,7 +79,9 @@
         self.membership = Membership()
         self.quarantine = PartQuarantine(address, self.membership, recorder)
         self.incarnation = incarnation
-        self._started_at: timedelta | None = None
+        # When this entry began to learn of the others, at first or through
+        # changed seeds.
+        self._discovery_began_at: timedelta | None = None
         self._next_full_at = timedelta()
         self._last_sequence = 0
         self._changed_targets: set[str] = set()
@@ -109,12 +111,25 @@
 
         :param now: time on the monotonic clock.
         """
-        if self._started_at is None:
-            self._started_at = now
-        if self.seeds and now - self._started_at < _DISCOVERY_TIME:
+        if self._discovery_began_at is None:
+            self._discovery_began_at = now
+        if self.seeds and now - self._discovery_began_at < _DISCOVERY_TIME:
             return 0
         return len(self.peers) + 1
 
+    def change_seeds(self, seeds: Iterable[str], now: timedelta) -> None:
+        """Replace the seeds; entries that are known stay peers.
+
+        A seed that is no peer may lead to entries that nobody here has heard
+        of, so that their number is unknown for a while.
+
+        :param seeds: addresses of entries that always receive hints.
+        :param now: time on the monotonic clock.
+        """
+        self.seeds = tuple(seed for seed in seeds if seed != self.address)
+        if any(seed not in self.peers for seed in self.seeds):
+            self._discovery_began_at = now
+
     def mark_changed(self, target: str) -> None:
         """Mark a target at which this entry's load changed.
 
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -300,7 +300,7 @@
         message: DirectSettings,
         now: timedelta,
     ) -> None:
-        self._dispatcher.change_settings(message)
+        self._dispatcher.change_settings(message, now)
 
     def _return_connection(
         self,
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -8,7 +8,6 @@
 from typing import Any, Protocol
 
 import gevent
-from gevent.pool import Pool
 from gevent.server import StreamServer
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
@@ -29,12 +28,11 @@
 from .fleet_sharing import FleetViewEndpoint
 from .frontend import FrontendState
 from .hints import HintTask
+from .pools import ResizablePool
 
 _LISTEN_BACKLOG = 1024
 # The other descriptors are for the connections to targets.
 _CALLER_DESCRIPTOR_SHARE = 0.5
-_BODY_MEMORY_SHARE = 0.25
-_RESPONSE_MEMORY_SHARE = 0.125
 # By then, load balancers have seen the entry as not ready.
 _NOTICE_PERIOD = timedelta(seconds=3)
 _STOP_MARGIN_MS = 700
@@ -63,26 +61,35 @@
 
     :param address: IP number and port.
     :param frontend: state that all caller tasks share.
-    :param connection_count: maximum number of open connections.
+    :param descriptor_count: descriptors of the process, of which connections
+        of callers take a share.
     """
 
-    __slots__ = ('_frontend', '_server')
+    __slots__ = ('_connections', '_frontend', '_server')
 
     def __init__(
         self,
         address: str,
         frontend: FrontendState,
-        connection_count: int,
+        descriptor_count: int,
     ) -> None:
         host, port = address.rsplit(':', 1)
         self._frontend = frontend
+        self._connections = ResizablePool(_count_connections(descriptor_count))
         self._server = StreamServer(
             (host, int(port)),
             self._serve,
             backlog=_LISTEN_BACKLOG,
-            spawn=Pool(connection_count),
+            spawn=self._connections,
         )
 
+    def limit_descriptors(self, descriptor_count: int) -> None:
+        """Change the number of connections; open ones stay.
+
+        :param descriptor_count: descriptors of the process.
+        """
+        self._connections.resize(_count_connections(descriptor_count))
+
     def run(self) -> None:
         """Accept connections until the process ends."""
         # A cancelled task waits for no request in flight.
@@ -115,6 +122,7 @@
         '_clock',
         '_dispatch',
         '_frontend',
+        '_listener',
         '_settings',
         '_supervisor',
         'dispatcher',
@@ -131,6 +139,7 @@
         self._clock = clock
         self.metrics = Metrics()
         self._supervisor = Supervisor()
+        self._listener: CallerListener | None = None
         self.dispatcher = Dispatcher(
             settings,
             random.Random(),
@@ -146,18 +155,18 @@
             codec=codec,
             clock=clock,
             metrics=self.metrics,
-            body_budget_bytes=int(settings.memory_bytes * _BODY_MEMORY_SHARE),
-            response_budget_bytes=int(
-                settings.memory_bytes * _RESPONSE_MEMORY_SHARE
-            ),
+            memory_bytes=settings.memory_bytes,
         )
 
     def change_settings(self, settings: DirectSettings) -> None:
-        """Apply those new settings that need no restart.
+        """Apply new settings; the name and the own addresses stay.
 
         :param settings: the validated settings.
         """
         self._settings = settings
+        self._frontend.limit_memory(settings.memory_bytes)
+        if self._listener is not None:
+            self._listener.limit_descriptors(settings.descriptor_count)
         self._dispatch.mailbox.send(settings)
 
     def run(self, source: FleetSource) -> None:
@@ -221,8 +230,9 @@
         listener = CallerListener(
             self._settings.listen_address,
             self._frontend,
-            int(self._settings.descriptor_count * _CALLER_DESCRIPTOR_SHARE),
+            self._settings.descriptor_count,
         )
+        self._listener = listener
         self._start('front', listener.run)
 
     def _start_administration(self) -> None:
@@ -292,3 +302,7 @@
         log_event(EventCode.process_stopped)
         flush_logs()
         os._exit(0)
+
+
+def _count_connections(descriptor_count: int) -> int:
+    return int(descriptor_count * _CALLER_DESCRIPTOR_SHARE)
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -8,6 +8,9 @@
 
 from .dispatch import DispatchTask
 
+_BODY_MEMORY_SHARE = 0.25
+_RESPONSE_MEMORY_SHARE = 0.125
+
 
 class CallerConnection(Protocol):
     """Connection of a caller, as a planned stop sees it."""
@@ -27,9 +30,7 @@
     :param codec: reads and writes the header fields.
     :param clock: source of time.
     :param metrics: counters of the process.
-    :param body_budget_bytes: maximum size of all request bodies in memory.
-    :param response_budget_bytes: maximum size of all responses that are held
-        until they are complete.
+    :param memory_bytes: memory that the process may use.
     """
 
     __slots__ = (
@@ -54,15 +55,16 @@
         codec: RequestCodec,
         clock: Clock,
         metrics: Metrics,
-        body_budget_bytes: int,
-        response_budget_bytes: int,
+        memory_bytes: int,
     ) -> None:
         self.dispatch = dispatch
         self.codec = codec
         self.clock = clock
         self.metrics = metrics
-        self.body_budget_bytes = body_budget_bytes
-        self.response_budget_bytes = response_budget_bytes
+        # Maximum size of all request bodies in memory.
+        self.body_budget_bytes = 0
+        # Maximum size of all responses that are held until they are complete.
+        self.response_budget_bytes = 0
         self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
         self.held_response_bytes = 0
@@ -71,6 +73,15 @@
         self.is_stopping = False
         # New requests are refused; requests in flight are finished.
         self.rejects_new_requests = False
+        self.limit_memory(memory_bytes)
+
+    def limit_memory(self, memory_bytes: int) -> None:
+        """Set the budgets of bodies and responses.
+
+        :param memory_bytes: memory that the process may use.
+        """
+        self.body_budget_bytes = int(memory_bytes * _BODY_MEMORY_SHARE)
+        self.response_budget_bytes = int(memory_bytes * _RESPONSE_MEMORY_SHARE)
 
     @property
     def has_open_requests(self) -> bool:
