Judge cut requests in a soak, and let servers be replaced and settings change

Change: the profile "planned" plays only what operators do on purpose, one stop at a time, and reports each request that was passed on, or cut later than 0.2 s after it was sent, and got no answer. The profile "replaced" adds servers that end and whose addresses others of any service take, and settings that change with and without a signal.

--- a/features/direct_soak.feature
+++ b/features/direct_soak.feature
@@ -16,6 +16,21 @@
       # Sound requests were refused for 0.1 s for the first part that they share with deadly ones.
       | 2612050205 | 8       |
 
+  Scenario Outline: planned work cuts no request, and servers that are replaced get none of another
+    When the soak runs with seed <seed> for 8 seconds and <faults> faults
+    Then no invariant is violated and requests were served
+
+    Examples:
+      | seed | faults   |
+      | 1    | planned  |
+      | 2    | replaced |
+
+  Scenario: a request that planned work cuts is reported
+    Given a request that was passed on before its connection closed
+    And one that was cut 0.1 seconds after it was sent, and one after 0.3 seconds
+    When the cut requests are judged
+    Then the first and the last are reported
+
   Scenario: a missing answer is reported without what its entry did
     Given a caller of a soak that waits for its answer
     When no answer comes, and the soak writes its report
