Serve a request that offers another protocol with its whole body

Cause: behind such an offer the parser reports the end of the message at the end of its head, and raises an error that tells where the rest begins. The report was taken for the end.

Change: the report is ignored where the parser wants to change the protocol. The head is parsed again without the offer, and what follows belongs to the body as its framing says. CONNECT is refused once.

--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -14,6 +14,9 @@
 from buckthornpond_core.input_limits import FramingMeter
 
 _STEP = 'read request'
+_CONNECTION = 'connection'
+_UPGRADE = 'upgrade'
+_TUNNEL_METHOD = 'CONNECT'
 
 
 class CallerRequest:
@@ -164,7 +167,9 @@
     def on_message_complete(self) -> None:
         """Pass the request on and reset the state for the next one."""
         request = self._request
-        if request is None:
+        if request is None or self._parser.should_upgrade():
+            # Behind an offer of another protocol the parser stops at the end
+            # of the head, and the rest of the message is still to come.
             return
         request.body = bytes(self._body)
         request.keeps_alive = self._parser.should_keep_alive()
@@ -184,10 +189,7 @@
         try:
             self._parser.feed_data(received)
         except HttpParserUpgrade as error:
-            raise self._fail(
-                'invalid_request',
-                'protocol upgrades are not supported',
-            ) from error
+            self._decline_upgrade(received[error.args[0] :])
         except HttpParserError as error:
             # httptools wraps exceptions of the callbacks above.
             cause = error.__context__
@@ -195,6 +197,32 @@
                 raise cause from error
             raise self._fail('invalid_request', str(error)) from error
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Go on with a request as if it offered no other protocol.
+
+        :param rest: received bytes behind the head.
+        """
+        request = self._request
+        if request is None or request.method == _TUNNEL_METHOD:
+            raise self._fail('invalid_request', 'tunnels are not supported')
+        version = '1.0' if request.is_http10 else '1.1'
+        lines = [f'{request.method} {request.path} HTTP/{version}']
+        lines.extend(
+            f'{name}: {_drop_upgrade_option(name, text)}'
+            for name, text in request.fields
+            if name.lower() != _UPGRADE
+        )
+        lines.extend(('', ''))
+        self._parser = HttpRequestParser(self)
+        self._request = None
+        self._path = bytearray()
+        self._fields = []
+        self._head_bytes = 0
+        self.is_head_complete = False
+        self._parse('\r\n'.join(lines).encode('latin-1'))
+        if rest:
+            self._parse(rest)
+
     def _check_head(self) -> None:
         limits = self._limits
         head_bytes = self._head_bytes
@@ -234,7 +262,6 @@
         'upgrade',
     ),
 )
-_CONNECTION = 'connection'
 BODILESS_STATUS_CODES = frozenset(
     (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED),
 )
@@ -259,3 +286,13 @@
         if name.lower() not in _HOP_BY_HOP_FIELDS
         and name.lower() not in connection_options
     ]
+
+
+def _drop_upgrade_option(name: str, text: str) -> str:
+    """Return the value of a field without the option to change the protocol."""
+    if name.lower() != _CONNECTION:
+        return text
+    options = text.split(',')
+    return ','.join(
+        each for each in options if each.strip().lower() != _UPGRADE
+    )
