Serve a request line with a whole URL, and a host that ends with a dot

What callers saw: 404 route_unknown for both, though RFC 9112 (3.2.2) obliges a server to accept the first, and the second names the same host.

Cause: the path of a request was taken for its target as it stood, and the host was compared to the letter.

Change: the host of a URL goes before the Host field, the path is matched and forwarded without it; one dot at the end of a host is no part of its name.

--- a/features/message_framing.feature
+++ b/features/message_framing.feature
@@ -20,3 +20,18 @@
   Scenario: a request for a tunnel is refused once
     When a caller asks for a tunnel
     Then the parser refuses it as invalid_request
+
+  Scenario Outline: a request whose target is <target> and whose Host is <host> is served by the route of the named host
+    Given an entry before 1 app servers and 1 llm servers
+    When a caller asks for <target> with the Host <host>
+    Then it is answered <status>, and the server received <path>
+
+    Examples: RFC 9112, 3.2 and 7.2; RFC 9110, 4.2.3
+      | target                           | host          | status | path        |
+      | /read/1?a=b                      | shop.example  | 200    | /read/1?a=b |
+      | http://shop.example/read/1?a=b   | shop.example  | 200    | /read/1?a=b |
+      | HTTP://SHOP.example:80/read/1    | other.example | 200    | /read/1     |
+      | http://other.example/read/1      | shop.example  | 404    | nothing     |
+      | /read/1                          | shop.example. | 200    | /read/1     |
+      | /read/1                          | shop.example.:80 | 200 | /read/1     |
+      | http://shop.example./read/1      | shop.example  | 200    | /read/1     |
--- a/features/steps/message_framing_steps.py
+++ b/features/steps/message_framing_steps.py
@@ -86,6 +86,46 @@
     assert context.received.endswith(b'answer to 2'), context.received
 
 
+def _ask(context: Any, head: str) -> None:
+    host, port = context.cluster.addresses[0].rsplit(':', 1)
+    with create_connection((host, int(port))) as connection:
+        connection.sendall(f'{head}\r\n'.encode())
+        context.received = connection.recv(65536)
+
+
+@when('a caller asks for {target} with the Host {host}')
+def ask_target(context: Any, target: str, host: str) -> None:
+    """Send a read with a request line and a Host of the example."""
+    _ask(
+        context,
+        f'GET {target} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: 1\r\n'
+        f'Authorization: Token {API_KEY}\r\n',
+    )
+
+
+@when('a caller sends a request whose ID is {fault}')
+def ask_with_id(context: Any, fault: str) -> None:
+    """Send a read whose ID is not one for the whole way."""
+    field = 'X-Attempt-Id: 2'
+    if fault == 'named in Connection':
+        field = 'Connection: X-Attempt-Id'
+    _ask(
+        context,
+        f'GET /read/1 HTTP/1.1\r\n{_FIELDS}X-Attempt-Id: 1\r\n{field}\r\n',
+    )
+
+
+@then('it is answered {status:d}, and the server received {path}')
+def check_received(context: Any, status: int, path: str) -> None:
+    """Compare the status and the path at the server."""
+    assert context.received.startswith(b'HTTP/1.1 %d ' % status), (
+        context.received
+    )
+    paths = [each.path for each in context.cluster.servers[0].received]
+    wanted = [] if path == 'nothing' else [path]
+    assert paths == wanted, paths
+
+
 @when('generated requests with and without offers arrive in pieces')
 def parse_generated(context: Any) -> None:
     """Parse pipelined requests that are cut at generated places."""
--- a/packages/core/src/buckthornpond_core/serving/routes.py
+++ b/packages/core/src/buckthornpond_core/serving/routes.py
@@ -47,10 +47,12 @@
     def find(self, host_name: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match for a path.
 
-        :param host_name: host of the request, with or without a port.
+        :param host_name: host of the request, with or without a port or the
+            dot of a fully qualified name.
         :param path: path of the request, with or without a query.
         """
-        host_routes = self._routes.get(host_name.partition(':')[0].lower())
+        name = host_name.partition(':')[0].removesuffix('.')
+        host_routes = self._routes.get(name.lower())
         if not host_routes:
             return None
         prefix = path.partition('?')[0]
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -1,5 +1,6 @@
 """Parser of callers' HTTP requests."""
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -14,7 +15,9 @@
 from buckthornpond_core.input_limits import FramingMeter
 
 _STEP = 'read request'
+_ABSOLUTE_FORM = re.compile('https?://([^/?]+)(.*)', re.IGNORECASE)
 _CONNECTION = 'connection'
+_HOST = 'host'
 _UPGRADE = 'upgrade'
 _TUNNEL_METHOD = 'CONNECT'
 
@@ -45,6 +48,18 @@
         self.keeps_alive = False
         self.body = b''
 
+    def use_origin_form(self) -> None:
+        """Take the host out of a request line that has a whole URL.
+
+        It goes before the Host header field (RFC 9112, 3.2.2).
+        """
+        url = _ABSOLUTE_FORM.fullmatch(self.path)
+        if url is None:
+            return
+        others = [each for each in self.fields if each[0].lower() != _HOST]
+        self.fields = [('Host', url[1]), *others]
+        self.path = url[2] if url[2].startswith('/') else f'/{url[2]}'
+
 
 class RequestParser:
     """Parses the requests of one connection.
@@ -149,6 +164,7 @@
             self._fields,
             is_http10=self._parser.get_http_version() == '1.0',
         )
+        self._request.use_origin_form()
         self.expects_continue = any(
             name.lower() == 'expect' for name, _ in self._fields
         )
