--- a/features/message_framing.feature
+++ b/features/message_framing.feature
@@ -35,3 +35,13 @@
       | /read/1                          | shop.example. | 200    | /read/1     |
       | /read/1                          | shop.example.:80 | 200 | /read/1     |
       | http://shop.example./read/1      | shop.example  | 200    | /read/1     |
+
+  Scenario Outline: a request whose ID is <fault> is refused, as no server could tell it from another
+    Given an entry before 1 app servers and 1 llm servers
+    When a caller sends a request whose ID is <fault>
+    Then it is answered 400, and the server received nothing
+
+    Examples:
+      | fault                |
+      | given twice          |
+      | named in Connection  |
