Forward event streams whose lines end in CR or CRLF event by event

What callers saw: such a stream was held back to its end and then failed, as no end of an event was found in it.

Cause: only two line feeds ended an event.

Change: lines end with LF, CR or CRLF in any mixture, as the format allows, also where a piece ends between CR and LF. Streams with LF alone are searched as before.

--- a/features/message_framing.feature
+++ b/features/message_framing.feature
@@ -45,3 +45,21 @@
       | fault                |
       | given twice          |
       | named in Connection  |
+
+  Scenario Outline: an event stream whose lines end in <ends> is forwarded event by event, wherever it is split
+    When 4 numbered events whose lines end in <ends> arrive split at every place, and byte by byte
+    Then each event is returned as soon as it is complete, and no byte is lost
+    And a resumed stream gets the events behind the second
+
+    Examples: the event stream format
+      | ends            |
+      | LF              |
+      | CR              |
+      | CRLF            |
+      | LF, CR and CRLF |
+
+  Scenario: a caller gets the whole of a stream whose lines end in CRLF
+    Given an entry before 0 app servers and 2 llm servers
+    And its servers end lines of events in CRLF
+    When a caller streams /stream/1
+    Then it gets the bytes of all 4 events, and the end
--- a/features/steps/message_framing_steps.py
+++ b/features/steps/message_framing_steps.py
@@ -1,8 +1,11 @@
 """Steps for requests whose end only their framing tells."""
 
+import itertools
+import operator
 from typing import Any
 
 import gevent
+from behave import given as given_step
 from behave import then, when
 from gevent.socket import create_connection
 from hypothesis import given as for_all
@@ -11,8 +14,10 @@
 
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.exceptions import InvalidRequestError
+from buckthornpond_core.serving.events import EventAssembler, StreamPosition
 from buckthornpond_entry.direct.requests import CallerRequest, RequestParser
 from buckthornpond_platform_standins.local_clusters import API_KEY, HOST
+from buckthornpond_platform_standins.server_responses import render_event
 
 _BODIES = (b'first body', b'second body')
 _FIELDS = f'Host: {HOST}\r\nAuthorization: Token {API_KEY}\r\n'
@@ -184,3 +189,82 @@
     """Compare the reason, and check that nothing was handed on."""
     assert context.reason == reason, context.reason
     assert not context.found
+
+
+def _make_events(ends: str) -> list[bytes]:
+    found = ends.replace(' and', ',').split(', ')
+    kinds = {'LF': b'\n', 'CR': b'\r', 'CRLF': b'\r\n'}
+    events = []
+    for number in range(1, 5):
+        end = kinds[found[number % len(found)]]
+        lines = (b'id: %d' % number, b'data: text %d' % number, b'', b'')
+        events.append(end.join(lines))
+    return events
+
+
+@when(
+    '4 numbered events whose lines end in {ends} arrive split at every place,'
+    ' and byte by byte'
+)
+def feed_events(context: Any, ends: str) -> None:
+    """Feed the stream to an assembler in many ways."""
+    context.events = _make_events(ends)
+    stream = b''.join(context.events)
+    context.whole = stream
+    splits = [[stream[:cut], stream[cut:]] for cut in range(1, len(stream) - 1)]
+    splits.append([stream[each : each + 1] for each in range(len(stream))])
+    context.runs = [(_assemble(parts), parts) for parts in splits]
+
+
+def _assemble(parts: list[bytes], position: str = '') -> list[bytes]:
+    assembler = EventAssembler(
+        StreamPosition(position), is_resumed=bool(position)
+    )
+    returned = [assembler.feed(part) for part in parts]
+    assert not assembler.has_partial_event
+    return returned
+
+
+@then('each event is returned as soon as it is complete, and no byte is lost')
+def check_events(context: Any) -> None:
+    """Compare what had been returned after each part with what had arrived."""
+    ends = _sum_up(context.events)
+    for returned, parts in context.runs:
+        assert b''.join(returned) == context.whole, returned
+        wanted = [_find_complete(ends, count) for count in _sum_up(parts)]
+        assert all(map(operator.ge, _sum_up(returned), wanted)), parts
+
+
+def _sum_up(parts: list[bytes]) -> list[int]:
+    return list(itertools.accumulate(map(len, parts)))
+
+
+def _find_complete(ends: list[int], arrived_bytes: int) -> int:
+    """Return the end of the last event of which all bytes and one more came."""
+    return max([end for end in ends if end < arrived_bytes], default=0)
+
+
+@then('a resumed stream gets the events behind the second')
+def check_resumed(context: Any) -> None:
+    """Feed the whole stream again after the second event."""
+    returned = b''.join(_assemble([context.whole], '2'))
+    assert returned == b''.join(context.events[2:]), returned
+
+
+@given_step('its servers end lines of events in CRLF')
+def end_lines(context: Any) -> None:
+    """Let the text of each event end with the CR of a CRLF."""
+    for server in context.cluster.servers:
+        server.line_end = b'\r\n'
+
+
+@then('it gets the bytes of all 4 events, and the end')
+def check_stream(context: Any) -> None:
+    """Compare the body with what a server sends."""
+    response = context.answers[-1]
+    assert not response.error, response.error
+    wanted = b''.join(
+        render_event(number, response.attempt_id).replace(b'\n', b'\r\n')
+        for number in range(1, 5)
+    )
+    assert response.body == wanted, response.body
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -10,10 +10,16 @@
     InputLimitError,
 )
 
-_EVENT_END = b'\n\n'
+# Lines end with LF, CR or CRLF, and an empty line ends an event. Two bytes
+# that belong to the ends of two lines are one of these.
+_LINE_FEEDS = b'\n\n'
+_RETURN = b'\r'
+_MIXED_ENDS = (b'\n\r', b'\r\r')
+_LINE_END = b'\n'
 _ID_FIELD = b'id:'
-_ID_LINE = b'\nid:'
-_DATA_LINE = re.compile(rb'^data(?::|$)', re.MULTILINE)
+_ID_LINES = (b'\nid:', b'\rid:')
+_DATA_LINE = re.compile(rb'(?:\A|[\r\n])data(?:[:\r\n]|\Z)')
+_EVENT = re.compile(rb'.*?(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)', re.DOTALL)
 _MAX_NUMBER_DIGITS = 18
 
 
@@ -42,6 +48,8 @@
 
     __slots__ = (
         '_empty_bytes',
+        '_ends_with_return',
+        '_has_returns',
         '_partial',
         '_position',
         '_searched_bytes',
@@ -60,6 +68,11 @@
         # Bytes of the partial event that hold no end of an event.
         self._searched_bytes = 0
         self._empty_bytes = 0
+        # Whether any line of the stream ends with CR or CRLF.
+        self._has_returns = False
+        # Whether the bytes returned last end with a CR, which an LF may follow
+        # that belongs to the same end of a line.
+        self._ends_with_return = False
         self._skip_up_to: int | None = None
         if is_resumed:
             self._skip_up_to = _parse_number(position.last_event_id)
@@ -96,25 +109,43 @@
     def _split_off_complete(self, received: bytes) -> bytes:
         partial = self._partial
         partial += received
-        end = partial.rfind(_EVENT_END, self._searched_bytes)
-        events = b''
-        if end >= 0:
-            end += len(_EVENT_END)
-            events = bytes(partial[:end])
-            del partial[:end]  # noqa: WPS420
+        self._has_returns = self._has_returns or _RETURN in received
+        end = self._find_last_end()
+        is_late_end = self._ends_with_return and partial.startswith(_LINE_END)
+        if is_late_end and not end:
+            end = len(_LINE_END)
+        events = bytes(partial[:end])
+        del partial[:end]  # noqa: WPS420
+        self._ends_with_return = events.endswith(_RETURN)
         # The end of an event may itself be split.
         self._searched_bytes = max(len(partial) - 1, 0)
         return events
 
+    def _find_last_end(self) -> int:
+        """Return where the last complete event ends, zero if there is none."""
+        partial = self._partial
+        found = partial.rfind(_LINE_FEEDS, self._searched_bytes)
+        if self._has_returns:
+            mixed = [
+                partial.rfind(each, self._searched_bytes)
+                for each in _MIXED_ENDS
+            ]
+            found = max(found, *mixed)
+        if found < 0:
+            return 0
+        end = found + len(_LINE_FEEDS)
+        is_split = partial[end - 1 : end + 1] == _RETURN + _LINE_END
+        return end + 1 if is_split else end
+
     def _drop_repeated(self, events: bytes) -> bytes:
         if self._skip_up_to is None:
             return events
         kept = []
-        for event in events.split(_EVENT_END)[:-1]:
+        for event in _EVENT.findall(events):
             number = _parse_number(_find_id(event))
             if number is not None and number <= self._skip_up_to:
                 continue
-            kept.append(event + _EVENT_END)
+            kept.append(event)
         return b''.join(kept)
 
     def _record_progress(self, events: bytes) -> None:
@@ -145,15 +176,15 @@
 
 def _find_id(events: bytes) -> str:
     """Return the ID of the last event that has one, or an empty string."""
-    start = events.rfind(_ID_LINE)
+    start = max(events.rfind(each) for each in _ID_LINES)
     if start < 0:
         if not events.startswith(_ID_FIELD):
             return ''
         start = -1
     start += 1 + len(_ID_FIELD)
-    end = events.find(b'\n', start)
+    end = events.find(_LINE_END, start)
     line = events[start:] if end < 0 else events[start:end]
-    return line.strip().decode('latin-1')
+    return line.partition(_RETURN)[0].strip().decode('latin-1')
 
 
 def _parse_number(text: str) -> int | None:
