--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -31,6 +31,11 @@
       | an address of 300 in a part                |
       | bytes that are no text                     |
       | an empty value                             |
+      | no field version                           |
+      | no field slots                             |
+      | no field coldRemainingMs                   |
+      | no field sequence                          |
+      | a version that is a number                 |
 
   Scenario: a value that is no base64 names no server
     Given an entry before 1 app servers and 0 llm servers
--- a/features/steps/message_framing_steps.py
+++ b/features/steps/message_framing_steps.py
@@ -211,8 +211,9 @@
     context.events = _make_events(ends)
     stream = b''.join(context.events)
     context.whole = stream
-    splits = [[stream[:cut], stream[cut:]] for cut in range(1, len(stream) - 1)]
-    splits.append([stream[each : each + 1] for each in range(len(stream))])
+    places = range(1, len(stream) - 1)
+    splits = [[stream[:place], stream[place:]] for place in places]
+    splits.append([bytes((each,)) for each in stream])
     context.runs = [(_assemble(parts), parts) for parts in splits]
 
 
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -14,6 +14,7 @@
 
 _DEPTH = 100_000
 _ODD_NAME = 'i-odd'
+_MISSING = 'no field '
 _HINT_COUNTER = 'malformed_messages_total{reason="hint"}'
 
 
@@ -34,6 +35,7 @@
         'a number of 5000 digits': ('slots', '9' * 5000),
         'a number beyond floating point': ('sequence', '1e400'),
         'a start beyond 64 bits': ('born', f'{2**70}'),
+        'a version that is a number': ('version', '1'),
         'a cold time of 1e300': ('coldRemainingMs', '1e300'),
         'a cold time of -1': ('coldRemainingMs', '-1'),
         'slots of 1e18': ('slots', f'{10**18}'),
@@ -46,6 +48,9 @@
         'a host name': ('address', '"example:80"'),
         'an address of 300 in a part': ('address', '"127.0.0.300:80"'),
     }
+    if odd.startswith(_MISSING):
+        sound.pop(odd.removeprefix(_MISSING))
+        return json.dumps(sound).encode()
     if odd == 'deeply nested lists':
         return _nest('[', ']').encode()
     if odd == 'bytes that are no text':
