Let reads of the store and of peers go on while they make progress

Cause: one page had 0.8 s, whatever its size, and each try began anew.

Change: the time limit of such a read starts anew with each 32 KiB of its body. One that brings less within it has stalled and ends as before.

--- a/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
+++ b/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
@@ -29,7 +29,9 @@
 _READ_TIMEOUT = timedelta(milliseconds=_READ_TIMEOUT_MS)
 _FETCH_TIME_LIMIT = timedelta(seconds=5)
 _MAX_VIEW_BYTES = 16_777_216
-_FETCH_LIMITS = FetchLimits(_FETCH_TIME_LIMIT, _MAX_VIEW_BYTES)
+# A view that brings less within the time limit has stalled.
+_PROGRESS_BYTES = 32_768
+_FETCH_LIMITS = FetchLimits(_FETCH_TIME_LIMIT, _MAX_VIEW_BYTES, _PROGRESS_BYTES)
 _MAX_REVISION_DIGITS = 18
 _ERA_SEPARATOR = '.'
 _CALL_ERRORS = (TargetError, *DECODE_ERRORS)
