Keep what the retry budgets counted when settings are read again

Cause: a change of the settings dropped the budgets, as these kept the ratio of their start.

Change: a budget takes another ratio and window and keeps its counts.

--- a/features/changed_settings.feature
+++ b/features/changed_settings.feature
@@ -61,3 +61,10 @@
     When its seeds change to one that it has not heard
     Then it counts 0 entries
     And it counts 2 entries 2.5 seconds later
+
+  Scenario: a reload does not hand out the retry budget anew, and another ratio holds at once
+    Given a dispatcher that has spent its retry budget
+    When its settings are read again unchanged
+    Then it allows no retry
+    When its settings allow a retry for each request
+    Then it allows a retry
--- a/features/steps/changed_settings_steps.py
+++ b/features/steps/changed_settings_steps.py
@@ -11,7 +11,11 @@
 from behave import given, then, when
 
 from buckthornpond_core._generated.hints import LoadHint
-from buckthornpond_core._generated.serving import DirectSettings
+from buckthornpond_core._generated.serving import (
+    DirectSettings,
+    Placement,
+    RequestMetadata,
+)
 from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
@@ -26,6 +30,11 @@
 from buckthornpond_platform_standins.relays import Relay, RelayFault
 from buckthornpond_platform_standins.store import StoreStandIn
 from buckthornpond_runtime.metrics import Metrics
+from features.specs.dispatchers import (
+    PLAIN_SERVICE,
+    make_dispatcher,
+    make_targets,
+)
 
 _ENTRY_HOST = '127.0.0.12'
 _PEER_HOST = '127.0.0.11'
@@ -304,3 +313,52 @@
     """Compare the number of live entries after some time."""
     context.now += timedelta(seconds=seconds)
     check_count(context, count)
+
+
+@given('a dispatcher that has spent its retry budget')
+def spend_budget(context: Any) -> None:
+    """Place repeats of one request until none is allowed."""
+    context.now = timedelta(seconds=20)
+    context.dispatcher = make_dispatcher(
+        1, [], make_targets(PLAIN_SERVICE, 2), context.now
+    )
+    metadata = RequestMetadata(
+        attempt_id='r-1',
+        host_name=HOST,
+        method='GET',
+        path='/read/1',
+        credential=API_KEY,
+    )
+    context.admission = context.dispatcher.admit(metadata, context.now)
+    while _allows_retry(context):
+        context.now += timedelta(milliseconds=1)
+
+
+def _allows_retry(context: Any) -> bool:
+    placed = context.dispatcher.place(
+        context.admission, (), context.now, is_repeat=True
+    )
+    return isinstance(placed, Placement)
+
+
+@when('its settings are read again unchanged')
+def reload_settings(context: Any) -> None:
+    """Give the dispatcher the settings that it has."""
+    dispatcher = context.dispatcher
+    dispatcher.change_settings(dispatcher._settings, context.now)
+
+
+@when('its settings allow a retry for each request')
+def change_ratio(context: Any) -> None:
+    """Give the dispatcher a ratio that allows one more."""
+    dispatcher = context.dispatcher
+    settings = msgspec.structs.replace(
+        dispatcher._settings, retry_budget_ratio=100.0
+    )
+    dispatcher.change_settings(settings, context.now)
+
+
+@then('it allows {verdict} retry')
+def check_retry(context: Any, verdict: str) -> None:
+    """Place one more repeat."""
+    assert _allows_retry(context) is (verdict == 'a')
--- a/packages/core/src/buckthornpond_core/serving/budgets.py
+++ b/packages/core/src/buckthornpond_core/serving/budgets.py
@@ -33,11 +33,19 @@
         window: timedelta,
         reserve: int = 2,
     ) -> None:
-        self._ratio = ratio * _USED_RATIO_SHARE
-        self._window = window
         self._reserve = reserve
         self._requests: deque[timedelta] = deque()
         self._retries: deque[timedelta] = deque()
+        self.change(ratio, window)
+
+    def change(self, ratio: float, window: timedelta) -> None:
+        """Change the limits; what was counted before still counts.
+
+        :param ratio: retries allowed per request.
+        :param window: length of the window.
+        """
+        self._ratio = ratio * _USED_RATIO_SHARE
+        self._window = window
 
     def record_request(self, now: timedelta) -> None:
         """Count a request of a caller in the window.
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -156,7 +156,7 @@
         self.load_exchange.drop_silent_peers(self.fleet, now)
 
     def change_settings(self, settings: DirectSettings, now: timedelta) -> None:
-        """Replace the settings and reset the retry budgets.
+        """Replace the settings; what was counted before still counts.
 
         :param settings: new settings of the process.
         :param now: time on the monotonic clock.
@@ -167,7 +167,11 @@
         self.follower.change_settings(settings)
         if has_new_seeds:
             self.load_exchange.change_seeds(settings.peer_addresses, now)
-        self._budgets.clear()
+        for budget in self._budgets.values():
+            budget.change(
+                settings.retry_budget_ratio,
+                settings.retry_budget_window_ms * _MS,
+            )
 
     def admit(
         self,
