Log by which identity a request is recognized when it comes again

Cause: a request that crashes servers comes again with the same method, path, caller and body, but with a new ID; the logs of lost connections and refusals tell requests apart by their ID and by the parts of their prompts only, which sound requests share.

Change: E609 and E602 name the identity, a digest of these four.

--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -386,6 +386,12 @@
             description="IDs of the prompt's parts that other requests may hold too, in order."
         ),
     ] = field(default_factory=list)
+    body_digest: Annotated[
+        str,
+        Meta(
+            description='Digest of the body as hexadecimal text, empty while it is unknown.'
+        ),
+    ] = ''
 
 
 class MemoryTicket(Struct):
--- a/packages/core/src/buckthornpond_core/serving/admissions.py
+++ b/packages/core/src/buckthornpond_core/serving/admissions.py
@@ -1,6 +1,7 @@
 """Requests that the configuration allows."""
 
 from .._generated.serving import Organisation, RequestMetadata, Route
+from .request_identity import identify_request
 
 
 class AdmittedRequest:
@@ -13,7 +14,7 @@
     :param service: service chosen among the shares of the route.
     """
 
-    __slots__ = ('metadata', 'organisation', 'route', 'service')
+    __slots__ = ('identity', 'metadata', 'organisation', 'route', 'service')
 
     def __init__(
         self,
@@ -26,3 +27,7 @@
         self.route = route
         self.organisation = organisation
         self.service = service
+        # Shared with the requests that differ only in their ID.
+        self.identity = identify_request(
+            metadata, organisation.name if organisation else ''
+        )
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -82,4 +82,5 @@
             'held_tokens': sum(each.held_tokens for each in attempts),
             'is_cold': view is not None and view.is_cold(now),
             'shared_parts': self._admission.metadata.shared_parts,
+            'identity': self._admission.identity,
         }
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -10,6 +10,7 @@
 from buckthornpond_core.exceptions import InvalidRequestError
 from buckthornpond_core.serving.admissions import AdmittedRequest
 from buckthornpond_core.serving.exchange import RequestExchange
+from buckthornpond_core.serving.request_identity import digest_body
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.paced_sockets import PacedSocket
 from buckthornpond_runtime.tasks import AnyGreenlet, Mailbox
@@ -128,6 +129,7 @@
         except InvalidRequestError as error:
             self._reject_invalid(error)
             return
+        metadata.body_digest = digest_body(request.body)
         admission = self._admit(metadata)
         if isinstance(admission, PlacementFailure):
             self._send_refusal(admission, metadata.attempt_id)
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -327,6 +327,7 @@
             EventCode.request_refused,
             reason=effect.reason,
             shared_parts=self._exchange.admission.metadata.shared_parts,
+            identity=self._exchange.admission.identity,
         )
         self._writer.refuse(
             effect.reason,
