Give crashes, answers and quarantines modules of their own

Change: target_crashes has the suspected requests of a crash, sound_parts what was answered, quarantines a quarantine and what is told of it.

--- a/features/specs/crash_histories.py
+++ b/features/specs/crash_histories.py
@@ -7,9 +7,9 @@
 from datetime import timedelta
 from typing import TypeAlias
 
-from buckthornpond_core.serving.crash_evidence import Suspect
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
+from buckthornpond_core.serving.target_crashes import Suspect
 
 from .dispatchers import NullRecorder
 
--- a/features/specs/quarantines.py
+++ b/features/specs/quarantines.py
@@ -7,9 +7,9 @@
 
 from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core.event_codes import EventCode
-from buckthornpond_core.serving.crash_evidence import Suspect
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
+from buckthornpond_core.serving.target_crashes import Suspect
 
 from .dispatchers import NullRecorder
 
--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -63,7 +63,7 @@
     """Wait until the entry takes the part for answered."""
     entry = context.cluster.entries[0]
     evidence = entry.dispatcher.load_exchange.quarantine.evidence
-    wait_until(lambda: evidence.sound_at(part) is not None)
+    wait_until(lambda: part in evidence.sound_parts)
     assert 'attempts_total' not in entry.metrics.render()
     context.stream.join()
 
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -4,10 +4,10 @@
 
 from .._generated.serving import AttemptReport, Placement
 from .admissions import AdmittedRequest
-from .crash_evidence import Suspect
 from .fleet import Fleet
 from .health import AttemptOutcome
 from .part_quarantine import PartQuarantine
+from .target_crashes import Suspect
 
 _MS = timedelta(milliseconds=1)
 
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -1,16 +1,18 @@
-"""Which parts of prompts may have crashed the targets that answered them.
+"""Which requests may have crashed the targets that answered them.
 
 A target that closes its connections may have crashed because of a request.
 The requests there that had not been answered yet are suspects. A part of a
 prompt is taken for the cause when it was there in several crashes and no
-request with it has been answered since.
+request with it has been answered since. The identity of a request counts as
+one more part, which only requests with the same content share.
 """
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 
-PartSet = frozenset[str]
+from .sound_parts import SoundParts
+from .target_crashes import OpenCrash, PartSet, Suspect, TargetCrash
 
 _MS = timedelta(milliseconds=1)
 _RETENTION_MS = 600_000
@@ -28,48 +30,9 @@
 _CRASH_DURATION = timedelta(milliseconds=_CRASH_DURATION_MS)
 _MAX_CRASHES = 256
 _MAX_SUSPECTS = 32
-_MAX_SOUND_PARTS = 8192
 _MAX_LOGGED_CRASHES = 8
 
 
-class Suspect:
-    """Request that a target had not answered when it crashed.
-
-    :param parts: parts of its prompt that other requests may hold too.
-    :param sent_at: when it was sent, on the monotonic clock.
-    :param has_begun: whether the target had begun to answer it.
-    """
-
-    __slots__ = ('has_begun', 'parts', 'sent_at')
-
-    def __init__(
-        self, parts: PartSet, sent_at: timedelta, *, has_begun: bool = False
-    ) -> None:
-        self.parts = parts
-        self.sent_at = sent_at
-        self.has_begun = has_begun
-
-
-class TargetCrash:
-    """Loss of a target, and the unanswered requests that it took along.
-
-    :param target: name of the target.
-    :param started_ms: start of the target, in Unix milliseconds.
-    :param occurred_at: time on the monotonic clock.
-    """
-
-    __slots__ = ('occurred_at', 'started_ms', 'suspects', 'target')
-
-    def __init__(
-        self, target: str, started_ms: int, occurred_at: timedelta
-    ) -> None:
-        self.target = target
-        self.started_ms = started_ms
-        self.occurred_at = occurred_at
-        # Suspected requests by their parts, of several the one sent last.
-        self.suspects: dict[PartSet, Suspect] = {}
-
-
 class CrashCause:
     """Parts that together are the likely cause of several crashes.
 
@@ -91,14 +54,13 @@
 class CrashEvidence:
     """Recent crashes of targets, and parts that are known to be sound."""
 
-    __slots__ = ('_crashes', '_crashes_by_part', '_sound_at')
+    __slots__ = ('_crashes', '_crashes_by_part', 'sound_parts')
 
     def __init__(self) -> None:
         self._crashes: list[TargetCrash] = []
         # Crashes with a suspected request that holds the part, oldest first.
         self._crashes_by_part: dict[str, list[TargetCrash]] = {}
-        # Last proof of each part, oldest first.
-        self._sound_at: dict[str, timedelta] = {}
+        self.sound_parts = SoundParts()
 
     def __iter__(self) -> Iterator[TargetCrash]:
         """Iterate over the crashes, oldest first."""
@@ -130,29 +92,10 @@
         is_new = False
         for parts in sorted(added, key=sorted):
             if parts in crash.suspects or len(crash.suspects) < _MAX_SUSPECTS:
-                is_new = _add_suspect(crash, added[parts]) or is_new
+                is_new = crash.add(added[parts]) or is_new
         self._index(crash)
         return is_new
 
-    def record_sound(self, parts: Iterable[str], proven_at: timedelta) -> None:
-        """Record that a request with these parts was answered.
-
-        :param parts: parts of its prompt.
-        :param proven_at: time of the answer on the monotonic clock.
-        """
-        for part in parts:
-            latest = max(self._sound_at.pop(part, proven_at), proven_at)
-            self._sound_at[part] = latest
-        while len(self._sound_at) > _MAX_SOUND_PARTS:
-            self._sound_at.pop(next(iter(self._sound_at)))
-
-    def sound_at(self, part: str) -> timedelta | None:
-        """Return when a part was last proven sound, ``None`` for never.
-
-        :param part: ID of the part.
-        """
-        return self._sound_at.get(part)
-
     def find_answered(self, crashes: Iterable[TargetCrash]) -> list[str]:
         """Return the parts of crashes that are known to have been answered.
 
@@ -164,7 +107,7 @@
         for crash in crashes:
             counts.update(frozenset[str]().union(*crash.suspects))
         return [
-            part for part, _ in counts.most_common() if part in self._sound_at
+            part for part, _ in counts.most_common() if part in self.sound_parts
         ]
 
     def is_cleared_by(self, part: str, proven_at: timedelta) -> bool:
@@ -176,8 +119,8 @@
         crashes = self._crashes_by_part.get(part)
         if not crashes or proven_at < crashes[-1].occurred_at:
             return False
-        sound_at = self._sound_at.get(part)
-        return sound_at is None or sound_at < crashes[-1].occurred_at
+        last_crash_at = crashes[-1].occurred_at
+        return not self.sound_parts.is_answered_since(part, last_crash_at)
 
     def is_repeated(self, parts: Iterable[str]) -> bool:
         """Return whether any of the parts was there in enough crashes.
@@ -196,10 +139,7 @@
         """
         oldest = now - _RETENTION
         self._drop([crash for crash in self if crash.occurred_at <= oldest])
-        for part, proven_at in tuple(self._sound_at.items()):
-            if proven_at > oldest:
-                break
-            self._sound_at.pop(part)
+        self.sound_parts.drop_expired(oldest)
 
     def find_causes(self) -> list[CrashCause]:
         """Return the likely causes, the one of most crashes first.
@@ -208,7 +148,7 @@
         whose requests were its victims.
         """
         causes: list[CrashCause] = []
-        open_crashes = [_OpenCrash(each, self._sound_at) for each in self]
+        open_crashes = [OpenCrash(each, self.sound_parts) for each in self]
         while True:
             cause = self._find_cause(open_crashes)
             if cause is None:
@@ -233,7 +173,9 @@
             for crash in self
             if any(parts <= suspected for suspected in crash.suspects)
         ]
-        proofs = ((part, self._sound_at.get(part)) for part in sorted(parts))
+        proofs = (
+            (part, self.sound_parts.answered_at(part)) for part in sorted(parts)
+        )
         return {
             'crashes': [
                 f'{crash.target} {crash.started_ms}'
@@ -277,7 +219,7 @@
         return None
 
     def _find_cause(
-        self, open_crashes: Collection['_OpenCrash']
+        self, open_crashes: Collection[OpenCrash]
     ) -> CrashCause | None:
         crashes_by_part = _index_open(open_crashes)
         counts = {
@@ -290,7 +232,7 @@
 
         def suspicion(name: str) -> tuple[int, bool, int, int, str]:
             found = crashes_by_part[name]
-            is_new = name not in self._sound_at
+            is_new = name not in self.sound_parts
             begun_count = sum(crash.has_begun(name) for crash in found)
             # The first part of the cause is in requests of victims too.
             request_count = sum(crash.count_requests(name) for crash in found)
@@ -301,14 +243,14 @@
         last_crash_at = crashes_by_part[worst][-1].occurred_at
         return CrashCause(companions, counts[worst], last_crash_at)
 
-    def _has_enough(self, part: str, crashes: list['_OpenCrash']) -> bool:
+    def _has_enough(self, part: str, crashes: list[OpenCrash]) -> bool:
         """Return whether a part was there in enough crashes to be a cause."""
         needed_count = _CRASH_COUNT
-        if part in self._sound_at:
+        if part in self.sound_parts:
             needed_count = _CRASH_COUNT_IF_SOUND_BEFORE
         return self._count_apart(part, crashes) >= needed_count
 
-    def _count_apart(self, part: str, crashes: Iterable['_OpenCrash']) -> int:
+    def _count_apart(self, part: str, crashes: Iterable[OpenCrash]) -> int:
         """Count crashes with a part, those that may be one event as one.
 
         A request that was sent after one crash and met another met two. That
@@ -322,7 +264,7 @@
                 last_at is None
                 or crash.occurred_at - last_at >= _MIN_CRASH_INTERVAL
                 or (
-                    part not in self._sound_at
+                    part not in self.sound_parts
                     and crash.last_sent_at(part) >= last_at
                 )
             )
@@ -332,89 +274,31 @@
         return count
 
     def _find_companions(
-        self, worst: str, crashes_by_part: dict[str, list['_OpenCrash']]
+        self, worst: str, crashes_by_part: dict[str, list[OpenCrash]]
     ) -> PartSet:
         """Return a part with those that cannot be told apart from it."""
         common = frozenset.intersection(
             *(crash.find_companions(worst) for crash in crashes_by_part[worst])
         )
-        was_sound = worst in self._sound_at
+        was_sound = worst in self.sound_parts
         crash_count = len(crashes_by_part[worst])
         return frozenset(
             part
             for part in common
-            if (part in self._sound_at) is was_sound
+            if (part in self.sound_parts) is was_sound
             and len(crashes_by_part[part]) == crash_count
         )
 
 
-class _OpenCrash:
-    """Crash with the parts that no later answer has cleared."""
-
-    __slots__ = ('_suspects', 'occurred_at', 'open_parts', 'requests')
-
-    def __init__(
-        self, crash: TargetCrash, sound_at: dict[str, timedelta]
-    ) -> None:
-        self.occurred_at = crash.occurred_at
-        self._suspects = crash.suspects.values()
-        self.requests = [
-            frozenset(
-                part
-                for part in parts
-                if part not in sound_at or sound_at[part] < crash.occurred_at
-            )
-            for parts in crash.suspects
-        ]
-        self.open_parts = frozenset[str]().union(*self.requests)
-
-    def last_sent_at(self, part: str) -> timedelta:
-        """Return when the last suspected request with a part was sent."""
-        return max(
-            suspect.sent_at
-            for suspect in self._suspects
-            if part in suspect.parts
-        )
-
-    def has_begun(self, part: str) -> bool:
-        """Return whether the target had begun to answer one with a part."""
-        return any(
-            suspect.has_begun and part in suspect.parts
-            for suspect in self._suspects
-        )
-
-    def count_requests(self, part: str) -> int:
-        """Return the number of suspected requests that hold a part."""
-        return sum(part in parts for parts in self.requests)
-
-    def find_companions(self, part: str) -> PartSet:
-        """Return the parts that each suspected request with a part holds."""
-        return frozenset.intersection(
-            *(parts for parts in self.requests if part in parts)
-        )
-
-    def is_explained_by(self, cause: PartSet) -> bool:
-        """Return whether a suspected request holds all parts of a cause."""
-        return any(cause <= parts for parts in self.requests)
-
-
 def _index_open(
-    crashes: Iterable[_OpenCrash],
-) -> dict[str, list[_OpenCrash]]:
-    crashes_by_part: dict[str, list[_OpenCrash]] = {}
+    crashes: Iterable[OpenCrash],
+) -> dict[str, list[OpenCrash]]:
+    crashes_by_part: dict[str, list[OpenCrash]] = {}
     for crash in crashes:
         for part in crash.open_parts:
             crashes_by_part.setdefault(part, []).append(crash)
     return crashes_by_part
 
 
-def _occurred_at(crash: TargetCrash | _OpenCrash) -> timedelta:
+def _occurred_at(crash: TargetCrash | OpenCrash) -> timedelta:
     return crash.occurred_at
-
-
-def _add_suspect(crash: TargetCrash, suspect: Suspect) -> bool:
-    """Add a suspected request; return whether its parts are new."""
-    known = crash.suspects.get(suspect.parts)
-    if known is None or known.sent_at < suspect.sent_at:
-        crash.suspects[suspect.parts] = suspect
-    return known is None
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -24,7 +24,6 @@
 from .fleet_follower import FleetChange, FleetFollower
 from .health import AttemptOutcome
 from .load_exchange import LoadExchange
-from .part_quarantine import QUARANTINE_RETRY_AFTER_MS
 from .placement import (
     Candidate,
     LeastExpectedLoss,
@@ -32,6 +31,7 @@
     PlacementPolicy,
     TargetSelection,
 )
+from .quarantines import QUARANTINE_RETRY_AFTER_MS
 from .routes import RouteTable, choose_service
 from .target_statements import TargetStatements
 
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -7,37 +7,23 @@
 
 from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
+from operator import attrgetter
 
-from .._generated.hints import (
-    CrashHint,
-    LoadHint,
-    QuarantineHint,
-    SoundPartHint,
-    SuspectHint,
-)
+from .._generated.hints import LoadHint, QuarantineHint, SoundPartHint
 from ..event_codes import EventCode
 from ..rendezvous import score
 from ..types import Recorder
-from .crash_evidence import (
-    CrashCause,
-    CrashEvidence,
-    PartSet,
-    Suspect,
-    TargetCrash,
-)
+from .crash_evidence import CrashCause, CrashEvidence
 from .membership import Membership
+from .quarantines import (
+    QUARANTINE_TIME,
+    Quarantine,
+    make_crash_hint,
+    make_quarantine_hint,
+)
+from .target_crashes import PartSet, Suspect, TargetCrash
 
 _MS = timedelta(milliseconds=1)
-# Time without a request after which a quarantine ends.
-_QUARANTINE_MS = 600_000
-# A caller that comes back sooner is only refused again.
-QUARANTINE_RETRY_AFTER_MS = _QUARANTINE_MS
-_QUARANTINE_TIME = timedelta(milliseconds=_QUARANTINE_MS)
-# Time until one request is let through as a probe, doubled by each probe.
-_FIRST_PROBE_MS = 600_000
-_FIRST_PROBE_INTERVAL = timedelta(milliseconds=_FIRST_PROBE_MS)
-_PROBE_INTERVAL_FACTOR = 2
-_MAX_PROBE_INTERVAL = timedelta(hours=6)
 _MAX_QUARANTINES = 256
 # Crashes are told again for this long, for entries that missed a datagram or
 # are told by others only.
@@ -48,33 +34,6 @@
 _OWN_ORIGIN = 'own'
 
 
-class _Quarantine:
-    __slots__ = (
-        'crash_count',
-        'ends_at',
-        'evidence_at',
-        'parts',
-        'probe_at',
-        'probe_interval',
-    )
-
-    def __init__(self, cause: CrashCause, ends_at: timedelta) -> None:
-        self.parts = cause.parts
-        self.crash_count = cause.crash_count
-        # Time of the last crash; a later answer refutes it.
-        self.evidence_at = cause.last_crash_at
-        self.ends_at = ends_at
-        self.probe_interval = _FIRST_PROBE_INTERVAL
-        self.probe_at = self.evidence_at + self.probe_interval
-
-    def postpone_probe(self, now: timedelta) -> None:
-        """Let nothing through before a longer interval has passed."""
-        self.probe_interval = min(
-            self.probe_interval * _PROBE_INTERVAL_FACTOR, _MAX_PROBE_INTERVAL
-        )
-        self.probe_at = now + self.probe_interval
-
-
 class PartQuarantine:
     """Decides which requests are refused for the parts of their prompts.
 
@@ -101,7 +60,7 @@
         self._membership = membership
         self._recorder = recorder
         self.evidence = CrashEvidence()
-        self._quarantines: dict[PartSet, _Quarantine] = {}
+        self._quarantines: dict[PartSet, Quarantine] = {}
         # What the next hint tells, and whether it is due at once.
         self._has_news = False
         self._new_crashes: list[TargetCrash] = []
@@ -137,7 +96,7 @@
                 quarantine.postpone_probe(now)
             return True
         for quarantine in found:
-            quarantine.ends_at = now + _QUARANTINE_TIME
+            quarantine.ends_at = now + QUARANTINE_TIME
         return not found
 
     def record_loss(
@@ -172,7 +131,7 @@
             for part in parts
             if self.evidence.is_cleared_by(part, proven_at)
         }
-        self.evidence.record_sound(parts, proven_at)
+        self.evidence.sound_parts.record(parts, proven_at)
         self._told_sound_parts |= cleared
         self._has_news = self._has_news or bool(cleared)
         self._release_sound(parts, proven_at)
@@ -191,10 +150,10 @@
                 if now - crash.occurred_at < _RELAY_TIME
             ]
         crashes = crashes[-_MAX_TOLD_CRASHES:]
-        hint.crashes = [_make_crash_hint(crash, now) for crash in crashes]
+        hint.crashes = [make_crash_hint(crash, now) for crash in crashes]
         if hint.is_full:
             hint.quarantines = [
-                _make_quarantine_hint(quarantine, now)
+                make_quarantine_hint(quarantine, now)
                 for quarantine in self._list_latest()
             ]
         hint.sound_parts = self._make_sound_hints(crashes, now)
@@ -210,7 +169,7 @@
         """
         for told in hint.sound_parts:
             proven_at = now - told.age_ms * _MS
-            self.evidence.record_sound((told.part,), proven_at)
+            self.evidence.sound_parts.record((told.part,), proven_at)
             self._release_sound(frozenset((told.part,)), proven_at)
         for crash in hint.crashes:
             suspects = [
@@ -239,7 +198,7 @@
             if now >= quarantine.ends_at:
                 self._release(quarantine, 'expired')
 
-    def _may_probe(self, quarantine: _Quarantine, now: timedelta) -> bool:
+    def _may_probe(self, quarantine: Quarantine, now: timedelta) -> bool:
         """Return whether this entry may test if the parts still crash targets.
 
         Only one entry tests a part, since each test may cost a target.
@@ -271,11 +230,11 @@
         self._new_crashes.append(crash)
         return True
 
-    def _list_latest(self) -> list[_Quarantine]:
+    def _list_latest(self) -> list[Quarantine]:
         """Return the quarantines with the latest evidence."""
-        return sorted(self._quarantines.values(), key=_evidence_at)[
-            -_MAX_TOLD_QUARANTINES:
-        ]
+        return sorted(
+            self._quarantines.values(), key=attrgetter('evidence_at')
+        )[-_MAX_TOLD_QUARANTINES:]
 
     def _make_sound_hints(
         self, told_crashes: Iterable[TargetCrash], now: timedelta
@@ -288,7 +247,7 @@
         parts.update(dict.fromkeys(self.evidence.find_answered(told_crashes)))
         hints = []
         for part in tuple(parts)[:_MAX_TOLD_PARTS]:
-            proven_at = self.evidence.sound_at(part)
+            proven_at = self.evidence.sound_parts.answered_at(part)
             if proven_at is not None:
                 hints.append(SoundPartHint(part, (now - proven_at) // _MS))
         return hints
@@ -303,10 +262,10 @@
         causes = self.evidence.find_causes()
         self._withdraw({cause.parts for cause in causes})
         for cause in causes:
-            ends_at = cause.last_crash_at + _QUARANTINE_TIME
+            ends_at = cause.last_crash_at + QUARANTINE_TIME
             known = self._quarantines.get(cause.parts)
             if known is None:
-                self._start(_Quarantine(cause, ends_at), origin)
+                self._start(Quarantine(cause, ends_at), origin)
             elif cause.last_crash_at > known.evidence_at:
                 known.crash_count = cause.crash_count
                 known.evidence_at = cause.last_crash_at
@@ -328,22 +287,23 @@
         cleared = {
             part
             for part in told.parts
-            if (self.evidence.sound_at(part) or timedelta()) > evidence_at
+            if (self.evidence.sound_parts.answered_at(part) or timedelta())
+            > evidence_at
         }
         self._told_sound_parts |= cleared
         parts = frozenset(told.parts) - cleared
         if not (parts and told.remaining_ms):
             return
-        ends_at = now + min(told.remaining_ms * _MS, _QUARANTINE_TIME)
+        ends_at = now + min(told.remaining_ms * _MS, QUARANTINE_TIME)
         known = self._quarantines.get(parts)
         if known is not None:
             known.ends_at = max(known.ends_at, ends_at)
             known.evidence_at = max(known.evidence_at, evidence_at)
             return
         cause = CrashCause(parts, told.crash_count, evidence_at)
-        self._start(_Quarantine(cause, ends_at), peer)
+        self._start(Quarantine(cause, ends_at), peer)
 
-    def _start(self, quarantine: _Quarantine, origin: str) -> None:
+    def _start(self, quarantine: Quarantine, origin: str) -> None:
         if len(self._quarantines) >= _MAX_QUARANTINES:
             self._recorder.count('quarantines', 'too_many')
             return
@@ -380,16 +340,16 @@
                 self._told_sound_parts |= quarantine.parts & parts
                 self._has_news = True
 
-    def _keep_rest(self, quarantine: _Quarantine, parts: PartSet) -> None:
+    def _keep_rest(self, quarantine: Quarantine, parts: PartSet) -> None:
         """Go on with the parts of a quarantine that were not answered."""
         if not parts or parts in self._quarantines:
             return
         cause = CrashCause(
             parts, quarantine.crash_count, quarantine.evidence_at
         )
-        self._start(_Quarantine(cause, quarantine.ends_at), _OWN_ORIGIN)
+        self._start(Quarantine(cause, quarantine.ends_at), _OWN_ORIGIN)
 
-    def _release(self, quarantine: _Quarantine, reason: str) -> None:
+    def _release(self, quarantine: Quarantine, reason: str) -> None:
         self._quarantines.pop(quarantine.parts)
         self._recorder.count('ended_quarantines', reason)
         self._recorder.log(
@@ -398,34 +358,3 @@
             crash_count=quarantine.crash_count,
             reason=reason,
         )
-
-
-def _evidence_at(quarantine: _Quarantine) -> timedelta:
-    return quarantine.evidence_at
-
-
-def _make_crash_hint(crash: TargetCrash, now: timedelta) -> CrashHint:
-    return CrashHint(
-        target=crash.target,
-        started_ms=crash.started_ms,
-        age_ms=(now - crash.occurred_at) // _MS,
-        suspects=[
-            SuspectHint(
-                sorted(each.parts),
-                (now - each.sent_at) // _MS,
-                has_begun=each.has_begun,
-            )
-            for each in crash.suspects.values()
-        ],
-    )
-
-
-def _make_quarantine_hint(
-    quarantine: _Quarantine, now: timedelta
-) -> QuarantineHint:
-    return QuarantineHint(
-        parts=sorted(quarantine.parts),
-        crash_count=quarantine.crash_count,
-        age_ms=(now - quarantine.evidence_at) // _MS,
-        remaining_ms=max((quarantine.ends_at - now) // _MS, 0),
-    )
