Believe no head in which another response begins (TWICE, REFUSED)

Cause: the beginning of the copy and the answer behind it make one head that the parser takes. `HTTP/1.1 421 Ref` and `HTTP/1.1 200 OK` are a status line with a long reason phrase; `X-Not-Executed: 1` and `HTTP/1.1 200 OK` are a header field with an odd value. The rest of the head is that of the answer, with the ID of the present request, so that no check of IDs helps, nor that a connection carries each request once. Change: a response in whose reason phrase or header fields a status line stands is malformed; the attempt then counts as sent, so that a write is answered 502 and goes nowhere else. Evidence: the new scenarios cut the copy of a refusal with 421 and with 503 at each place of its head.

--- /dev/null
+++ b/features/steps/once_only_steps.py
@@ -0,0 +1,98 @@
+"""Steps on answers that must not be taken for the refusal of a request."""
+
+from typing import Any
+
+from behave import given, when
+from gevent.socket import socket
+
+from buckthornpond_entry.direct.requests import CallerRequest
+from buckthornpond_platform_standins.local_clusters import WRITE_PATH
+from buckthornpond_platform_standins.server_responses import (
+    NOT_RUN_LINE,
+    SIGNATURE_LINE,
+    ReceivedRequest,
+    render_body,
+)
+from buckthornpond_platform_standins.servers import ServerStandIn
+from features.steps.direct_steps import list_servers, start_world
+
+_BODY = b'a'
+# Enough for a retry of each request.
+_RETRY_BUDGET_RATIO = 5.0
+
+
+class CutCopyServer(ServerStandIn):
+    """Server that refuses every other request on a connection.
+
+    Before the answer to the next one it sends the beginning of a copy.
+
+    :param status: status of the refusals.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__('app')
+        self.status = status
+        # Bytes of the copy.
+        self.copied_bytes = 0
+        self._refused_ids: dict[socket, str] = {}
+
+    def render_refusal(self, attempt_id: str) -> bytes:
+        """Return a refusal without a body.
+
+        :param attempt_id: attempt that it refuses.
+        """
+        lines = [
+            f'HTTP/1.1 {self.status} Refused',
+            NOT_RUN_LINE,
+            f'X-Attempt-Id: {attempt_id}',
+            'Content-Length: 0',
+        ]
+        return '\r\n'.join([*lines, '', '']).encode()
+
+    def _serve(self, connection: socket, request: CallerRequest) -> bool:
+        attempt_id = ReceivedRequest(request).fields['x-attempt-id']
+        refused_id = self._refused_ids.pop(connection, '')
+        if not refused_id:
+            self._refused_ids[connection] = attempt_id
+            connection.sendall(self.render_refusal(attempt_id))
+            return True
+        self.run_counts[attempt_id] += 1
+        copy = self.render_refusal(refused_id)[: self.copied_bytes]
+        body = render_body(attempt_id)
+        lines = [
+            'HTTP/1.1 200 OK',
+            f'X-Attempt-Id: {attempt_id}',
+            SIGNATURE_LINE,
+            f'Content-Length: {len(body)}',
+        ]
+        connection.sendall(copy + '\r\n'.join([*lines, '', '']).encode() + body)
+        return True
+
+
+@given(
+    'an entry before {count:d} servers that send cut copies of their {status:d}'
+    ' refusals'
+)
+def start_cutting(context: Any, count: int, status: int) -> None:
+    """Start an entry and the servers."""
+    cluster = start_world(context, 0, 1, retry_budget_ratio=_RETRY_BUDGET_RATIO)
+    for _ in range(count):
+        server = CutCopyServer(status)
+        cluster.servers.append(server)
+        cluster.register(server)
+    cluster.wait_until_synced()
+
+
+@when('for each place in the head a caller posts twice')
+def post_twice(context: Any) -> None:
+    """Send a request that is refused, and one behind a part of the copy."""
+    client = context.cluster.connect()
+    servers = list_servers(context, 'app')
+    attempt_id = client.fetch('POST', WRITE_PATH, body=_BODY).attempt_id
+    head_bytes = len(servers[0].render_refusal(attempt_id))
+    for copied_bytes in range(head_bytes + 1):
+        for server in servers:
+            server.copied_bytes = copied_bytes
+        for _ in range(2):
+            answer = client.fetch('POST', WRITE_PATH, body=_BODY)
+            context.answers.append(answer)
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -1,5 +1,6 @@
 """HTTP responses, parsed from the bytes that a socket's owner feeds in."""
 
+import re
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -25,6 +26,8 @@
 _EVENT_END = b'\n\n'
 _BODILESS_STATUSES = frozenset((204, 304))
 _CHUNKED = 'chunked'
+# Start of a response inside a line of another one, whose head broke off.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d')
 
 HeadCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
 
@@ -62,6 +65,7 @@
         '_is_stale',
         '_method',
         '_parser',
+        '_reason_phrase',
         '_received_body_bytes',
         '_search',
         '_searched_bytes',
@@ -95,6 +99,7 @@
         self._is_further = is_further
         self._is_skipping = False
         self._fields: dict[str, str] = {}
+        self._reason_phrase = bytearray()
         self._head_bytes = 0
         self._framing = FramingMeter()
         self._received_body_bytes = 0
@@ -193,20 +198,36 @@
             return
         self._fields.clear()
         self.fields.clear()
+        self._reason_phrase.clear()
+
+    def on_status(self, part: bytes) -> None:
+        """Append to the reason phrase."""
+        self._reason_phrase += part
 
     def on_header(self, name: bytes, field: bytes) -> None:
-        """Store a header field."""
+        """Store a header field.
+
+        :raises MalformedResponseError: when another response begins in it.
+        """
         if self.is_head_complete or self.has_trailing_bytes:
             # Trailer fields are ignored.
             return
+        _check_head_line(field)
         text = field.decode('latin-1')
         self._fields[name.decode('latin-1').lower()] = text
         self.fields.append((name.decode('latin-1'), text))
 
     def on_headers_complete(self) -> None:
-        """Store the status of a response that is not interim."""
+        """Store the status of a response that is not interim.
+
+        :raises MalformedResponseError: when another response begins in the
+            reason phrase.
+        """
         status_code = self._parser.get_status_code()
-        if status_code < _LOWEST_FINAL_STATUS or self.has_trailing_bytes:
+        if self.has_trailing_bytes:
+            return
+        _check_head_line(self._reason_phrase)
+        if status_code < _LOWEST_FINAL_STATUS:
             return
         if self._is_stale is not None:
             self._is_skipping = self._is_stale(status_code, self.fields)
@@ -292,7 +313,14 @@
             # Bytes after a complete response belong to no request.
             self.has_trailing_bytes = True
             if not self.is_complete:
-                raise MalformedResponseError(str(error)) from error
+                # httptools wraps exceptions of the callbacks above.
+                cause = error.__context__ or error
+                raise MalformedResponseError(str(cause)) from error
+
+
+def _check_head_line(line: bytes | bytearray) -> None:
+    if _STATUS_LINE.search(line):
+        raise MalformedResponseError('another response inside the head')
 
 
 def _limit_error(limit: InputLimit, max_bytes: int) -> InputLimitError:
