--- a/features/once_only.feature
+++ b/features/once_only.feature
@@ -10,3 +10,14 @@
       | status |
       | 421    |
       | 503    |
+
+  Scenario Outline: a refusal that names two requests refuses neither
+    Given an entry before 2 servers whose refusals name the <order> one first, of the present and the last request
+    When 6 times a caller posts 10 bytes to /write/1
+    Then no request ran more than once
+    And a status that states that the request did not run is true
+
+    Examples:
+      | order   |
+      | last    |
+      | present |
--- a/features/steps/once_only_steps.py
+++ b/features/steps/once_only_steps.py
@@ -1,5 +1,6 @@
 """Steps on answers that must not be taken for the refusal of a request."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from behave import given, when
@@ -12,11 +13,14 @@
     SIGNATURE_LINE,
     ReceivedRequest,
     render_body,
+    send_refusal,
+    send_response,
 )
 from buckthornpond_platform_standins.servers import ServerStandIn
 from features.steps.direct_steps import list_servers, start_world
 
 _BODY = b'a'
+_LAST = 'last'
 # Enough for a retry of each request.
 _RETRY_BUDGET_RATIO = 5.0
 
@@ -69,15 +73,60 @@
         return True
 
 
+class TwoIdServer(ServerStandIn):
+    """Server that answers, and then names two requests in its refusals.
+
+    It has run the present request, and refused neither.
+
+    :param is_last_first: whether the last request stands first.
+    """
+
+    def __init__(self, *, is_last_first: bool) -> None:
+        super().__init__('app')
+        self._is_last_first = is_last_first
+        self._last_ids: dict[socket, str] = {}
+
+    def _serve(self, connection: socket, request: CallerRequest) -> bool:
+        attempt_id = ReceivedRequest(request).fields['x-attempt-id']
+        self.run_counts[attempt_id] += 1
+        last_id = self._last_ids.get(connection)
+        self._last_ids[connection] = attempt_id
+        if last_id is None:
+            body = render_body(attempt_id)
+            return send_response(
+                connection, 200, attempt_id, body, SIGNATURE_LINE
+            )
+        ids = [last_id, attempt_id]
+        if not self._is_last_first:
+            ids.reverse()
+        return send_refusal(connection, ids[0], f'X-Attempt-Id: {ids[1]}')
+
+
 @given(
     'an entry before {count:d} servers that send cut copies of their {status:d}'
     ' refusals'
 )
 def start_cutting(context: Any, count: int, status: int) -> None:
     """Start an entry and the servers."""
+    _start(context, [CutCopyServer(status) for _ in range(count)])
+
+
+@given(
+    'an entry before {count:d} servers whose refusals name the {order:w} one'
+    ' first, of the present and the last request'
+)
+def start_naming_two(context: Any, count: int, order: str) -> None:
+    """Start an entry and the servers."""
+    is_last_first = order == _LAST
+    _start(
+        context,
+        [TwoIdServer(is_last_first=is_last_first) for _ in range(count)],
+    )
+
+
+def _start(context: Any, servers: Sequence[ServerStandIn]) -> None:
     cluster = start_world(context, 0, 1, retry_budget_ratio=_RETRY_BUDGET_RATIO)
-    for _ in range(count):
-        server = CutCopyServer(status)
+    for server in servers:
         cluster.servers.append(server)
         cluster.register(server)
     cluster.wait_until_synced()
