Name the tasks that have not ended when a supervisor stops

Cause: Supervisor.stop let gevent's own time-out through, which named no task.

Change: the tasks are cancelled and joined for the same second. Each one that has not ended is logged with its name and the calls in which it waits (E106), and the stop fails with a StopError of the project's exception tree, which fails the scenario and lets the others run.

--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -11,6 +11,7 @@
     stop_begun = 103
     process_stopped = 104
     stop_cut_short = 105
+    task_not_ended = 106
     link_opened = 201
     agent_silent = 202
     malformed_agent_message = 203
--- a/packages/core/src/buckthornpond_core/exceptions.py
+++ b/packages/core/src/buckthornpond_core/exceptions.py
@@ -51,6 +51,10 @@
     exit_code = 3
 
 
+class StopError(BuckthornpondError):
+    """Tasks that were cancelled have not ended in time."""
+
+
 class MalformedMessageError(BuckthornpondError):
     """A peer sent bytes that do not decode to a known message."""
 
--- a/packages/runtime/src/buckthornpond_runtime/tasks.py
+++ b/packages/runtime/src/buckthornpond_runtime/tasks.py
@@ -1,13 +1,16 @@
 """Mailboxes and supervision of tasks that communicate by messages."""
 
 import os
+import traceback
 from collections.abc import Callable
+from pathlib import PurePath
 from typing import Generic, Protocol, TypeAlias, TypeVar
 
 import gevent
 from gevent.queue import Empty, Full, Queue
 
 from buckthornpond_core.event_codes import EventCode
+from buckthornpond_core.exceptions import StopError
 
 from .logs import flush_logs, log_event
 
@@ -18,6 +21,9 @@
 
 _DEFAULT_MAILBOX_CAPACITY = 10_000
 _CRASH_EXIT_CODE = 70
+_STOP_TIMEOUT_SECONDS = 1.0
+# Innermost calls that the log names of a task that does not end.
+_LOGGED_CALL_COUNT = 8
 
 
 class Inbox(Protocol[PostedT]):
@@ -113,8 +119,37 @@
         self._greenlets.append(greenlet)
 
     def stop(self) -> None:
-        """End every task."""
-        gevent.killall(self._greenlets, timeout=1)
+        """Cancel every task and wait until all have ended.
+
+        :raises StopError: when some have not ended in time; the log says where
+            each of them waits.
+        """
+        gevent.killall(self._greenlets, block=False)
+        gevent.joinall(self._greenlets, timeout=_STOP_TIMEOUT_SECONDS)
+        running = [each for each in self._greenlets if not each.dead]
+        for greenlet in running:
+            log_event(
+                EventCode.task_not_ended,
+                task=greenlet.name,
+                calls=_list_calls(greenlet),
+            )
+        if running:
+            raise StopError(
+                f'not ended after {_STOP_TIMEOUT_SECONDS} s',
+                step='stop tasks',
+                peer=', '.join(each.name for each in running),
+            )
+
+
+def _list_calls(greenlet: AnyGreenlet) -> list[str]:
+    """Return the calls in which a greenlet waits, the innermost last."""
+    frames = traceback.extract_stack(
+        greenlet.gr_frame, limit=-_LOGGED_CALL_COUNT
+    )
+    return [
+        f'{PurePath(each.filename).name}:{each.lineno} {each.name}'
+        for each in frames
+    ]
 
 
 def _exit_after_crash(greenlet: AnyGreenlet) -> None:
