End the open connections of an endpoint when its task is cancelled

Cause: the tasks of the administration address and of the fleet views run a gevent server. When such a task is cancelled, gevent lets the requests in flight go on for its default of 1 s before it cancels them, so the task lasts as long as its supervisor waits, and the supervisor gives up first. In restored_store entries ask each other for their views while the store is away. A query that is read just after the dispatch task has ended is answered by nobody and waits out its second. The listener for callers passed 0 s and did not have the fault.

Change: TaskServer sets that time to zero in one place; both use it.

--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -8,7 +8,6 @@
 from typing import Any, Protocol
 
 import gevent
-from gevent.server import StreamServer
 from gevent.socket import IPPROTO_TCP, TCP_NODELAY
 
 from buckthornpond_core._generated.serving import DirectSettings
@@ -21,6 +20,7 @@
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.paced_sockets import pace_reads
 from buckthornpond_runtime.processes import StopSignal, new_incarnation
+from buckthornpond_runtime.task_servers import TaskServer
 from buckthornpond_runtime.tasks import Inbox, Supervisor
 
 from .callers import CallerTask
@@ -76,7 +76,7 @@
         host, port = address.rsplit(':', 1)
         self._frontend = frontend
         self._connections = ResizablePool(_count_connections(descriptor_count))
-        self._server = StreamServer(
+        self._server = TaskServer(
             (host, int(port)),
             self._serve,
             backlog=_LISTEN_BACKLOG,
@@ -92,8 +92,7 @@
 
     def run(self) -> None:
         """Accept connections until the process ends."""
-        # A cancelled task waits for no request in flight.
-        self._server.serve_forever(stop_timeout=0)
+        self._server.serve_forever()
 
     def _serve(self, accepted: Any, peer: tuple[str, int]) -> None:
         connection = pace_reads(accepted)
--- a/packages/runtime/src/buckthornpond_runtime/administration.py
+++ b/packages/runtime/src/buckthornpond_runtime/administration.py
@@ -5,11 +5,11 @@
 from typing import TypeAlias
 
 from gevent import Timeout, socket
-from gevent.server import StreamServer
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from .metrics import Metrics
 from .paced_sockets import pace_reads
+from .task_servers import TaskServer
 
 _REQUEST_TIMEOUT_SECONDS = 5
 _MAX_REQUEST_BYTES = 16_384
@@ -79,7 +79,7 @@
         self._metrics = metrics
         self._handlers = handlers
         host, port = address.rsplit(':', 1)
-        self._server = StreamServer(
+        self._server = TaskServer(
             (host, int(port)),
             self._serve,
             spawn=_MAX_CONNECTIONS,
