Show what each reader keeps of a response that never ends

What a single reader keeps was not shown for the store client, orders, load reports and calls of agents, nor for garbage from the first byte, whole chunks without end and a chunk of a terabyte.

bounded_readers lets six readers call a server that sends each of these parts without end, and compares the peak of what was allocated meanwhile (tracemalloc) with the limit of the reader.

The measurement of an entry beside other callers moves to specs, unchanged.

--- /dev/null
+++ b/features/bounded_readers.feature
@@ -0,0 +1,92 @@
+Feature: What readers keep of bytes that never end
+
+  Scenario Outline: <reader> that is sent <part> without end does not keep it
+    Given a server that sends <part> without end
+    When <reader> reads from it
+    Then it gives up and has kept at most <KiB> KiB
+
+    Examples: within a head or the framing
+      | reader                                | part                   | KiB |
+      | the store client                      | a status line          | 512 |
+      | a question to a peer                  | a status line          | 512 |
+      | an order                              | a status line          | 512 |
+      | a load report                         | a status line          | 512 |
+      | a call of an agent                    | a status line          | 512 |
+      | an attempt whose caller reads nothing | a status line          | 512 |
+      | the store client                      | a header field         | 512 |
+      | a question to a peer                  | a header field         | 512 |
+      | an order                              | a header field         | 512 |
+      | a load report                         | a header field         | 512 |
+      | a call of an agent                    | a header field         | 512 |
+      | an attempt whose caller reads nothing | a header field         | 512 |
+      | the store client                      | interim responses      | 512 |
+      | a question to a peer                  | interim responses      | 512 |
+      | an order                              | interim responses      | 512 |
+      | a load report                         | interim responses      | 512 |
+      | a call of an agent                    | interim responses      | 512 |
+      | an attempt whose caller reads nothing | interim responses      | 512 |
+      | the store client                      | bytes that are no HTTP | 512 |
+      | a question to a peer                  | bytes that are no HTTP | 512 |
+      | an order                              | bytes that are no HTTP | 512 |
+      | a load report                         | bytes that are no HTTP | 512 |
+      | a call of an agent                    | bytes that are no HTTP | 512 |
+      | an attempt whose caller reads nothing | bytes that are no HTTP | 512 |
+      | the store client                      | a chunk size           | 512 |
+      | a question to a peer                  | a chunk size           | 512 |
+      | an order                              | a chunk size           | 512 |
+      | a load report                         | a chunk size           | 512 |
+      | a call of an agent                    | a chunk size           | 512 |
+      | an attempt whose caller reads nothing | a chunk size           | 512 |
+      | the store client                      | a chunk extension      | 512 |
+      | a question to a peer                  | a chunk extension      | 512 |
+      | an order                              | a chunk extension      | 512 |
+      | a load report                         | a chunk extension      | 512 |
+      | a call of an agent                    | a chunk extension      | 512 |
+      | an attempt whose caller reads nothing | a chunk extension      | 512 |
+      | the store client                      | trailers               | 512 |
+      | a question to a peer                  | trailers               | 512 |
+      | an order                              | trailers               | 512 |
+      | a load report                         | trailers               | 512 |
+      | a call of an agent                    | trailers               | 512 |
+      | an attempt whose caller reads nothing | trailers               | 512 |
+
+    Examples: within a body
+      | reader                                | part                    | KiB   |
+      | the store client                      | chunks                  | 40960 |
+      | a question to a peer                  | chunks                  | 20480 |
+      | an order                              | chunks                  | 512   |
+      | a load report                         | chunks                  | 512   |
+      | a call of an agent                    | chunks                  | 2048  |
+      | an attempt whose caller reads nothing | chunks                  | 512   |
+      | the store client                      | a chunk of a terabyte   | 40960 |
+      | a question to a peer                  | a chunk of a terabyte   | 20480 |
+      | an order                              | a chunk of a terabyte   | 512   |
+      | a load report                         | a chunk of a terabyte   | 512   |
+      | a call of an agent                    | a chunk of a terabyte   | 2048  |
+      | an attempt whose caller reads nothing | a chunk of a terabyte   | 512   |
+      | the store client                      | a body under a length   | 40960 |
+      | a question to a peer                  | a body under a length   | 20480 |
+      | an order                              | a body under a length   | 512   |
+      | a load report                         | a body under a length   | 512   |
+      | a call of an agent                    | a body under a length   | 2048  |
+      | an attempt whose caller reads nothing | a body under a length   | 512   |
+      | the store client                      | a body without a length | 40960 |
+      | a question to a peer                  | a body without a length | 20480 |
+      | an order                              | a body without a length | 512   |
+      | a load report                         | a body without a length | 512   |
+      | a call of an agent                    | a body without a length | 2048  |
+      | an attempt whose caller reads nothing | a body without a length | 512   |
+
+    Examples: after a response
+      | reader                                | part                   | KiB |
+      | the store client                      | bytes after a response | 512 |
+      | a question to a peer                  | bytes after a response | 512 |
+      | an order                              | bytes after a response | 512 |
+      | a load report                         | bytes after a response | 512 |
+      | a call of an agent                    | bytes after a response | 512 |
+      | an attempt whose caller reads nothing | bytes after a response | 512 |
+
+    Examples: within an event
+      | reader                                | part     | KiB  |
+      | a call of an agent                    | an event | 2048 |
+      | an attempt whose caller reads nothing | an event | 512  |
--- a/features/steps/endless_input_steps.py
+++ b/features/steps/endless_input_steps.py
@@ -2,19 +2,17 @@
 
 import itertools
 import time
-from collections.abc import Callable
 from typing import Any
 
 import gevent
 import msgspec
-import psutil
 from behave import given, then, when
 from gevent.socket import AF_INET, SOCK_DGRAM, socket
 
 from buckthornpond_core._generated.hints import LoadHint
 from buckthornpond_core.input_limits import InputLimitError
 from buckthornpond_core.serving.events import EventAssembler, StreamPosition
-from buckthornpond_platform_standins.clients import Client, ClientResponse
+from buckthornpond_platform_standins.clients import Client
 from buckthornpond_platform_standins.endless import (
     EndlessPace,
     EndlessPart,
@@ -31,13 +29,15 @@
 )
 from buckthornpond_platform_standins.processes import EntryProcess, try_fetch
 from buckthornpond_platform_standins.store import StoreFault
-from features.specs.counts import report
+from features.specs.observed_entries import (
+    ResourceUsage,
+    end_measurement,
+    observe,
+)
 from features.specs.process_worlds import ProcessWorld
 from features.specs.searched_buffers import SearchedBuffer
 
 _MEBIBYTE = 1_048_576
-_SAMPLE_INTERVAL_SECONDS = 0.02
-_READ_INTERVAL_SECONDS = 0.03
 _FAULTY_NAME = 'i-endless'
 _METHODS = {'read': 'GET', 'write': 'POST', 'stream': 'POST'}
 _PEER_HOST = '127.0.0.9'
@@ -59,80 +59,6 @@
 }
 
 
-class ResourceUsage:
-    """Memory and processor time of a process while a fault lasts."""
-
-    def __init__(self, process_id: int) -> None:
-        self._process = psutil.Process(process_id)
-        self._first_bytes = self._process.memory_info().rss
-        self._peak_bytes = self._first_bytes
-        self._first_seconds = self._processor_seconds()
-        self._sampler = gevent.spawn(self._sample)
-
-    @property
-    def grown_mebibytes(self) -> float:
-        """Return the growth of the memory up to its peak."""
-        return (self._peak_bytes - self._first_bytes) / _MEBIBYTE
-
-    @property
-    def used_seconds(self) -> float:
-        """Return the processor time since the start."""
-        return self._processor_seconds() - self._first_seconds
-
-    def stop(self) -> None:
-        """End the measurement of the memory."""
-        self._sampler.kill()
-
-    def _sample(self) -> None:
-        while True:
-            used_bytes = self._process.memory_info().rss
-            self._peak_bytes = max(self._peak_bytes, used_bytes)
-            gevent.sleep(_SAMPLE_INTERVAL_SECONDS)
-
-    def _processor_seconds(self) -> float:
-        times = self._process.cpu_times()
-        return float(times.user + times.system)
-
-
-class OtherCallers:
-    """Callers that read from a sound service while a fault lasts."""
-
-    def __init__(self, address: str) -> None:
-        self._client = Client(address, HOST, API_KEY)
-        self.responses: list[ClientResponse] = []
-        self._reader = gevent.spawn(self._read)
-
-    def stop(self) -> None:
-        """Wait until some reads have been answered, then end."""
-        wait_until(lambda: len(self.responses) >= 10)
-        self._reader.kill()
-
-    def _read(self) -> None:
-        while True:
-            self.responses.append(self._client.fetch('GET', '/read/1'))
-            gevent.sleep(_READ_INTERVAL_SECONDS)
-
-
-def _observe(context: Any, act: Callable[[], None]) -> None:
-    """Act while others are served, and measure the entry meanwhile."""
-    usage = ResourceUsage(context.process.process.pid)
-    others = OtherCallers(context.process.address)
-    act()
-    others.stop()
-    context.other_responses = others.responses
-    _end_measurement(context, usage)
-
-
-def _end_measurement(context: Any, usage: ResourceUsage) -> None:
-    usage.stop()
-    context.grown_mebibytes = usage.grown_mebibytes
-    context.used_seconds = usage.used_seconds
-    report(
-        f'memory grew by {context.grown_mebibytes:.1f} MiB,'
-        f' {context.used_seconds:.2f} s of processor time'
-    )
-
-
 def _start_faulty_service(context: Any, part: str, pace: EndlessPace) -> None:
     cluster = context.cluster
     server = EndlessServer(EndlessPart(part))
@@ -209,7 +135,7 @@
         # Sockets in the pool are looked at regularly.
         gevent.sleep(1)
 
-    _observe(context, act)
+    observe(context, act)
 
 
 @when(
@@ -235,7 +161,7 @@
         gevent.wait(ends, timeout=8)
         context.ended_at = time.monotonic()
 
-    _observe(context, act)
+    observe(context, act)
 
 
 @given('an entry process whose only peer answers without end')
@@ -269,7 +195,7 @@
         context.cluster.store.drop_connections()
         gevent.sleep(seconds)
 
-    _observe(context, act)
+    observe(context, act)
 
 
 @when(
@@ -291,7 +217,7 @@
                     )
                 gevent.sleep(0)
 
-    _observe(context, flood)
+    observe(context, flood)
 
 
 def _make_datagram(kind: str, number: int) -> bytes:
@@ -337,7 +263,7 @@
     """Measure the entry for a while."""
     usage = ResourceUsage(context.process.process.pid)
     gevent.sleep(seconds)
-    _end_measurement(context, usage)
+    end_measurement(context, usage)
 
 
 @then('the answers are {answer}')
