Bound the number of header fields, which took twenty times their bytes

Callers saw: nothing yet; the entry came close to its memory.

Cause: the limit counted bytes on the wire, not what is kept of them. Change: a head ends the attempt, or the request as head_too_large (431), with more than 256 fields; no more than one above that is kept. That holds for all who read responses: attempts, orders, the store, peers, calls of agents.

endless_input expected 'head exceeds 65536 bytes' for header fields without end; they are now found earlier, by their number. The row names that; the bytes, the time and the memory that it allows stay.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -19,6 +19,12 @@
       | a load report                         | a header field         | 512 |
       | a call of an agent                    | a header field         | 512 |
       | an attempt whose caller reads nothing | a header field         | 512 |
+      | the store client                      | header fields          | 512 |
+      | a question to a peer                  | header fields          | 512 |
+      | an order                              | header fields          | 512 |
+      | a load report                         | header fields          | 512 |
+      | a call of an agent                    | header fields          | 512 |
+      | an attempt whose caller reads nothing | header fields          | 512 |
       | the store client                      | interim responses      | 512 |
       | a question to a peer                  | interim responses      | 512 |
       | an order                              | interim responses      | 512 |
@@ -90,3 +96,19 @@
       | reader                                | part     | KiB  |
       | a call of an agent                    | an event | 2048 |
       | an attempt whose caller reads nothing | an event | 512  |
+
+  Scenario: many responses of many header fields do not exhaust the entry
+    Given an entry process before 1 app servers and 1 llm servers
+    And a faulty service whose servers slowly send header fields without end
+    And they first send 60 KiB of it at once
+    When 100 callers send a write to the faulty service while others are served
+    Then the memory of the entry grew by at most 48 MiB
+    And the others were served in time
+    And the entry counts "attempts_total{reason="limit_exceeded"}" and logs "head exceeds 256 fields"
+
+  Scenario: many requests of many header fields do not exhaust the entry
+    Given an entry process before 1 app servers and 1 llm servers
+    When 200 callers send 14 KiB of header fields at once and go on slowly while others are served
+    Then the memory of the entry grew by at most 32 MiB
+    And the others were served in time
+    And the entry counts "refusals_total{reason="head_too_large"}" and logs "head exceeds 256 fields"
--- a/features/endless_input.feature
+++ b/features/endless_input.feature
@@ -15,7 +15,7 @@
       | part               | kind   | answer | seconds | mebibytes | memory | counter                                  | log                        |
       | a status line      | read   | 502    | 1       | 8         | 24     | attempts_total{reason="limit_exceeded"}  | head exceeds 65536 bytes   |
       | a header field     | write  | 502    | 1       | 8         | 24     | attempts_total{reason="limit_exceeded"}  | head exceeds 65536 bytes   |
-      | header fields      | stream | 502    | 1       | 8         | 24     | attempts_total{reason="limit_exceeded"}  | head exceeds 65536 bytes   |
+      | header fields      | stream | 502    | 1       | 8         | 24     | attempts_total{reason="limit_exceeded"}  | head exceeds 256 fields    |
       | interim responses  | write  | 502    | 1       | 8         | 24     | attempts_total{reason="limit_exceeded"}  | head exceeds 65536 bytes   |
 
     Examples: within a body
--- a/features/steps/bounded_readers_steps.py
+++ b/features/steps/bounded_readers_steps.py
@@ -4,9 +4,15 @@
 
 from behave import given, then, when
 
-from buckthornpond_platform_standins.endless import EndlessPart, EndlessServer
+from buckthornpond_platform_standins.endless import (
+    EndlessPace,
+    EndlessPart,
+    EndlessServer,
+)
 from features.specs.counts import report
+from features.specs.endless_callers import send_endless_requests
 from features.specs.measured_readers import measure_kept_bytes
+from features.specs.observed_entries import observe
 from features.specs.process_worlds import ProcessWorld
 
 _KIBIBYTE = 1024
@@ -31,3 +37,34 @@
 def check_kept(context: Any, kibibytes: int) -> None:
     """Compare the most memory of the reader with its bound."""
     assert context.kept_bytes <= kibibytes * _KIBIBYTE, context.kept_bytes
+
+
+@given('they first send {kibibytes:d} KiB of it at once')
+def set_burst(context: Any, kibibytes: int) -> None:
+    """Let the servers of the faulty service come close to a limit."""
+    context.faulty_server.burst_bytes = kibibytes * _KIBIBYTE
+
+
+@when(
+    '{count:d} callers send {kibibytes:d} KiB of {part} at once and go on'
+    ' slowly while others are served'
+)
+def send_bursts(context: Any, count: int, kibibytes: int, part: str) -> None:
+    """Send requests that come close to a limit and do not end."""
+
+    def act() -> None:
+        context.caller_records = send_endless_requests(
+            context.process.address,
+            count,
+            part,
+            EndlessPace.slow,
+            kibibytes * _KIBIBYTE,
+        )
+
+    observe(context, act)
+
+
+@then('the memory of the entry grew by at most {mebibytes:d} MiB')
+def check_growth(context: Any, mebibytes: int) -> None:
+    """Compare the peak of the memory with its bound."""
+    assert context.grown_mebibytes <= mebibytes, context.grown_mebibytes
--- a/features/steps/endless_input_steps.py
+++ b/features/steps/endless_input_steps.py
@@ -17,7 +17,6 @@
     EndlessPace,
     EndlessPart,
     EndlessServer,
-    connect_endless,
 )
 from buckthornpond_platform_standins.listening import wait_until
 from buckthornpond_platform_standins.local_clusters import (
@@ -29,6 +28,7 @@
 )
 from buckthornpond_platform_standins.processes import EntryProcess, try_fetch
 from buckthornpond_platform_standins.store import StoreFault
+from features.specs.endless_callers import send_endless_requests
 from features.specs.observed_entries import (
     ResourceUsage,
     end_measurement,
@@ -41,22 +41,6 @@
 _FAULTY_NAME = 'i-endless'
 _METHODS = {'read': 'GET', 'write': 'POST', 'stream': 'POST'}
 _PEER_HOST = '127.0.0.9'
-_HEAD = (
-    f'POST /write/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: 1\r\n'
-    f'Authorization: Token {API_KEY}\r\n'
-).encode()
-_CHUNKED = b'%bTransfer-Encoding: chunked\r\n\r\n' % _HEAD
-# What a caller sends once, and what it repeats.
-_CALLER_PARTS = {
-    'a request line': (b'GET /', b'a'),
-    'a header field': (b'GET / HTTP/1.1\r\nX-A: ', b'a'),
-    'header fields': (b'GET / HTTP/1.1\r\n', b'X-A: a\r\n'),
-    'blank lines': (b'', b'\r\n'),
-    'a chunk size': (_CHUNKED, b'0'),
-    'a chunk extension': (b'%b2;' % _CHUNKED, b'a'),
-    'trailers': (b'%b2\r\nok\r\n0\r\n' % _CHUNKED, b'X-A: a\r\n'),
-    'a body': (b'%bContent-Length: 99999999\r\n\r\n' % _HEAD, b'a'),
-}
 
 
 def _start_faulty_service(context: Any, part: str, pace: EndlessPace) -> None:
@@ -143,22 +127,12 @@
 )
 def send_as_callers(context: Any, count: int, pace: str, part: str) -> None:
     """Send requests that do not end."""
-    prefix, filler = _CALLER_PARTS[part]
 
     def act() -> None:
-        context.caller_records = []
-        ends = []
         context.answered_at = time.monotonic()
-        for _ in range(count):
-            record, ended = connect_endless(
-                context.process.address,
-                prefix,
-                filler,
-                EndlessPace(pace),
-            )
-            context.caller_records.append(record)
-            ends.append(ended)
-        gevent.wait(ends, timeout=8)
+        context.caller_records = send_endless_requests(
+            context.process.address, count, part, EndlessPace(pace)
+        )
         context.ended_at = time.monotonic()
 
     observe(context, act)
--- a/packages/core/src/buckthornpond_core/input_limits.py
+++ b/packages/core/src/buckthornpond_core/input_limits.py
@@ -10,6 +10,8 @@
 
 # Status line and header fields of a response, with all interim responses.
 MAX_HEAD_BYTES = 65_536
+# Header fields of one message: an empty one takes some hundred bytes.
+MAX_FIELD_COUNT = 256
 # Chunk sizes, chunk extensions and trailers since the last byte of a body.
 MAX_FRAMING_BYTES = 65_536
 # The framing of a whole body may grow by this much for each of its bytes.
@@ -39,21 +41,23 @@
     """A peer sent more than a limit allows.
 
     :param limit: the exceeded limit.
-    :param max_bytes: value of the limit.
+    :param maximum: value of the limit.
     :param step: operation that failed.
     :param peer: address or kind of the peer.
+    :param unit: unit of the limit.
     """
 
     def __init__(
         self,
         limit: InputLimit,
-        max_bytes: int,
+        maximum: int,
         *,
         step: str,
         peer: str,
+        unit: str = 'bytes',
     ) -> None:
         super().__init__(
-            f'{limit} exceeds {max_bytes} bytes', step=step, peer=peer
+            f'{limit} exceeds {maximum} {unit}', step=step, peer=peer
         )
         self.limit = limit
 
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -12,7 +12,7 @@
 
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.exceptions import InvalidRequestError
-from buckthornpond_core.input_limits import FramingMeter
+from buckthornpond_core.input_limits import MAX_FIELD_COUNT, FramingMeter
 
 _STEP = 'read request'
 _ABSOLUTE_FORM = re.compile('https?://([^/?]+)(.*)', re.IGNORECASE)
@@ -151,7 +151,10 @@
         if self.is_head_complete:
             # Trailer fields are ignored.
             return
-        self._fields.append((name.decode('latin-1'), field.decode('latin-1')))
+        if len(self._fields) <= MAX_FIELD_COUNT:
+            self._fields.append(
+                (name.decode('latin-1'), field.decode('latin-1'))
+            )
         self._head_bytes += len(name) + len(field)
 
     def on_headers_complete(self) -> None:
@@ -246,6 +249,10 @@
             head_bytes = max(head_bytes, self._received_head_bytes)
         if limits is not None and head_bytes > limits.head_bytes:
             raise self._fail('head_too_large', 'head exceeds the size limit')
+        if len(self._fields) > MAX_FIELD_COUNT:
+            raise self._fail(
+                'head_too_large', f'head exceeds {MAX_FIELD_COUNT} fields'
+            )
 
     def _check_framing(self, received_bytes: int, body_bytes: int) -> None:
         if not self._framing.record(received_bytes, body_bytes):
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -12,6 +12,7 @@
 
 from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_core.input_limits import (
+    MAX_FIELD_COUNT,
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
     FramingMeter,
@@ -145,6 +146,7 @@
         had_head = self.is_head_complete
         earlier_body_bytes = self._received_body_bytes
         self._parse(received)
+        self._check_field_count()
         self._search_further()
         if not self.is_head_complete:
             self._check_head(len(received))
@@ -212,6 +214,9 @@
         if self.is_head_complete or self.has_trailing_bytes:
             # Trailer fields are ignored.
             return
+        if len(self.fields) > MAX_FIELD_COUNT:
+            # Enough to see that there are too many.
+            return
         _check_head_line(field)
         text = field.decode('latin-1')
         self._fields[name.decode('latin-1').lower()] = text
@@ -263,6 +268,16 @@
     def _is_bodiless(self) -> bool:
         return self._method == 'HEAD' or self.status_code in _BODILESS_STATUSES
 
+    def _check_field_count(self) -> None:
+        if len(self.fields) > MAX_FIELD_COUNT:
+            raise InputLimitError(
+                InputLimit.head,
+                MAX_FIELD_COUNT,
+                step='parse response',
+                peer='server',
+                unit='fields',
+            )
+
     def _check_head(self, received_bytes: int) -> None:
         self._head_bytes += received_bytes
         if self._head_bytes > MAX_HEAD_BYTES:
