Log what tells a copied refusal from a new one

E605 names the requests that the connection has carried and whether one of the last had the same ID, E619 is written for each skipped response and names the earlier request and the status, and the attempts of E601 to E604 tell which refusals came without an ID. Nothing that is decided changes.

--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -377,7 +377,10 @@
         outcome = AttemptOutcome.refused
         if head.metadata.status_code == MISDIRECTED:
             outcome = AttemptOutcome.moved
-        ended = self._end_attempt(outcome, now, f'{head.metadata.status_code}')
+        refusal = f'{head.metadata.status_code}'
+        if not head.metadata.attempt_id:
+            refusal = f'{refusal} without an attempt ID'
+        ended = self._end_attempt(outcome, now, refusal)
         return [*ended, *self._retry(now, is_repeat=True)]
 
     def _finish(
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -230,6 +230,7 @@
         self._read_body(connection, response)
         self._mark_reusable(connection, response)
         connection.recent_ids.append(self._effect.attempt_id)
+        connection.request_count += 1
         self._notify(AttemptCompleted(is_delimited=response.is_body_delimited))
 
     def _open_connection(self) -> HttpConnection:
@@ -252,7 +253,16 @@
             return False
         named_id = self._codec.read_response(status_code, fields).attempt_id
         is_own = named_id == self._effect.attempt_id
-        return not is_own and named_id in connection.recent_ids
+        if is_own or named_id not in connection.recent_ids:
+            return False
+        log_event(
+            EventCode.stale_response_skipped,
+            request=self._effect.attempt_id,
+            address=connection.address,
+            named=named_id,
+            status=status_code,
+        )
+        return True
 
     def _is_of_target(
         self, status_code: int, fields: list[tuple[str, str]]
@@ -327,14 +337,7 @@
                 address=connection.address,
             )
             return
-        if not response.keeps_alive:
-            return
-        if response.has_skipped:
-            log_event(
-                EventCode.stale_response_skipped,
-                request=self._effect.attempt_id,
-                address=connection.address,
-            )
+        if not response.keeps_alive or response.has_skipped:
             return
         if not self._is_body_sent:
             return
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -384,9 +384,22 @@
             now,
             is_run_once=not admission.route.may_repeat,
         )
+        self._log_placement(message, decision, connection)
+        message.inbox.send(PlacementReply(decision, connection))
+
+    def _log_placement(
+        self,
+        message: PlacementRequest,
+        decision: Placement,
+        connection: HttpConnection | None,
+    ) -> None:
+        attempt_id = message.admission.metadata.attempt_id
+        is_id_repeated = (
+            connection is not None and attempt_id in connection.recent_ids
+        )
         log_event(
             EventCode.attempt_placed,
-            request=admission.metadata.attempt_id,
+            request=attempt_id,
             target=decision.target,
             address=decision.address,
             helpers=decision.helper_addresses,
@@ -394,8 +407,11 @@
             candidates=decision.candidate_count,
             is_repeat=message.effect.is_repeat,
             is_new_connection=connection is None,
+            connection_requests=(
+                0 if connection is None else connection.request_count
+            ),
+            is_id_repeated=is_id_repeated,
             configuration_version=decision.configuration_version,
             fleet_revision=decision.fleet_revision,
             source_age_ms=decision.source_age_ms,
         )
-        message.inbox.send(PlacementReply(decision, connection))
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -134,12 +134,15 @@
         'idle_since',
         'idle_limit',
         'recent_ids',
+        'request_count',
     )
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.idle_since = timedelta()
         self.idle_limit = timedelta()
+        # Requests that were answered on the connection.
+        self.request_count = 0
         # Identifiers of the last requests, which a late response may name.
         self.recent_ids: deque[str] = deque(maxlen=_MAX_RECENT_IDS)
         self._socket: PacedSocket | None = None
