Carry no request ID twice on one connection

What callers saw: a write that ran at two servers, or was refused with 503 though it ran.

Cause: a refusal of a request on a kept connection was believed whenever it named the request, but nothing kept one ID from going out on one connection twice. Targets that were tried are excluded by name, connections are kept by address: after a 421 from a server that had taken the address of another, the request went to the new server at that address on the same connection. A late copy of the 421 was taken for the second answer; the request ran there and at a third server. A caller that uses an ID again had the same.

Change: a connection remembers the hash of each ID that it has carried, and `IdleConnections` passes over one that has carried the request's. An answer that names the attempt's request can then only be its own. So that the memory is bounded, a connection is closed after 100 requests, which costs at most one new connection in a hundred requests. As all are remembered, not the last eight, an older copy is skipped too, where the next caller got 502 before.

Evidence: `refusal_copies.feature`, with servers that write a refusal once more and addresses that change their owner.

Ruled out: copies older than eight requests and refusals without an ID were not believed as promises before either.

--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -211,6 +211,7 @@
     def _call_target(self) -> None:
         self._reserve_memory()
         connection = self._open_connection()
+        connection.record_request(self._effect.attempt_id)
         self._send(connection)
         if self._reservations is not None:
             self._memory_guard = gevent.spawn(self._guard_memory, connection)
@@ -224,13 +225,11 @@
         head = ResponseHead(
             metadata,
             drop_hop_by_hop_fields(fields),
-            is_first_on_connection=not connection.recent_ids,
+            is_first_on_connection=connection.request_count == 1,
         )
         self._notify(AttemptHead(head))
         self._read_body(connection, response)
         self._mark_reusable(connection, response)
-        connection.recent_ids.append(self._effect.attempt_id)
-        connection.request_count += 1
         self._notify(AttemptCompleted(is_delimited=response.is_body_delimited))
 
     def _open_connection(self) -> HttpConnection:
@@ -249,11 +248,11 @@
     ) -> bool:
         """Return whether a response is a late copy of an earlier one."""
         connection = self._connection
-        if connection is None or not connection.recent_ids:
+        if connection is None:
             return False
         named_id = self._codec.read_response(status_code, fields).attempt_id
         is_own = named_id == self._effect.attempt_id
-        if is_own or named_id not in connection.recent_ids:
+        if is_own or not connection.has_carried(named_id):
             return False
         log_event(
             EventCode.stale_response_skipped,
@@ -339,7 +338,7 @@
             return
         if not response.keeps_alive or response.has_skipped:
             return
-        if not self._is_body_sent:
+        if not self._is_body_sent or not connection.may_carry_more:
             return
         connection.idle_limit = _read_idle_limit(response)
         if connection.idle_limit >= _MIN_IDLE_LIMIT:
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -381,6 +381,7 @@
             return
         connection = self._idle_connections.pop(
             decision.address,
+            admission.metadata.attempt_id,
             now,
             is_run_once=not admission.route.may_repeat,
         )
@@ -393,13 +394,9 @@
         decision: Placement,
         connection: HttpConnection | None,
     ) -> None:
-        attempt_id = message.admission.metadata.attempt_id
-        is_id_repeated = (
-            connection is not None and attempt_id in connection.recent_ids
-        )
         log_event(
             EventCode.attempt_placed,
-            request=attempt_id,
+            request=message.admission.metadata.attempt_id,
             target=decision.target,
             address=decision.address,
             helpers=decision.helper_addresses,
@@ -410,7 +407,6 @@
             connection_requests=(
                 0 if connection is None else connection.request_count
             ),
-            is_id_repeated=is_id_repeated,
             configuration_version=decision.configuration_version,
             fleet_revision=decision.fleet_revision,
             source_age_ms=decision.source_age_ms,
--- a/packages/entry/src/buckthornpond_entry/direct/idle_connections.py
+++ b/packages/entry/src/buckthornpond_entry/direct/idle_connections.py
@@ -32,19 +32,27 @@
     def pop(
         self,
         address: str,
+        request_id: str,
         now: timedelta,
         *,
         is_run_once: bool,
     ) -> HttpConnection | None:
         """Return a usable connection to a target, or ``None``.
 
+        No connection carries one identifier twice: a late copy of the first
+        response could not be told from the second one.
+
         :param address: address of the target.
+        :param request_id: identifier of the request.
         :param now: time on the monotonic clock.
         :param is_run_once: whether the request may run only once.
         """
         idle = self._by_address.get(address, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
+            if connection.has_carried(request_id):
+                self._metrics.count('passed_over_connections', 'same_request')
+                continue
+            idle.remove(connection)
             idle_time = now - connection.idle_since
             limit = connection.idle_limit
             if is_run_once:
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -2,7 +2,6 @@
 
 import select
 import socket as standard_socket
-from collections import deque
 from collections.abc import Iterable
 from datetime import timedelta
 
@@ -16,7 +15,8 @@
 
 # Bounds the time for which parsing holds up other tasks.
 _READ_BYTES = 16_384
-_MAX_RECENT_IDS = 8
+# Bounds the memory for the requests that a connection has carried.
+_MAX_REQUESTS = 100
 # A peer whose machine is gone is found within three seconds.
 _KEEPALIVE_IDLE_SECONDS = 1
 _KEEPALIVE_INTERVAL_SECONDS = 1
@@ -128,26 +128,47 @@
     """
 
     __slots__ = (
+        '_carried_ids',
         '_detects_dead_peer',
         '_socket',
         'address',
         'idle_since',
         'idle_limit',
-        'recent_ids',
-        'request_count',
     )
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.idle_since = timedelta()
         self.idle_limit = timedelta()
-        # Requests that were answered on the connection.
-        self.request_count = 0
-        # Identifiers of the last requests, which a late response may name.
-        self.recent_ids: deque[str] = deque(maxlen=_MAX_RECENT_IDS)
+        # Hashes of the identifiers of requests, which a late response may name.
+        self._carried_ids: set[int] = set()
         self._socket: PacedSocket | None = None
         self._detects_dead_peer = False
 
+    @property
+    def request_count(self) -> int:
+        """Number of requests with an identifier that it has carried."""
+        return len(self._carried_ids)
+
+    @property
+    def may_carry_more(self) -> bool:
+        """Whether it remembers one more request."""
+        return self.request_count < _MAX_REQUESTS
+
+    def record_request(self, request_id: str) -> None:
+        """Remember a request that is sent.
+
+        :param request_id: identifier that its response names.
+        """
+        self._carried_ids.add(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request was sent on the connection.
+
+        :param request_id: identifier of the request.
+        """
+        return hash(request_id) in self._carried_ids
+
     def connect(self, timeout: timedelta) -> None:
         """Open the connection.
 
