Play generated histories of answers, refusals and copies on kept connections

Now two servers play 300 histories of 6 to 16 turns (answer, error, refusal with 503 or 421, lost answer; whole and cut copies of earlier responses, with and without their ID, before and behind the response, split), while a caller sends writes. Judged is what servers ran against what the caller was told. With each server listed under a former name too, as after a crash and a start under a new name at the same address, the scenario fails: the request goes out twice on one connection, and a copy of its first refusal is believed.

--- a/features/steps/once_only_steps.py
+++ b/features/steps/once_only_steps.py
@@ -1,26 +1,36 @@
 """Steps on answers that must not be taken for the refusal of a request."""
 
+from collections import deque
 from collections.abc import Sequence
 from typing import Any
 
-from behave import given, when
+from behave import given, then, when
 from gevent.socket import socket
 
 from buckthornpond_entry.direct.requests import CallerRequest
+from buckthornpond_platform_standins.clients import ClientResponse
 from buckthornpond_platform_standins.local_clusters import WRITE_PATH
 from buckthornpond_platform_standins.server_responses import (
     NOT_RUN_LINE,
     SIGNATURE_LINE,
     ReceivedRequest,
     render_body,
-    send_refusal,
     send_response,
 )
 from buckthornpond_platform_standins.servers import ServerStandIn
-from features.steps.direct_steps import list_servers, start_world
+from features.specs.answer_histories import (
+    HISTORIES,
+    History,
+    HistoryServer,
+)
+from features.steps.direct_fuzz_steps import run_generated
+from features.steps.direct_steps import count_runs, list_servers, start_world
 
 _BODY = b'a'
 _LAST = 'last'
+_SUCCESS = 200
+_TWICE = 'two times'
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # Enough for a retry of each request.
 _RETRY_BUDGET_RATIO = 5.0
 
@@ -99,7 +109,10 @@
         ids = [last_id, attempt_id]
         if not self._is_last_first:
             ids.reverse()
-        return send_refusal(connection, ids[0], f'X-Attempt-Id: {ids[1]}')
+        further_line = f'X-Attempt-Id: {ids[1]}'
+        return send_response(
+            connection, 503, ids[0], b'', further_line, NOT_RUN_LINE
+        )
 
 
 @given(
@@ -145,3 +158,61 @@
         for _ in range(2):
             answer = client.fetch('POST', WRITE_PATH, body=_BODY)
             context.answers.append(answer)
+
+
+@given(
+    'an entry before {count:d} servers that play histories, each listed'
+    ' {listed}'
+)
+def start_playing(context: Any, count: int, listed: str) -> None:
+    """Start an entry and the servers, some under a former name as well."""
+    context.turns = deque()
+    servers = [HistoryServer(context.turns) for _ in range(count)]
+    _start(context, servers)
+    if listed == _TWICE:
+        for server in servers:
+            context.cluster.store.put(
+                f'servers/former-{server.name}', server.entry()
+            )
+        context.cluster.wait_until_synced()
+
+
+@when('{count:d} histories are played while a caller posts')
+def play_histories(context: Any, count: int) -> None:
+    """Send requests until each history has ended, and judge the answers."""
+
+    def check(history: History) -> None:
+        for server in list_servers(context, 'app'):
+            server.drop_connections()
+        context.turns.clear()
+        context.turns.extend(history)
+        client = context.cluster.connect()
+        answers = []
+        while context.turns:
+            answers.append(client.fetch('POST', WRITE_PATH, body=_BODY))
+        answers.append(client.fetch('POST', WRITE_PATH, body=_BODY))
+        client.connection.close()
+        _judge(context, answers)
+
+    run_generated(count, HISTORIES, check)
+    context.is_checked = True
+
+
+@then(
+    'each request ran at most once, and each refusal and each success was true'
+)
+def check_histories(context: Any) -> None:
+    """Check that the previous step judged each history."""
+    assert context.is_checked
+
+
+def _judge(context: Any, answers: Sequence[ClientResponse]) -> None:
+    run_counts = count_runs(context)
+    for answer in answers:
+        runs = run_counts.get(answer.attempt_id, 0)
+        assert runs <= 1, (answer.attempt_id, runs)
+        if answer.status in _NOT_RUN_STATUSES:
+            assert not runs, (answer.attempt_id, answer.status)
+        if answer.status == _SUCCESS:
+            assert runs == 1, (answer.attempt_id, runs)
+            assert answer.body == render_body(answer.attempt_id), answer.body
