Give up the largest response, not the next one, when too many are held

Callers saw: while a faulty target's endless bodies fill the budget of held responses (an eighth of the memory limit), sound answers that have to be held ended as 502 answer_lost, a write among them, until the faulty requests' time limit.

Cause: the response whose next part came when the budget was full was given up, whatever it held; bodies that do not end stay just below the budget, and the next sound answer of more than the gap loses. Change: MemoryBudget (core/serving) knows what each request holds; when the sum exceeds the limit, whoever holds most is told by message to give up. What one read brings (16 KiB) is never given up, and a response that is being written to its caller is not. What a failed attempt held is released at once, no longer with the end of its request.

bounded_readers "long responses are not given up for those that do not end": ten of 30 endless bodies of 3,660 KiB fill the budget, others read 300 KiB answers.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -112,3 +112,13 @@
     Then the memory of the entry grew by at most 32 MiB
     And the others were served in time
     And the entry counts "refusals_total{reason="head_too_large"}" and logs "head exceeds 256 fields"
+
+  Scenario: long responses are not given up for those that do not end
+    Given an entry process before 0 app servers and 1 llm servers
+    And a faulty service whose servers slowly send a body without a length without end
+    And they first send 3660 KiB of it at once
+    And an app server whose responses have 300 KiB
+    When 30 callers send a write to the faulty service while others are served
+    Then the others were served in time
+    And the memory of the entry grew by at most 160 MiB
+    And the entry counts "failed_attempts_total{reason="abandoned"}" and logs "held responses exceed the memory budget"
--- a/features/steps/bounded_readers_steps.py
+++ b/features/steps/bounded_readers_steps.py
@@ -9,8 +9,10 @@
     EndlessPart,
     EndlessServer,
 )
+from buckthornpond_platform_standins.listening import wait_until
 from features.specs.counts import report
 from features.specs.endless_callers import send_endless_requests
+from features.specs.long_responses import LongResponseServer
 from features.specs.measured_readers import measure_kept_bytes
 from features.specs.observed_entries import observe
 from features.specs.process_worlds import ProcessWorld
@@ -68,3 +70,14 @@
 def check_growth(context: Any, mebibytes: int) -> None:
     """Compare the peak of the memory with its bound."""
     assert context.grown_mebibytes <= mebibytes, context.grown_mebibytes
+
+
+@given('an app server whose responses have {kibibytes:d} KiB')
+def start_long_server(context: Any, kibibytes: int) -> None:
+    """Register the only server that answers the reads of the others."""
+    cluster = context.cluster
+    server = LongResponseServer(kibibytes * _KIBIBYTE)
+    cluster.peers.append(server)
+    record = {**cluster.servers[0].entry(), 'service': 'app'}
+    cluster.store.put('servers/i-long', {**record, 'address': server.address})
+    wait_until(lambda: '"i-long"' in context.process.read_log())
--- a/packages/core/src/buckthornpond_core/serving/__init__.py
+++ b/packages/core/src/buckthornpond_core/serving/__init__.py
@@ -14,6 +14,7 @@
 ``dispatcher``      all decisions above for one entry
 ``events``          boundaries of the events of a stream
 ``exchange``        states of one request from its head to its answer
+``memory_budgets``  which response is given up when too many are held
 ``crash_evidence``  prompt parts that may have crashed targets
 ``part_quarantine`` requests that are refused for the parts of their prompts
 =================== =======================================================
--- a/packages/core/src/buckthornpond_core/serving/attempt_failures.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_failures.py
@@ -10,6 +10,13 @@
     error=f'body exceeds {MAX_RESPONSE_BODY_BYTES} bytes',
 )
 
+# Says nothing about the target: the process holds too many responses.
+RESPONSE_BUDGET_FULL = AttemptFailed(
+    AttemptOutcome.abandoned,
+    is_sent=True,
+    error='held responses exceed the memory budget',
+)
+
 # The caller has a part of a stream, which an error or a page cannot end.
 NO_CONTINUATION = AttemptFailed(
     AttemptOutcome.failed,
--- a/packages/core/src/buckthornpond_core/serving/attempt_progress.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -55,6 +55,10 @@
         """Return whether events arrived that the caller can use."""
         return self._event_count > 0
 
+    def discard(self) -> None:
+        """Release what is held of the response of a failed attempt."""
+        self.body = bytearray()
+
     def elapsed_ms(self, now: timedelta) -> int:
         """Return the time since the start of the attempt.
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -410,6 +410,7 @@
                 message.target,
             ),
         )
+        self._progress.discard()
         may_repeat = self.admission.route.may_repeat or not message.is_sent
         if not may_repeat:
             return [*effects, *self._finish_unanswered('answer_lost')]
@@ -469,7 +470,9 @@
         if self._placement is None:
             return []
         self.history.record_run()
-        return [StopAttempt(), *self._end_attempt(outcome, now, 'cancelled')]
+        ended = self._end_attempt(outcome, now, 'cancelled')
+        self._progress.discard()
+        return [StopAttempt(), *ended]
 
     def _end_attempt(
         self,
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -255,7 +255,7 @@
         )
         self.metrics.add_gauge(
             'held_response_bytes',
-            lambda: self._frontend.held_response_bytes,
+            lambda: self._frontend.response_budget.held_bytes,
         )
         self.metrics.add_gauge(
             'idle_connections',
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeAlias
 
 from buckthornpond_core.event_codes import EventCode
+from buckthornpond_core.serving.attempt_failures import RESPONSE_BUDGET_FULL
 from buckthornpond_core.serving.effects import (
     AbortResponse,
     EndStream,
@@ -22,7 +23,6 @@
     StopAttempt,
 )
 from buckthornpond_core.serving.exchange import RequestExchange
-from buckthornpond_core.serving.health import AttemptOutcome
 from buckthornpond_core.serving.messages import AttemptBody, AttemptFailed
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
@@ -40,18 +40,13 @@
 from .frontend import FrontendState
 from .readers import CallerDisconnected, ReaderMessage
 from .requests import CallerRequest
+from .response_memory import MemoryExceeded, ResponseShare
 from .writers import ResponseWriter
 
 _MIN_WAIT_SECONDS = 0.001
 _STREAM_LABEL = 'stream'
 _WHOLE_LABEL = 'whole'
 _STREAM_STATUS_CODE = 200
-# Says nothing about the target: the process holds too many responses.
-_RESPONSE_BUDGET_FULL = AttemptFailed(
-    AttemptOutcome.abandoned,
-    is_sent=True,
-    error='held responses exceed the memory budget',
-)
 
 
 class EntryEnding:
@@ -61,7 +56,7 @@
 
 
 CallerMessage: TypeAlias = (
-    ReaderMessage | DispatchReply | AttemptUpdate | EntryEnding
+    ReaderMessage | DispatchReply | AttemptUpdate | EntryEnding | MemoryExceeded
 )
 
 
@@ -82,10 +77,10 @@
         '_effect_handlers',
         '_exchange',
         '_frontend',
-        '_held_response_bytes',
         '_idle_connection',
         '_mailbox',
         '_request',
+        '_share',
         '_writer',
         'deferred_messages',
     )
@@ -106,7 +101,7 @@
         self._mailbox = mailbox
         self._attempt: AttemptTask | None = None
         self._attempt_count = 0
-        self._held_response_bytes = 0
+        self._share = ResponseShare(frontend.response_budget, mailbox)
         self._idle_connection: HttpConnection | None = None
         self._disconnected: CallerDisconnected | None = None
         # Messages of the reader to process after this request.
@@ -135,7 +130,7 @@
         try:
             self._run()
         finally:
-            self._frontend.held_response_bytes -= self._held_response_bytes
+            self._share.release()
         kind = _WHOLE_LABEL
         if self._exchange.is_response_started:
             kind = _STREAM_LABEL
@@ -150,7 +145,9 @@
         clock = self._frontend.clock
         self._execute(exchange.start())
         while not exchange.is_done or exchange.is_awaiting_placement:
+            self._share.may_give_up = not exchange.is_done
             message = self._mailbox.receive(self._wait_seconds())
+            self._share.may_give_up = False
             now = clock.monotonic()
             if message is not None:
                 self._execute(self._handle(message, now))
@@ -180,6 +177,8 @@
             return self._handle_disconnect(message, now)
         if isinstance(message, EntryEnding):
             return self._exchange.handle_stop(now)
+        if isinstance(message, MemoryExceeded):
+            return self._limit_memory(now)
         return []
 
     def _handle_placement(
@@ -203,27 +202,24 @@
         progress = message.message
         if isinstance(progress, AttemptBody):
             self._attempt.acknowledge_part()
-            if self._exceeds_budget(progress):
-                progress = _RESPONSE_BUDGET_FULL
         if isinstance(progress, AttemptFailed):
             self._frontend.metrics.count('failed_attempts', progress.outcome)
         effects = self._exchange.handle_attempt_message(progress, now)
-        self._update_held_bytes()
+        effects.extend(self._limit_memory(now))
         return effects
 
-    def _exceeds_budget(self, part: AttemptBody) -> bool:
-        if self._exchange.is_streaming:
-            return False
-        frontend = self._frontend
-        held_bytes = frontend.held_response_bytes + len(part.content)
-        return held_bytes > frontend.response_budget_bytes
-
-    def _update_held_bytes(self) -> None:
-        held_bytes = self._exchange.buffered_bytes
-        self._frontend.held_response_bytes += (
-            held_bytes - self._held_response_bytes
-        )
-        self._held_response_bytes = held_bytes
+    def _limit_memory(self, now: timedelta) -> list[ExchangeEffect]:
+        """Record what is held, and give it up if the budget is exceeded."""
+        exchange = self._exchange
+        if self._share.record(exchange.buffered_bytes):
+            return []
+        effects = exchange.handle_attempt_message(RESPONSE_BUDGET_FULL, now)
+        if effects:
+            self._frontend.metrics.count(
+                'failed_attempts', RESPONSE_BUDGET_FULL.outcome
+            )
+        self._share.record(exchange.buffered_bytes)
+        return effects
 
     def _check_writer(self, now: timedelta) -> None:
         if self._writer.error and self._disconnected is None:
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from buckthornpond_core.serving.codec import RequestCodec
+from buckthornpond_core.serving.memory_budgets import MemoryBudget
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.metrics import Metrics
 
@@ -41,11 +42,10 @@
         'dispatch',
         'held_body_bytes',
         'held_count',
-        'held_response_bytes',
         'is_stopping',
         'metrics',
         'rejects_new_requests',
-        'response_budget_bytes',
+        'response_budget',
     )
 
     def __init__(
@@ -63,11 +63,10 @@
         self.metrics = metrics
         # Maximum size of all request bodies in memory.
         self.body_budget_bytes = 0
-        # Maximum size of all responses that are held until they are complete.
-        self.response_budget_bytes = 0
+        # Of all responses that are held until they are complete.
+        self.response_budget = MemoryBudget(0)
         self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
-        self.held_response_bytes = 0
         self.held_count = 0
         # The entry is not ready, and each response closes its connection.
         self.is_stopping = False
@@ -81,7 +80,9 @@
         :param memory_bytes: memory that the process may use.
         """
         self.body_budget_bytes = int(memory_bytes * _BODY_MEMORY_SHARE)
-        self.response_budget_bytes = int(memory_bytes * _RESPONSE_MEMORY_SHARE)
+        self.response_budget.limit_bytes = int(
+            memory_bytes * _RESPONSE_MEMORY_SHARE
+        )
 
     @property
     def has_open_requests(self) -> bool:
