Count the events that have not ended in the budget of held responses

Callers saw: nothing until the machine's memory ran out. An event may reach 1 MiB, and is held until it ends; only answers that are sent as a whole counted in the budget. 200 streams of a target that sends 1,000 KiB of an event and goes on slowly took 226 MiB beside the 30 MiB of an idle entry; 300 MiB are given.

Cause: the budget skipped whatever is streamed. Change: what a request holds of an event counts too, so that the largest of them are given up (abandoned, the target isn't blamed). A sound stream holds less than one read and is never given up. What an ended attempt held of an event is released with it.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -122,3 +122,12 @@
     Then the others were served in time
     And the memory of the entry grew by at most 160 MiB
     And the entry counts "failed_attempts_total{reason="abandoned"}" and logs "held responses exceed the memory budget"
+
+  Scenario: many events that do not end do not exhaust the entry
+    Given an entry process before 1 app servers and 1 llm servers
+    And a faulty service whose servers slowly send an event without end
+    And they first send 1000 KiB of it at once
+    When 200 callers send a stream to the faulty service while others are served
+    Then the memory of the entry grew by at most 128 MiB
+    And the others were served in time
+    And the entry counts "failed_attempts_total{reason="abandoned"}" and logs "held responses exceed the memory budget"
--- a/packages/core/src/buckthornpond_core/serving/attempt_progress.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_progress.py
@@ -55,9 +55,15 @@
         """Return whether events arrived that the caller can use."""
         return self._event_count > 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of what is held of the response."""
+        return len(self.body) + self.events.held_bytes
+
     def discard(self) -> None:
         """Release what is held of the response of a failed attempt."""
         self.body = bytearray()
+        self.events.discard()
 
     def elapsed_ms(self, now: timedelta) -> int:
         """Return the time since the start of the attempt.
--- a/packages/core/src/buckthornpond_core/serving/events.py
+++ b/packages/core/src/buckthornpond_core/serving/events.py
@@ -87,6 +87,15 @@
         """Return the size of the event inside which the received bytes end."""
         return len(self._partial) if self.has_partial_event else 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of what was received and not returned."""
+        return len(self._partial)
+
+    def discard(self) -> None:
+        """Release what is held of a stream that has ended."""
+        self._partial = bytearray()
+
     def feed(self, received: bytes) -> bytes:
         """Return the complete events that were not returned before.
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -126,8 +126,8 @@
 
     @property
     def buffered_bytes(self) -> int:
-        """Return the size of the response held until it is complete."""
-        return len(self._progress.body)
+        """Return the size of what is held of responses."""
+        return self._progress.held_bytes
 
     @property
     def wake_at(self) -> timedelta:
