--- a/features/direct_processes.feature
+++ b/features/direct_processes.feature
@@ -30,6 +30,11 @@
     Then event E631 is logged as invalid
     And it is ready, and serves a read
 
+  Scenario: a reload signal ends a process that still starts
+    Given an entry process before 1 app servers and 1 llm servers
+    When it is killed and started again, with reload signals from its first imports on
+    Then it is ready, and serves a read
+
   Scenario: a killed process starts again and serves
     Given an entry process before 1 app servers and 1 llm servers
     When it is killed and started again
--- a/features/steps/direct_process_steps.py
+++ b/features/steps/direct_process_steps.py
@@ -29,6 +29,9 @@
 from features.specs.process_worlds import ProcessWorld
 
 _READ_PATH = '/read/1'
+# Mapped by the first import, long before the process is set up.
+_FIRST_LIBRARY = 'greenlet'
+_RELOAD_INTERVAL_SECONDS = 0.02
 
 
 def ask_status(address: str, path: str) -> int:
@@ -132,6 +135,23 @@
     context.process.start()
 
 
+@when(
+    'it is killed and started again, with reload signals from its first '
+    'imports on'
+)
+def restart_with_reloads(context: Any) -> None:
+    """Send SIGHUP while the process imports its modules, until it is ready."""
+    process = context.process
+    process.send_signal(signal.SIGKILL)
+    process.process.wait()
+    process.launch()
+    maps = Path(f'/proc/{process.process.pid}/maps')
+    wait_until(lambda: _FIRST_LIBRARY in maps.read_text())
+    while process.is_running and not process.is_ready():
+        process.send_signal(signal.SIGHUP)
+        gevent.sleep(_RELOAD_INTERVAL_SECONDS)
+
+
 @when('a process starts with {kind}')
 def start_with_bad_settings(context: Any, kind: str) -> None:
     """Start a process with invalid settings and wait for its exit."""
