Let another SIGTERM in a planned stop cut nothing

Cause: StopSignal counted SIGTERM and SIGINT alike, and the second of them, of whichever kind, ended the drain.

Change, for entries and agents: SIGTERM begins a stop, however often it comes. SIGINT begins one too, and ends one that has begun, with the final answers that the second signal gave before.

Tests: the scenarios that asked for the end at the second SIGTERM held the old behaviour.

--- a/features/direct_processes.feature
+++ b/features/direct_processes.feature
@@ -16,11 +16,21 @@
     And a request 3.2 seconds after the signal is refused or its connection closed, and no server receives it
     And the process ends with code 0 within 8 seconds
 
-  Scenario: a second stop signal ends the process at once
+  Scenario: a second SIGTERM cuts off the requests in flight
+    Given an entry process before 1 app servers and 1 llm servers
+    And llm servers write an event each 0.3 seconds
+    When a stream has begun and a stop signal comes
+    And another one comes after 0.2 seconds
+    Then a request on an open connection is answered with Connection: close
+    And the stream is complete
+    And the process ends with code 0 within 8 seconds
+
+  Scenario: SIGINT does not end a process that stops, or cuts off its callers without an answer
     Given an entry process before 1 app servers and 1 llm servers
     And the next llm servers do: hang
-    When a stream waits and two stop signals come
+    When a stream waits and SIGTERM and SIGINT come
     Then the process ends with code 0 within 1 seconds
+    And the caller of the stream has a final answer
 
   Scenario: changed settings are read with and without a signal
     Given an entry process before 1 app servers and 1 llm servers
--- a/features/steps/direct_process_steps.py
+++ b/features/steps/direct_process_steps.py
@@ -100,17 +100,34 @@
     context.process.send_signal(signal.SIGTERM)
 
 
-@when('a stream waits and two stop signals come')
-def stop_twice(context: Any) -> None:
+@when('another one comes after {seconds:f} seconds')
+def stop_again(context: Any, seconds: float) -> None:
+    """Send the signal once more."""
+    gevent.sleep(seconds)
+    context.process.send_signal(signal.SIGTERM)
+
+
+@when('a stream waits and SIGTERM and SIGINT come')
+def interrupt_stop(context: Any) -> None:
     """Send two signals while a request is in flight."""
     context.stream_client = _connect(context)
-    context.stream_client.send('POST', STREAM_PATH, X_Token_Count='100,40')
+    context.stream = context.stream_client.send(
+        'POST', STREAM_PATH, X_Token_Count='100,40'
+    )
     gevent.sleep(0.3)
-    for _ in range(2):
-        context.process.send_signal(signal.SIGTERM)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        context.process.send_signal(number)
         gevent.sleep(0.2)
 
 
+@then('the caller of the stream has a final answer')
+def check_final_answer(context: Any) -> None:
+    """Read the refusal of the waiting stream."""
+    context.stream_client.receive(context.stream, 'POST')
+    assert context.stream.reason == 'answer_lost', context.stream.body
+    assert not context.stream.error, context.stream.error
+
+
 @when('the settings file changes and a reload signal comes')
 def change_settings(context: Any) -> None:
     """Write changed settings and send SIGHUP."""
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -97,13 +97,8 @@
         call.close()
 
 
-@when(
-    'the agent of the first engine gets {count:d} stop signal while it streams'
-)
-@when(
-    'the agent of the first engine gets {count:d} stop signals while it streams'
-)
-def stop_agent(context: Any, count: int) -> None:
+@when('the agent of the first engine gets {names} while it streams')
+def stop_agent(context: Any, names: str) -> None:
     """Signal the agent once its engine runs a request."""
     engine = context.fleet.engines[0]
     wait_until(
@@ -112,22 +107,21 @@
         ],
     )
     context.stopped = engine.agent
-    _send_signals(context.stopped, count)
+    _send_signals(context.stopped, names)
 
 
-@when('the first entry gets {count:d} stop signal while it streams')
-@when('the first entry gets {count:d} stop signals while it streams')
-def stop_entry(context: Any, count: int) -> None:
+@when('the first entry gets {names} while it streams')
+def stop_entry(context: Any, names: str) -> None:
     """Signal the entry once it holds requests."""
     address = context.fleet.entry_administration_addresses[0]
     wait_until(lambda: scrape(address)['held_requests'] > 0)
     context.stopped = context.fleet.entries[0]
-    _send_signals(context.stopped, count)
+    _send_signals(context.stopped, names)
 
 
-def _send_signals(process: Any, count: int) -> None:
-    for _number in range(count):
-        process.signal(signal.SIGTERM)
+def _send_signals(process: Any, names: str) -> None:
+    for name in names.split():
+        process.signal(signal.Signals[name])
         sleep(0.2)
 
 
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -135,7 +135,7 @@
     listener.is_stopping = True
     # Lets the load balancer see the failed health check before the entry
     # refuses requests.
-    stop.wait_for_second(settings.notice_period_ms / 1000)
+    stop.wait_for_interrupt(settings.notice_period_ms / 1000)
     frontend.is_stopping = True
     drain(
         stop,
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -283,7 +283,7 @@
         notice_end = started_at + min(_NOTICE_PERIOD, grace / 2)
         deadline = started_at + max(grace - _STOP_MARGIN, grace / 2)
         quiet_count = 0
-        while stop.count < 2 and self._clock.monotonic() < deadline:
+        while not stop.ends_at_once and self._clock.monotonic() < deadline:
             if self._clock.monotonic() >= notice_end:
                 frontend.rejects_new_requests = True
                 quiet_count += 1
--- a/packages/runtime/src/buckthornpond_runtime/processes.py
+++ b/packages/runtime/src/buckthornpond_runtime/processes.py
@@ -26,32 +26,42 @@
 
 
 class StopSignal:
-    """Counter of stop signals from the operating system."""
+    """Stop signals from the operating system.
 
-    __slots__ = ('count',)
+    SIGTERM begins a graceful stop, however often it comes. SIGINT begins one
+    as well, and ends one that has begun.
+    """
+
+    __slots__ = ('_has_begun', 'ends_at_once')
 
     def __init__(self) -> None:
-        self.count = 0
-        gevent.signal_handler(signal.SIGTERM, self._increment)
-        gevent.signal_handler(signal.SIGINT, self._increment)
+        self._has_begun = False
+        # Whether a graceful stop is over, whatever is still in flight.
+        self.ends_at_once = False
+        gevent.signal_handler(signal.SIGTERM, self._begin)
+        gevent.signal_handler(signal.SIGINT, self._interrupt)
 
     def wait(self) -> None:
         """Return after the first signal."""
-        while not self.count:
+        while not self._has_begun:
             gevent.sleep(_POLL_INTERVAL_SECONDS)
 
-    def wait_for_second(self, limit_seconds: float) -> None:
-        """Return after the second signal or the time limit.
+    def wait_for_interrupt(self, limit_seconds: float) -> None:
+        """Return when the stop is to end at once, or after the time limit.
 
         :param limit_seconds: longest wait.
         """
         remaining_seconds = limit_seconds
-        while self.count < 2 and remaining_seconds > 0:
+        while not self.ends_at_once and remaining_seconds > 0:
             gevent.sleep(min(_POLL_INTERVAL_SECONDS, remaining_seconds))
             remaining_seconds -= _POLL_INTERVAL_SECONDS
 
-    def _increment(self) -> None:
-        self.count += 1
+    def _begin(self) -> None:
+        self._has_begun = True
+
+    def _interrupt(self) -> None:
+        self.ends_at_once = self._has_begun
+        self._has_begun = True
 
 
 def drain(
@@ -64,7 +74,7 @@
 ) -> None:
     """Wait for the requests in flight, then exit the process.
 
-    :param stop: counter of stop signals; the second one ends the wait.
+    :param stop: stop signals; an interrupt ends the wait.
     :param clock: source of time.
     :param limit: longest wait.
     :param held_count: returns the number of requests in flight.
@@ -72,7 +82,9 @@
     """
     log_event(EventCode.stop_begun, held_count=held_count())
     deadline = clock.monotonic() + limit
-    while held_count() and stop.count < 2 and clock.monotonic() < deadline:
+    while held_count() and clock.monotonic() < deadline:
+        if stop.ends_at_once:
+            break
         gevent.sleep(_POLL_INTERVAL_SECONDS)
     if held_count():
         log_event(EventCode.stop_cut_short, held_count=held_count())
