--- a/features/steps/deadly_parts_steps.py
+++ b/features/steps/deadly_parts_steps.py
@@ -29,6 +29,39 @@
 _RECEIVE_TIMEOUT_SECONDS = 10
 
 
+def start_pair(
+    context: Any, app_count: int, llm_count: int, **changes: Any
+) -> None:
+    """Start servers, and two entries that have heard of each other.
+
+    :param context: the scenario.
+    :param app_count: servers of the plain service.
+    :param llm_count: servers of the engine service.
+    :param changes: settings of both entries that differ from the defaults.
+    """
+    ports = [find_free_port() for _ in range(2)]
+    addresses = [f'127.0.0.1:{port}' for port in ports]
+    cluster = start_world(
+        context,
+        app_count,
+        llm_count,
+        exchange_address=addresses[0],
+        peer_addresses=[],
+        **changes,
+    )
+    entry = cluster.start_entry(
+        exchange_address=addresses[1],
+        peer_addresses=addresses[:1],
+        **changes,
+    )
+    wait_until(entry.is_ready)
+    wait_until(
+        lambda: all(
+            each.dispatcher.load_exchange.peers for each in cluster.entries
+        )
+    )
+
+
 @when('a caller streams /stream/1 with the prompt parts {parts}')
 def stream_parts(context: Any, parts: str) -> None:
     """Send a request that names the parts of its prompt."""
@@ -109,22 +142,9 @@
 @given('two entries before {count:d} llm servers that part {part:w} crashes')
 def start_deadly(context: Any, count: int, part: str) -> None:
     """Start two entries that exchange hints, and servers with a fault."""
-    ports = [find_free_port() for _ in range(2)]
-    addresses = [f'127.0.0.1:{port}' for port in ports]
-    cluster = start_world(
-        context, 0, count, exchange_address=addresses[0], peer_addresses=[]
-    )
-    for server in cluster.servers:
+    start_pair(context, 0, count)
+    for server in context.cluster.servers:
         server.deadly_parts = frozenset((part,))
-    entry = cluster.start_entry(
-        exchange_address=addresses[1], peer_addresses=addresses[:1]
-    )
-    wait_until(entry.is_ready)
-    wait_until(
-        lambda: all(
-            each.dispatcher.load_exchange.peers for each in cluster.entries
-        )
-    )
 
 
 @when(
