--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -40,3 +40,49 @@
     And 3 or more crashes took a request to /read/1 along
     And each get of /read/1 was answered
     And each write to /write/1 with another body was answered
+
+  Scenario: a request is told from sound ones that share all its parts and go on being answered
+    Given 3 entries that exchange hints
+    When 1 targets crash one after another while a request with the parts shared request:deadly is unanswered
+    And a request with the parts shared request:own is answered at entry 0
+    And 1 targets crash one after another while a request with the parts shared request:deadly is unanswered
+    And a request with the parts shared request:more is answered at entry 1
+    And 1 targets crash one after another while a request with the parts shared request:deadly is unanswered
+    Then requests with the parts shared request:deadly are refused at every entry
+    And requests with the parts shared request:own; shared request:new are served at every entry
+
+  Scenario: a common request that was at each crash and is answered between them is not blamed
+    Given 3 entries that exchange hints
+    When a request with the parts request:common is answered at entry 2
+    And 3 targets crash one after another while requests with the parts request:deadly and in turn with the parts request:common wait
+    And a request with the parts request:common is answered at entry 0
+    Then requests with the parts request:deadly are refused at every entry
+    And requests with the parts request:common are served at every entry
+
+  Scenario: an entry that has just started refuses a request by what the others tell
+    Given 3 entries that exchange hints
+    When 3 targets crash one after another while a request with the parts request:deadly is unanswered
+    And after 60 seconds another entry starts
+    Then requests with the parts request:deadly are refused at every entry
+
+  Scenario Outline: in generated histories a request that is deadly as a whole is refused and others are not
+    When <seeds> histories of <entries> entries are played with <deadly> of 100 requests deadly as a whole and <others> other crashes in ten seconds
+    Then at most 3 sends of each deadly request are later than 3 seconds after its third crash
+    And at most 1 of 100 sound requests are refused
+
+    Examples:
+      | seeds | entries | deadly | others |
+      | 20    | 3       | 5      | 0      |
+      | 20    | 3       | 1      | 3      |
+      | 10    | 3       | 25     | 10     |
+      | 3     | 30      | 5      | 10     |
+
+  Scenario Outline: in generated histories without a deadly request no whole request is refused
+    When <seeds> histories of <entries> entries are played with 0 of 100 requests deadly as a whole and <others> other crashes in ten seconds
+    Then at most 1 of 100 sound requests are refused
+
+    Examples:
+      | seeds | entries | others |
+      | 20    | 3       | 10     |
+      | 10    | 3       | 40     |
+      | 3     | 30      | 20     |
