Refuse only the body that exceeds the memory, not every request meanwhile

Callers saw: while the body of one caller exceeded the budget of all bodies and its connection was still open (up to 0.3 s after its refusal), each caller whose request was read then got its answer and behind it a 503 body_budget_full that it had not asked for, and its connection was closed; one whose body was still on its way was refused.

Cause: the reader looked at the sum after each read, whoever had added to it, and after a complete request had been passed on; what was refused counted until its connection was closed. Change: a request is refused when its own body grows, beyond 16 KiB, over the budget; its body is released with the refusal.

bounded_readers "a body that is refused for want of memory costs the caller of ... nothing" failed before for a request without a body and one of 1 KiB: the reader told the request and then a bad request.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -138,3 +138,20 @@
     When the memory for responses is exhausted
     Then it holds 0 KiB
     And a response to the second attempt is sent to the caller
+
+  Scenario: bodies of callers that fill the budget cost other callers nothing
+    Given an entry process before 1 app servers and 1 llm servers
+    When 60 callers send 3900 KiB of a body at once and go on slowly while others are served
+    Then the memory of the entry grew by at most 128 MiB
+    And the others were served in time
+    And the entry counts "refusals_total{reason="body_budget_full"}" and logs "request bodies exceed the memory budget"
+
+  Scenario Outline: a body that is refused for want of memory costs the caller of <other> nothing
+    Given callers who share 400 KiB of memory, a quarter of it for bodies
+    When one sends 80 KiB of a body, another one 60 KiB, and a third one <other>
+    Then the second is refused with "body_budget_full", and the third is served
+
+    Examples:
+      | other                    |
+      | a request without a body |
+      | a body of 1 KiB          |
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -21,6 +21,8 @@
 _MIN_WAIT_SECONDS = 0.001
 # Bounds the requests that a caller may pipeline on one connection.
 _MAX_PIPELINED_COUNT = 2
+# A body up to this size is never refused for those of other callers.
+_ALLOWANCE_BYTES = 16_384
 _STEP = 'read request'
 
 
@@ -147,8 +149,9 @@
         self._can_read.set()
 
     def release(self) -> None:
-        """Release the body budget of an incomplete request."""
+        """Release the body of an incomplete request."""
         self._frontend.held_body_bytes -= self._parser.held_body_bytes
+        self._parser.discard_body()
 
     def _read(self) -> str:
         while True:
@@ -207,8 +210,11 @@
         frontend = self._frontend
         held_body_bytes = parser.held_body_bytes
         parser.feed(received, frontend.dispatch.limits)
-        frontend.held_body_bytes += parser.held_body_bytes - held_body_bytes
-        if frontend.held_body_bytes > frontend.body_budget_bytes:
+        grown_bytes = parser.held_body_bytes - held_body_bytes
+        frontend.held_body_bytes += grown_bytes
+        is_long = grown_bytes > 0 and parser.held_body_bytes > _ALLOWANCE_BYTES
+        if is_long and frontend.held_body_bytes > frontend.body_budget_bytes:
+            self.release()
             raise self._fail(
                 'body_budget_full',
                 'request bodies exceed the memory budget',
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -135,6 +135,10 @@
                 self._received_body_bytes - earlier_body_bytes,
             )
 
+    def discard_body(self) -> None:
+        """Release the body of a request that is not served."""
+        self._body = bytearray()
+
     # Callbacks of httptools.
 
     def on_message_begin(self) -> None:
