End the reading of a store whose pages do not end

Callers saw: nothing until the memory ran out, or the machine never got ready. A store that answers each page with "and more" made an entry read page after page and keep all their items; only a single reply had a limit.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -155,3 +155,13 @@
       | other                    |
       | a request without a body |
       | a body of 1 KiB          |
+
+  Scenario Outline: a store whose pages do not end is given up
+    Given a store that answers each read with <page>, and more to come
+    When an entry reads everything
+    Then it takes the store for lost with "<error>", after at most <count> pages
+
+    Examples:
+      | page                   | error                              | count |
+      | the same keys          | a page ends once more with key 'a' | 2     |
+      | the next key and 1 MiB | pages exceed 33554432 bytes        | 33    |
