Judge crashes anew only when a part is in enough of them unanswered

Cause: each new suspect of a crash made an entry judge all crashes again as soon as any of its parts stood in three crashes, answered since or not.

Change: only a part that was in the last three crashes without an answer since can be a cause, so only that starts the judgement.

--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -123,14 +123,13 @@
         return not self.sound_parts.is_answered_since(part, last_crash_at)
 
     def is_repeated(self, parts: Iterable[str]) -> bool:
-        """Return whether any of the parts was there in enough crashes.
+        """Return whether any of the parts may be a cause by now.
+
+        It was there in enough crashes, and not answered since.
 
         :param parts: parts of a request.
         """
-        return any(
-            len(self._crashes_by_part.get(part, ())) >= _CRASH_COUNT
-            for part in parts
-        )
+        return any(map(self._is_open_in_enough, parts))
 
     def drop_expired(self, now: timedelta) -> None:
         """Forget what is too old to count.
@@ -188,6 +187,13 @@
             },
         }
 
+    def _is_open_in_enough(self, part: str) -> bool:
+        crashes = self._crashes_by_part.get(part, ())
+        if len(crashes) < _CRASH_COUNT:
+            return False
+        first = crashes[-_CRASH_COUNT]
+        return not self.sound_parts.is_answered_since(part, first.occurred_at)
+
     def _index(self, crash: TargetCrash) -> None:
         for part in frozenset[str]().union(*crash.suspects):
             crashes = self._crashes_by_part.setdefault(part, [])
