--- a/packages/core/src/buckthornpond_core/refusals.py
+++ b/packages/core/src/buckthornpond_core/refusals.py
@@ -100,6 +100,11 @@
             may_retry=True,
         ),
         'queue_full': RefusalKind(503, 'Queue full', may_retry=True),
+        'request_quarantined': RefusalKind(
+            503,
+            'This request crashes targets',
+            may_retry=True,
+        ),
         'response_too_large': RefusalKind(502, 'Answer too large'),
         'retry_budget_exhausted': RefusalKind(503, 'Overload', may_retry=True),
         'route_unknown': RefusalKind(404, 'Route unknown'),
--- a/packages/core/src/buckthornpond_core/serving/admissions.py
+++ b/packages/core/src/buckthornpond_core/serving/admissions.py
@@ -31,3 +31,13 @@
         self.identity = identify_request(
             metadata, organisation.name if organisation else ''
         )
+
+    @property
+    def suspect_parts(self) -> list[str]:
+        """Return what is suspected if a target crashes with the request.
+
+        These are the prompt parts that other requests may hold too, and the
+        identity of the request where it is known.
+        """
+        identity = [self.identity] if self.identity else []
+        return [*self.metadata.shared_parts, *identity]
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -1,4 +1,4 @@
-"""What the end of an attempt tells of the parts of its prompt."""
+"""What the end of an attempt tells of its request and of parts of it."""
 
 from datetime import timedelta
 
@@ -43,7 +43,7 @@
         :param quarantine: judges the parts of all requests.
         :param now: time on the monotonic clock.
         """
-        parts = self._admission.metadata.shared_parts
+        parts = self._admission.suspect_parts
         if not parts:
             return
         report = self._report
--- a/packages/core/src/buckthornpond_core/serving/attempt_reports.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_reports.py
@@ -44,10 +44,10 @@
 def report_proof(
     admission: AdmittedRequest, now: timedelta
 ) -> list[ExchangeEffect]:
-    """Report that the prompt of a request crashes no target.
+    """Report that a request crashes no target.
 
     :param admission: the request.
     :param now: when that showed, on the monotonic clock.
     """
-    shared_parts = admission.metadata.shared_parts
-    return [ReportProof(shared_parts, now)] if shared_parts else []
+    parts = admission.suspect_parts
+    return [ReportProof(parts, now)] if parts else []
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -49,6 +49,7 @@
         'credential_unknown': 0,
         'no_configuration': _START_RETRY_AFTER_MS,
         'prompt_quarantined': QUARANTINE_RETRY_AFTER_MS,
+        'request_quarantined': QUARANTINE_RETRY_AFTER_MS,
         'route_unknown': 0,
     },
 )
@@ -214,9 +215,10 @@
         :param is_repeat: whether a target may already have received it; such
             an attempt is charged to the retry budget.
         """
-        shared_parts = admission.metadata.shared_parts
-        if not self.load_exchange.quarantine.may_place(shared_parts, now):
-            return self._build_failure('prompt_quarantined', now)
+        quarantine = self.load_exchange.quarantine
+        parts = admission.suspect_parts
+        if not quarantine.may_place(parts, now):
+            return self._build_failure(quarantine.find_reason(parts), now)
         candidates = self._candidates.find(admission, excluded, now)
         if not candidates:
             return self._build_failure('no_target', now)
--- a/packages/core/src/buckthornpond_core/serving/effects.py
+++ b/packages/core/src/buckthornpond_core/serving/effects.py
@@ -131,16 +131,15 @@
 class ReportProof:
     """Notice to the dispatch task that a target survives a request.
 
-    :param shared_parts: parts of its prompt that others may hold too.
+    :param parts: parts of its prompt that others may hold too, and its
+        identity.
     :param proven_at: time on the monotonic clock.
     """
 
-    __slots__ = ('proven_at', 'shared_parts')
+    __slots__ = ('parts', 'proven_at')
 
-    def __init__(
-        self, shared_parts: Sequence[str], proven_at: timedelta
-    ) -> None:
-        self.shared_parts = shared_parts
+    def __init__(self, parts: Sequence[str], proven_at: timedelta) -> None:
+        self.parts = parts
         self.proven_at = proven_at
 
 
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -1,4 +1,4 @@
-"""Prompt parts whose requests are refused, since they crash targets.
+"""Requests that are refused since they, or parts of them, crash targets.
 
 Entries tell each other of crashes, of parts that were answered and of
 quarantines, so that all of them stop sending such requests together and an
@@ -21,6 +21,7 @@
     make_crash_hint,
     make_quarantine_hint,
 )
+from .request_identity import is_identity
 from .target_crashes import PartSet, Suspect, TargetCrash
 
 _MS = timedelta(milliseconds=1)
@@ -35,7 +36,7 @@
 
 
 class PartQuarantine:
-    """Decides which requests are refused for the parts of their prompts.
+    """Decides which requests are refused for crashes of targets.
 
     :param address: address of this entry.
     :param membership: other entries that may be alive.
@@ -75,22 +76,18 @@
         """Return whether other entries should soon hear of something."""
         return self._has_news
 
-    def may_place(self, shared_parts: Iterable[str], now: timedelta) -> bool:
+    def may_place(self, parts: Iterable[str], now: timedelta) -> bool:
         """Return whether a request may be sent to a target.
 
         Refusing a request prolongs the quarantine of its parts.
 
-        :param shared_parts: parts of its prompt that others may hold too.
+        :param parts: parts of its prompt that others may hold too, and its
+            identity.
         :param now: time on the monotonic clock.
         """
         if not self._quarantines:
             return True
-        parts = frozenset(shared_parts)
-        found = [
-            quarantine
-            for quarantine in self._quarantines.values()
-            if quarantine.parts <= parts
-        ]
+        found = self._find(parts)
         if found and all(self._may_probe(each, now) for each in found):
             for quarantine in found:
                 quarantine.postpone_probe(now)
@@ -99,6 +96,19 @@
             quarantine.ends_at = now + QUARANTINE_TIME
         return not found
 
+    def find_reason(self, parts: Iterable[str]) -> str:
+        """Return the reason with which a request is refused.
+
+        :param parts: parts of its prompt that others may hold too, and its
+            identity.
+        """
+        is_whole = any(
+            is_identity(part)
+            for quarantine in self._find(parts)
+            for part in quarantine.parts
+        )
+        return 'request_quarantined' if is_whole else 'prompt_quarantined'
+
     def record_loss(
         self,
         target: str,
@@ -117,24 +127,23 @@
             self._has_news = True
             self._update([suspect], _OWN_ORIGIN)
 
-    def record_sound(
-        self, shared_parts: Iterable[str], proven_at: timedelta
-    ) -> None:
+    def record_sound(self, parts: Iterable[str], proven_at: timedelta) -> None:
         """Record that a target answered a request.
 
-        :param shared_parts: parts of the prompt that others may hold too.
+        :param parts: parts of its prompt that others may hold too, and its
+            identity.
         :param proven_at: when it had begun to answer, on the monotonic clock.
         """
-        parts = frozenset(shared_parts)
+        held_parts = frozenset(parts)
         cleared = {
             part
-            for part in parts
+            for part in held_parts
             if self.evidence.is_cleared_by(part, proven_at)
         }
-        self.evidence.sound_parts.record(parts, proven_at)
+        self.evidence.sound_parts.record(held_parts, proven_at)
         self._told_sound_parts |= cleared
         self._has_news = self._has_news or bool(cleared)
-        self._release_sound(parts, proven_at)
+        self._release_sound(held_parts, proven_at)
 
     def fill_hint(self, hint: LoadHint, now: timedelta) -> None:
         """Add to a hint what other entries have to know.
@@ -198,6 +207,15 @@
             if now >= quarantine.ends_at:
                 self._release(quarantine, 'expired')
 
+    def _find(self, parts: Iterable[str]) -> list[Quarantine]:
+        """Return the quarantines that concern a request with these parts."""
+        held_parts = frozenset(parts)
+        return [
+            quarantine
+            for quarantine in self._quarantines.values()
+            if quarantine.parts <= held_parts
+        ]
+
     def _may_probe(self, quarantine: Quarantine, now: timedelta) -> bool:
         """Return whether this entry may test if the parts still crash targets.
 
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -364,7 +364,7 @@
 
     def _record_proof(self, message: ReportProof, now: timedelta) -> None:
         self._dispatcher.load_exchange.quarantine.record_sound(
-            message.shared_parts, message.proven_at
+            message.parts, message.proven_at
         )
 
     def _place(self, message: PlacementRequest, now: timedelta) -> None:
