Tell crashes of the last minute to an entry that is heard anew (BUDGET)

Cause: crashes are told for three seconds. What an entry saw while it was cut off for longer, and crashes before an entry started, that convict nobody yet, remained unknown to the others, so that each part of the fleet counted from the beginning.

Change: when an entry is heard for the first time or again, the hints of the next three seconds tell the crashes of the last minute, at most the last eight.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -97,6 +97,19 @@
     And after 60 seconds another entry starts
     Then requests with the parts shared dead are refused at every entry
 
+  Scenario: crashes that an entry saw while it was cut off become known to the others
+    Given 3 entries that exchange hints
+    When entry 1 is cut off for 12 seconds and loses 2 targets with the parts dead
+    And 1 targets crash one after another while a request with the parts dead is unanswered
+    Then requests with the parts dead are refused at every entry
+
+  Scenario: an entry that has just started learns of crashes that convict nobody yet
+    Given 3 entries that exchange hints
+    When 2 targets crash one after another while a request with the parts dead is unanswered
+    And after 10 seconds another entry starts
+    And entry 3 is cut off for 12 seconds and loses 1 targets with the parts dead
+    Then requests with the parts dead are refused at every entry
+
   Scenario: an entry that has just started does not blame a part that the others saw answered
     Given 3 entries that exchange hints
     When a request with the parts shared is answered at entry 1
--- a/features/specs/quarantines.py
+++ b/features/specs/quarantines.py
@@ -43,6 +43,8 @@
         self.entries: list[LoadExchange] = []
         self._fleet = Fleet()
         self._turn = 0
+        # Numbers of the entries that exchange no hints with others.
+        self.isolated: set[int] = set()
         for _ in range(count):
             self.add()
         self._exchange()
@@ -80,6 +82,11 @@
                 self.now,
             )
 
+    def crash_at(self, number: int, parts: Sequence[str]) -> None:
+        """Lose a target at which one entry alone had a request."""
+        self._turn = number - 1
+        self.crash([parts])
+
     def answer(self, parts: Sequence[str], number: int) -> None:
         """Answer a request at an entry."""
         self.entries[number].quarantine.record_sound(parts, self.now)
@@ -102,8 +109,9 @@
         return self.entries[number].make_hint(self._fleet, self.now)
 
     def _exchange(self) -> None:
-        for entry in self.entries:
+        for number, entry in enumerate(self.entries):
             hint = entry.make_hint(self._fleet, self.now)
-            for other in self.entries:
-                if other is not entry:
+            for other_number, other in enumerate(self.entries):
+                is_cut = bool(self.isolated & {number, other_number})
+                if other is not entry and not is_cut:
                     other.apply_hint(hint, self._fleet, self.now)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -126,6 +126,24 @@
         context.group.advance(_SECOND)
 
 
+@when(
+    'entry {number:d} is cut off for {count:d} seconds and loses'
+    ' {crashes:d} targets with the parts {parts}'
+)
+def crash_behind_cut(
+    context: Any, number: int, count: int, crashes: int, parts: str
+) -> None:
+    """Let one entry alone see crashes, long before the others hear of it."""
+    group = context.group
+    group.isolated.add(number)
+    for _ in range(crashes):
+        group.crash_at(number, parts.split())
+        group.advance(_SECOND)
+    advance(context, count - crashes)
+    group.isolated.discard(number)
+    group.advance(_SECOND)
+
+
 @when('after {count:d} seconds another entry starts')
 def start_another(context: Any, count: int) -> None:
     """Let time pass, and start an entry that knows nothing."""
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -183,6 +183,7 @@
         if peer is None or peer.incarnation != hint.incarnation:
             peer = Peer(hint.incarnation)
             self.peers[hint.sender] = peer
+            self.quarantine.tell_again(now)
         if hint.sequence <= peer.sequence:
             return False
         peer.sequence = hint.sequence
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -29,6 +29,8 @@
 # Crashes are told again for this long, for entries that missed a datagram or
 # are told by others only.
 _RELAY_TIME = timedelta(seconds=3)
+# How old crashes are told to an entry that has started or was cut off.
+_RETOLD_AGE = timedelta(seconds=60)
 _MAX_TOLD_CRASHES = 8
 _MAX_TOLD_PARTS = 64
 _MAX_TOLD_QUARANTINES = 64
@@ -51,6 +53,7 @@
         '_new_crashes',
         '_quarantines',
         '_recorder',
+        '_retells_until',
         '_told_sound_parts',
     )
 
@@ -66,6 +69,8 @@
         self._has_news = False
         self._new_crashes: list[TargetCrash] = []
         self._told_sound_parts: set[str] = set()
+        # Until when hints tell older crashes too, on the monotonic clock.
+        self._retells_until = timedelta()
 
     def __len__(self) -> int:
         """Return the number of quarantines."""
@@ -145,6 +150,13 @@
         self._has_news = self._has_news or bool(cleared)
         self._release_sound(held_parts, proven_at)
 
+    def tell_again(self, now: timedelta) -> None:
+        """Tell what a newly heard entry may have missed.
+
+        :param now: time on the monotonic clock.
+        """
+        self._retells_until = now + _RELAY_TIME
+
     def fill_hint(self, hint: LoadHint, now: timedelta) -> None:
         """Add to a hint what other entries have to know.
 
@@ -153,10 +165,12 @@
         """
         crashes = self._new_crashes
         if hint.is_full:
+            is_retold = now < self._retells_until
+            max_age = _RETOLD_AGE if is_retold else _RELAY_TIME
             crashes = [
                 crash
                 for crash in self.evidence
-                if now - crash.occurred_at < _RELAY_TIME
+                if now - crash.occurred_at < max_age
             ]
         crashes = crashes[-_MAX_TOLD_CRASHES:]
         hint.crashes = [make_crash_hint(crash, now) for crash in crashes]
