Keep no connection on which a target refused a request

What callers saw in the tests: a copy of an earlier refusal in the middle of the next answer became a part of its body (200 with other bytes, MIXED); one that broke off became the beginning of the next head, and a write that had run was answered 503; one that named no request cost the next write its answer (502).

Cause: a connection was kept after a refusal, so whatever a target writes once more of it is read as part of a later request's answer. The ID tells only where a whole copy with an ID comes between two answers.

Change: a connection is closed after a refusal (503 and others with the proof that the request did not run, 421). Nothing that is read on a connection can be a copy of a refusal then, wherever it comes and whatever it names.

Cost: one new connection for each refusal.

Evidence: `refusal_copies.feature`, 5 of 20 scenarios failed with IDs carried once only (200 with the bytes of a 421 in a write's body; 502 for a copy without an ID; two bodies with a 408 and a 503 inside; 503 for a write that had run, copy of a 421 cut), none now. `broken_answers`, `doubled_answers`, `reported_faults` and `direct_requests` pass.

--- a/features/refusal_copies.feature
+++ b/features/refusal_copies.feature
@@ -15,6 +15,10 @@
       | while_idle       | writes  |
       | before_next      | writes  |
       | before_next      | streams |
+      | behind_next_head | writes  |
+      | behind_next_head | streams |
+      | inside_next      | writes  |
+      | inside_next      | streams |
 
   Scenario Outline: a caller that uses an ID again after a refusal gets a true answer
     Given an entry before 2 app servers and 1 llm servers
@@ -43,3 +47,18 @@
       | moment           | count | names         | refusal  | writes |
       | before_next      | 0     | names         | shed     | 4      |
       | before_next      | 20    | names         | throttle | 24     |
+      | before_next      | 0     | does not name | shed     | 4      |
+      | behind_next_head | 0     | names         | expire   | 4      |
+      | inside_next      | 0     | names         | shed     | 4      |
+
+  Scenario Outline: a copy of a refusal that breaks off does not become the head of the next answer
+    Given an entry before 2 app servers and 1 llm servers
+    And servers write each refusal once more: cut
+    When for each length of the copy a caller is refused with <refusal> and writes again
+    Then no request ran more than once
+    And a status that states that the request did not run is true
+
+    Examples:
+      | refusal |
+      | shed    |
+      | moved   |
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -45,7 +45,12 @@
     AttemptHead,
     AttemptMessage,
 )
-from .response_checks import continues_stream, find_head_fault, is_success
+from .response_checks import (
+    continues_stream,
+    find_head_fault,
+    is_refusal,
+    is_success,
+)
 from .timeouts import find_event_timeout, find_first_byte_timeout
 
 _MS = timedelta(milliseconds=1)
@@ -344,7 +349,7 @@
         if self.is_streaming:
             return self._end_stream(message, now)
         metadata = head.metadata
-        if metadata.is_not_run or metadata.status_code == MISDIRECTED:
+        if is_refusal(metadata):
             return self._handle_refusal(head, now)
         if metadata.status_code in _NOT_RUN_STATUSES:
             return self._fail_attempt(
--- a/packages/core/src/buckthornpond_core/serving/response_checks.py
+++ b/packages/core/src/buckthornpond_core/serving/response_checks.py
@@ -2,6 +2,7 @@
 
 from http import HTTPStatus
 
+from .._generated.serving import ResponseMetadata
 from .effects import ResponseHead
 
 _MEDIA_TYPE_FIELD = 'content-type'
@@ -15,6 +16,15 @@
     return HTTPStatus.OK <= status_code < HTTPStatus.MULTIPLE_CHOICES
 
 
+def is_refusal(metadata: ResponseMetadata) -> bool:
+    """Return whether a target states that it did not run a request.
+
+    :param metadata: head of its response.
+    """
+    is_misdirected = metadata.status_code == HTTPStatus.MISDIRECTED_REQUEST
+    return metadata.is_not_run or is_misdirected
+
+
 def find_head_fault(head: ResponseHead, attempt_id: str) -> str:
     """Return why a response must not be believed, or an empty string.
 
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -22,6 +22,7 @@
     AttemptHead,
     AttemptMessage,
 )
+from buckthornpond_core.serving.response_checks import is_refusal
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
@@ -229,7 +230,9 @@
         )
         self._notify(AttemptHead(head))
         self._read_body(connection, response)
-        self._mark_reusable(connection, response)
+        # What comes later on it may be a copy of the refusal.
+        if not is_refusal(metadata):
+            self._mark_reusable(connection, response)
         self._notify(AttemptCompleted(is_delimited=response.is_body_delimited))
 
     def _open_connection(self) -> HttpConnection:
