Use no connection again on which another request was answered

An answer that names a request which the connection has never carried ends the attempt, but if it had been read whole by then, its connection was kept, with the attempt's own answer possibly still to come. No caller got it, as each answer has to name its request; the next request waited behind the first one at the target.

Whether a connection may carry another request is decided by the head in one place now (`allows_reuse`): neither after a refusal nor after a head that is not believed.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -61,6 +61,12 @@
       | refusal_copy    |
       | unnamed_refusal |
 
+  Scenario: a connection on which another request was answered carries no further one
+    Given the next app servers do: wrong_id wrong_id wrong_id
+    When 8 times a caller posts 10 bytes to /write/1
+    Then 5 answers are 200
+    And the app servers accepted at least 4 connections
+
   Scenario Outline: an answer that stops inside its head is no answer
     Given servers that stop inside the head of each answer
     When for each number of bytes a caller <sends>
--- a/features/steps/broken_answers_steps.py
+++ b/features/steps/broken_answers_steps.py
@@ -36,6 +36,21 @@
         server.default_behaviour = Behaviour(behaviour)
 
 
+@then('{count:d} answers are {status:d}')
+def check_status_count(context: Any, count: int, status: int) -> None:
+    """Count the answers with a status."""
+    statuses = [answer.status for answer in context.answers]
+    assert statuses.count(status) == count, statuses
+
+
+@then('the {service:w} servers accepted at least {count:d} connections')
+def check_connections(context: Any, service: str, count: int) -> None:
+    """Count the connections that servers of a service accepted."""
+    servers = list_servers(context, service)
+    accepted = [server.connection_count for server in servers]
+    assert sum(accepted) >= count, accepted
+
+
 @given('servers that stop inside the head of each answer')
 def cut_heads(context: Any) -> None:
     """Let every server break off inside the head."""
--- a/packages/core/src/buckthornpond_core/serving/response_checks.py
+++ b/packages/core/src/buckthornpond_core/serving/response_checks.py
@@ -48,6 +48,18 @@
     return ''
 
 
+def allows_reuse(head: ResponseHead, attempt_id: str) -> bool:
+    """Return whether a connection may carry another request.
+
+    What follows a refusal may be a copy of it, and what follows a response to
+    another request may be the response to this one.
+
+    :param head: head of the response that was read on it.
+    :param attempt_id: identifies the request.
+    """
+    return not (is_refusal(head.metadata) or find_head_fault(head, attempt_id))
+
+
 def continues_stream(started: ResponseHead, head: ResponseHead) -> bool:
     """Return whether a response goes on with a stream that had begun.
 
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -22,7 +22,7 @@
     AttemptHead,
     AttemptMessage,
 )
-from buckthornpond_core.serving.response_checks import is_refusal
+from buckthornpond_core.serving.response_checks import allows_reuse
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.connections import HttpConnection
 from buckthornpond_runtime.logs import log_event
@@ -230,8 +230,7 @@
         )
         self._notify(AttemptHead(head))
         self._read_body(connection, response)
-        # What comes later on it may be a copy of the refusal.
-        if not is_refusal(metadata):
+        if allows_reuse(head, self._effect.attempt_id):
             self._mark_reusable(connection, response)
         self._notify(AttemptCompleted(is_delimited=response.is_body_delimited))
 
