Limit the length of a message at an entry's links to agents

Callers saw: nothing until the memory ran out. A peer at the address of an agent that declares a frame of 2 GB and goes on sending was read into memory as it came: a trial read 1.9 GB in 1 s before it was stopped. The agents' listening socket has had a limit of 72 MB on a frame; the entries' links had none.

Change: the same limit at the links; a longer frame closes the connection.

bounded_readers "an entry whose peer sends a frame of 2 GB without end cuts it off" failed before (16 MiB read, where the test stops), as the only one of six: frames of 2 GB and 9 TB and bytes that are no frame, at an entry and an agent.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -165,3 +165,17 @@
       | page                   | error                              | count |
       | the same keys          | a page ends once more with key 'a' | 2     |
       | the next key and 1 MiB | pages exceed 33554432 bytes        | 33    |
+
+  Scenario Outline: <reader> whose peer sends <part> without end cuts it off
+    Given <reader> whose peer sends <part> without end
+    When the peer is cut off or has sent 16 MiB
+    Then it was cut off after at most 8 MiB
+
+    Examples:
+      | reader   | part                    |
+      | an entry | a frame of 2 GB         |
+      | an entry | a frame of 9 TB         |
+      | an entry | bytes that are no frame |
+      | an agent | a frame of 2 GB         |
+      | an agent | a frame of 9 TB         |
+      | an agent | bytes that are no frame |
--- a/packages/runtime/src/buckthornpond_runtime/transports.py
+++ b/packages/runtime/src/buckthornpond_runtime/transports.py
@@ -180,6 +180,7 @@
         self._socket = context.socket(zmq.DEALER)
         self._socket.setsockopt(zmq.ROUTING_ID, identity.encode())
         self._socket.setsockopt(zmq.LINGER, 0)
+        self._socket.setsockopt(zmq.MAXMSGSIZE, _MAX_MESSAGE_BYTES)
         # Queue nothing for a peer that is down, since the next process at its
         # address would receive it.
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
