List a message of endless frames between entries and agents as known red

libzmq keeps all frames of a message until its last one and limits only the length of a frame. Entries without agents (the users' platform) open no such socket. A socket type that refuses further frames is missing in the released library (its draft types would); another framing or transport is a change of its own.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -179,3 +179,13 @@
       | an agent | a frame of 2 GB         |
       | an agent | a frame of 9 TB         |
       | an agent | bytes that are no frame |
+
+  Scenario Outline: <reader> whose peer never ends a message of many frames cuts it off
+    Given <reader> whose peer sends frames of one message without end
+    When the peer is cut off or has sent 16 MiB
+    Then it was cut off after at most 8 MiB
+
+    Examples:
+      | reader   |
+      | an entry |
+      | an agent |
