--- a/features/once_only.feature
+++ b/features/once_only.feature
@@ -23,11 +23,13 @@
       | present |
 
   Scenario Outline: in no history of answers, refusals and copies is a request refused that ran, or run twice
-    Given an entry before 2 servers that play histories, each listed <listed>
-    When <count> histories are played while a caller posts
+    Given an entry before 2 <service> servers that play histories, each listed <listed>
+    When 300 histories are played while a caller sends requests that may run once
     Then each request ran at most once, and each refusal and each success was true
 
     Examples:
-      | count | listed    |
-      | 300   | once      |
-      | 300   | two times |
+      | service | listed    |
+      | app     | once      |
+      | app     | two times |
+      | llm     | once      |
+      | llm     | two times |
--- a/features/specs/answer_histories.py
+++ b/features/specs/answer_histories.py
@@ -14,9 +14,12 @@
     SIGNATURE_LINE,
     ReceivedRequest,
     render_body,
+    render_event,
 )
 from buckthornpond_platform_standins.servers import ServerStandIn
 
+EVENT_COUNT = 2
+_LAST_CHUNK = b'0\r\n\r\n'
 _PERCENT = 100
 _MAX_EXTRAS = 3
 _AGES = (0, 0, 0, 1, 2, 3)
@@ -141,13 +144,17 @@
 
     :param attempt_id: attempt that it answers.
     :param result: what became of the attempt.
+    :param is_stream: whether an answer is a stream of events.
     """
 
-    __slots__ = ('_attempt_id', '_result')
+    __slots__ = ('_attempt_id', '_is_stream', '_result')
 
-    def __init__(self, attempt_id: str, result: TurnResult) -> None:
+    def __init__(
+        self, attempt_id: str, result: TurnResult, *, is_stream: bool
+    ) -> None:
         self._attempt_id = attempt_id
         self._result = result
+        self._is_stream = is_stream
 
     def render(self, *, is_named: bool = True) -> bytes:
         """Return the bytes of the response.
@@ -162,6 +169,8 @@
         }[self._result]
         if is_named:
             head.append(f'X-Attempt-Id: {self._attempt_id}')
+        if self._is_stream and self._result is TurnResult.answered:
+            return _render_stream(head, self._attempt_id)
         body = render_body(self._attempt_id)
         lines = [*head, f'Content-Length: {len(body)}', '', '']
         return '\r\n'.join(lines).encode() + body
@@ -170,11 +179,13 @@
 class HistoryServer(ServerStandIn):
     """Server that plays the turns of a history, and then answers.
 
+    :param service: name of the service; requests with a token count get
+        streams.
     :param turns: turns that all servers of the scenario share.
     """
 
-    def __init__(self, turns: deque[Turn]) -> None:
-        super().__init__('app')
+    def __init__(self, service: str, turns: deque[Turn]) -> None:
+        super().__init__(service)
         self._turns = turns
         self._sent: dict[socket, list[SentResponse]] = {}
 
@@ -192,7 +203,9 @@
         if turn.result is TurnResult.lost:
             connection.sendall(before)
             return False
-        response = SentResponse(attempt_id, turn.result)
+        response = SentResponse(
+            attempt_id, turn.result, is_stream='x-token-count' in fields
+        )
         sent.append(response)
         after = _render_copies(sent, turn.after)
         content = before + response.render()
@@ -210,6 +223,16 @@
         return Turn(TurnResult.answered, [], [], 0, is_after_late=False)
 
 
+def _render_stream(head: list[str], attempt_id: str) -> bytes:
+    fields = ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']
+    parts = ['\r\n'.join([*head, *fields, '', '']).encode()]
+    for number in range(1, EVENT_COUNT + 1):
+        event = render_event(number, attempt_id)
+        parts.append(b'%x\r\n%b\r\n' % (len(event), event))
+    parts.append(_LAST_CHUNK)
+    return b''.join(parts)
+
+
 def _send_split(connection: socket, content: bytes, percent: int) -> None:
     first_bytes = len(content) * percent // _PERCENT
     connection.sendall(content[:first_bytes])
