End load reports and orders of agents that come byte by byte

Callers saw: an agent whose engine sends a byte of its load report now and then read no further report, as long as that lasted, and placed by an old one; the same for the report on orders, so that no further order was given.

Cause: the time limit of these calls held for each wait, not for the whole. Change: HttpCall takes a limit on the time until the response is complete; reports and orders end after their 2 s. Calls for callers have the deadline of their request and stay as they are.

Not mended: documents that an agent or entry reads from the platform interface may be 1 MiB, and still have a limit for each wait only.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -97,6 +97,17 @@
       | a call of an agent                    | an event | 2048 |
       | an attempt whose caller reads nothing | an event | 512  |
 
+  Scenario Outline: <reader> that is slowly sent <part> does not wait for its end
+    Given a server that slowly sends <part> without end
+    When <reader> reads from it
+    Then it gives up and has kept at most 512 KiB
+
+    Examples:
+      | reader           | part                  |
+      | an order         | a status line         |
+      | a load report    | a body under a length |
+      | the store client | a body under a length |
+
   Scenario: many responses of many header fields do not exhaust the entry
     Given an entry process before 1 app servers and 1 llm servers
     And a faulty service whose servers slowly send header fields without end
--- a/features/steps/bounded_readers_steps.py
+++ b/features/steps/bounded_readers_steps.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 from typing import Any
 
+import gevent
 from behave import given, then, when
 
 from buckthornpond_core._generated.serving import Placement, ResponseMetadata
@@ -34,6 +35,8 @@
 from features.steps.separate_attempts_steps import make_admission
 
 _KIBIBYTE = 1024
+# Far beyond the time limits of all readers; a reader that never ends fails.
+_GIVE_UP_SECONDS = 15
 _NOW = timedelta(seconds=1)
 
 
@@ -45,10 +48,19 @@
     context.fleet.peers.append(context.server)
 
 
+@given('a server that slowly sends {part} without end')
+def start_slow_server(context: Any, part: str) -> None:
+    """Start a server that sends a byte now and then."""
+    start_server(context, part)
+    context.server.pace = EndlessPace.slow
+
+
 @when('{reader} reads from it')
 def read_endless(context: Any, reader: str) -> None:
     """Let a reader of this process read until it gives up."""
-    context.kept_bytes = measure_kept_bytes(reader, context.server.address)
+    endless = AssertionError('the reader does not give up')
+    with gevent.Timeout(_GIVE_UP_SECONDS, endless):
+        context.kept_bytes = measure_kept_bytes(reader, context.server.address)
     report(f'kept {context.kept_bytes / _KIBIBYTE:.0f} KiB')
 
 
--- a/packages/agent/src/buckthornpond_agent/orders.py
+++ b/packages/agent/src/buckthornpond_agent/orders.py
@@ -130,7 +130,7 @@
     def _call(self, method: str, body: bytes) -> bytes:
         desired_state = self._planner.desired_state
         address = desired_state.target_address if desired_state else ''
-        call = HttpCall(address, _ORDER_TIMEOUT)
+        call = HttpCall(address, _ORDER_TIMEOUT, _ORDER_TIMEOUT)
         try:
             call.send(
                 method, _ORDERS_PATH, body, {'content-type': 'application/json'}
--- a/packages/agent/src/buckthornpond_agent/reports.py
+++ b/packages/agent/src/buckthornpond_agent/reports.py
@@ -62,7 +62,7 @@
                 self._poll()
 
     def _poll(self) -> None:
-        call = HttpCall(self._address, _POLL_TIMEOUT)
+        call = HttpCall(self._address, _POLL_TIMEOUT, _POLL_TIMEOUT)
         try:
             report = _read_report(call)
         except _CALL_ERRORS as error:
--- a/packages/runtime/src/buckthornpond_runtime/calls.py
+++ b/packages/runtime/src/buckthornpond_runtime/calls.py
@@ -4,6 +4,7 @@
 
 from buckthornpond_core.exceptions import TargetError
 
+from .clocks import SystemClock
 from .connections import HttpConnection
 from .responses import HttpResponse
 
@@ -21,18 +22,31 @@
 
     :param address: IP address and port of the server.
     :param timeout: longest silence of the server.
+    :param time_limit: longest time until the response is complete; ``None``
+        sets no limit.
     """
 
     __slots__ = (
         '_address',
+        '_clock',
         '_connection',
+        '_deadline',
         '_response',
         '_timeout',
         'is_sent',
     )
 
-    def __init__(self, address: str, timeout: timedelta) -> None:
+    def __init__(
+        self,
+        address: str,
+        timeout: timedelta,
+        time_limit: timedelta | None = None,
+    ) -> None:
         self._address = address
+        self._clock = SystemClock()
+        self._deadline: timedelta | None = None
+        if time_limit is not None:
+            self._deadline = self._clock.monotonic() + time_limit
         self._timeout = timeout
         self._connection = HttpConnection(address)
         self._response: HttpResponse | None = None
@@ -84,7 +98,7 @@
         self.is_sent = True
         self._connection.send(head + body)
         while not response.is_head_complete:
-            self._connection.receive(response, 'send')
+            self._receive(response, 'send')
         if not _LOWEST_STATUS <= response.status_code <= _HIGHEST_STATUS:
             raise self._fail('status code out of range', 'send')
         self._response = response
@@ -103,7 +117,7 @@
             found = response.take_events(limit_bytes)
             if found or response.is_complete:
                 return found
-            self._connection.receive(response, 'read')
+            self._receive(response, 'read')
 
     def read_block(self, length_bytes: int) -> bytes:
         """Return the next bytes of the body, or ``b''`` at the end.
@@ -112,13 +126,21 @@
         """
         response = self.response
         while not response.has_buffered(length_bytes):
-            self._connection.receive(response, 'read')
+            self._receive(response, 'read')
         return response.take(length_bytes)
 
     def close(self) -> None:
         """Close the connection and thereby cancel an unfinished call."""
         self._connection.close()
 
+    def _receive(self, response: HttpResponse, step: str) -> None:
+        if self._deadline is not None:
+            remaining = self._deadline - self._clock.monotonic()
+            if remaining <= timedelta():
+                raise self._fail('response not complete in time', step)
+            self._connection.set_timeout(min(remaining, self._timeout))
+        self._connection.receive(response, step)
+
     def _render_head(
         self,
         method: str,
