End the work of a caller that closes while its request is admitted

Cause: a close that is read while the request is being admitted is kept for after the request (CallerTask._admit), and the exchange started without looking at it.

Change: the exchange handles what the reader sent before, first. A request whose caller has left is not placed at all.

--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -140,9 +140,10 @@
             writer=self._writer,
             frontend=self._frontend,
             mailbox=self._mailbox,
+            earlier_messages=self._pending_messages,
         )
         runner.run(arrival)
-        self._pending_messages.extend(runner.deferred_messages)
+        self._pending_messages = runner.deferred_messages
 
     def _admit(
         self,
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -1,6 +1,6 @@
 """Execution of the effects of one request's exchange."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Any, TypeAlias
 
@@ -68,12 +68,15 @@
     :param writer: sends the response.
     :param frontend: state that all caller tasks share.
     :param mailbox: receives all messages that concern the request.
+    :param earlier_messages: messages of the reader that came before the
+        request was admitted.
     """
 
     __slots__ = (
         '_attempt',
         '_attempt_count',
         '_disconnected',
+        '_earlier_messages',
         '_effect_handlers',
         '_exchange',
         '_frontend',
@@ -93,12 +96,14 @@
         writer: ResponseWriter,
         frontend: FrontendState,
         mailbox: Mailbox[CallerMessage],
+        earlier_messages: Sequence[ReaderMessage],
     ) -> None:
         self._exchange = exchange
         self._request = request
         self._writer = writer
         self._frontend = frontend
         self._mailbox = mailbox
+        self._earlier_messages = earlier_messages
         self._attempt: AttemptTask | None = None
         self._attempt_count = 0
         self._share = ResponseShare(frontend.response_budget, mailbox)
@@ -143,7 +148,10 @@
     def _run(self) -> None:
         exchange = self._exchange
         clock = self._frontend.clock
-        self._execute(exchange.start())
+        for earlier in self._earlier_messages:
+            self._execute(self._handle(earlier, clock.monotonic()))
+        if not exchange.is_done:
+            self._execute(exchange.start())
         while not exchange.is_done or exchange.is_awaiting_placement:
             self._share.may_give_up = not exchange.is_done
             message = self._mailbox.receive(self._wait_seconds())
