Give back the bytes of pipelined requests that are never served

A request that a caller pipelined behind one that ends the connection kept its body in the budget for bodies for good; some of these and the entry refuses every body.

Cause: a queued request counted until it was served, and the end of its connection released only the incomplete one.

Change: a reader keeps what it counts towards the budget as one number, the queued and the incomplete requests together, and releases it at the end.

--- /dev/null
+++ b/features/steps/pipelined_bodies_steps.py
@@ -0,0 +1,87 @@
+"""Steps for the memory that callers' requests hold."""
+
+from types import MappingProxyType
+from typing import Any
+
+import gevent
+from behave import given, then, when
+from gevent.socket import create_connection
+
+from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.local_clusters import (
+    API_KEY,
+    HOST,
+    READ_PATH,
+    STREAM_PATH,
+)
+from features.steps.direct_steps import start_world
+
+_BODY_MEMORY_PARTS = 4
+_TIMEOUT_SECONDS = 5
+_READ_BYTES = 65_536
+_STATUS_LINE = b'HTTP/1.1 '
+_FIELDS = f'Host: {HOST}\r\nAuthorization: Token {API_KEY}\r\n'
+_FIRST_FIELDS = f'{_FIELDS}X-Attempt-Id: a1\r\n'
+_STREAM_FIELDS = f'{_FIRST_FIELDS}X-Token-Count: 100,40\r\n'
+_FIRST_REQUESTS = MappingProxyType(
+    {
+        'a stream': (
+            f'POST {STREAM_PATH} HTTP/1.1\r\n{_STREAM_FIELDS}'
+            'Content-Length: 0\r\n\r\n'
+        ),
+        'a stream of HTTP/1.0': (
+            f'POST {STREAM_PATH} HTTP/1.0\r\n{_STREAM_FIELDS}'
+            'Connection: keep-alive\r\nContent-Length: 0\r\n\r\n'
+        ),
+        'a read that asks for the close': (
+            f'GET {READ_PATH} HTTP/1.1\r\n{_FIRST_FIELDS}'
+            'Connection: close\r\n\r\n'
+        ),
+    }
+)
+
+
+def _render_write(length: int) -> bytes:
+    return (
+        f'POST /write/1 HTTP/1.1\r\n{_FIELDS}X-Attempt-Id: a2\r\n'
+        f'Content-Length: {length}\r\n\r\n'
+    ).encode()
+
+
+@given('an entry with {size:d} bytes for bodies')
+def start_small(context: Any, size: int) -> None:
+    """Start an entry with little memory."""
+    start_world(context, 1, 1, memory_bytes=size * _BODY_MEMORY_PARTS)
+    settings = context.cluster.settings[0]
+    host, port = settings.listen_address.rsplit(':', 1)
+    context.connection = create_connection((host, int(port)), _TIMEOUT_SECONDS)
+    context.add_cleanup(context.connection.close)
+
+
+@when('a caller sends {first}, and {size:d} bytes behind it')
+def send_behind(context: Any, first: str, size: int) -> None:
+    """Send two requests at once, the second one with a body."""
+    context.connection.sendall(
+        _FIRST_REQUESTS[first].encode() + _render_write(size) + bytes(size)
+    )
+
+
+@then('the caller gets {count:d} answer, and the connection closes')
+def check_answers(context: Any, count: int) -> None:
+    """Read to the end of the connection."""
+    received = bytearray()
+    try:
+        while block := context.connection.recv(_READ_BYTES):
+            received += block
+    except ConnectionResetError:
+        # Closed while it held unread bytes.
+        gevent.sleep(0)
+    assert received.count(_STATUS_LINE) == count, received
+
+
+@then('the entry holds no bytes of bodies')
+def check_released(context: Any) -> None:
+    """Wait until no connection is open, then look at the budget."""
+    frontend = context.cluster.entries[0]._frontend
+    wait_until(lambda: not frontend.connections)
+    assert not frontend.held_body_bytes, frontend.held_body_bytes
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -95,9 +95,11 @@
         '_connection',
         '_deadline',
         '_frontend',
+        '_held_bytes',
         '_inbox',
         '_parser',
         '_peer',
+        '_queued_body_bytes',
         '_queued_count',
         '_read_step',
         'is_serving',
@@ -118,6 +120,10 @@
         self._can_read = Event()
         self._can_read.set()
         self._queued_count = 0
+        # Size of the bodies of the queued requests.
+        self._queued_body_bytes = 0
+        # What counts towards the budget of all callers.
+        self._held_bytes = 0
         self._read_step = _ReadStep.idle
         self._deadline: timedelta | None = None
         # Read timeouts are ignored while a request is served.
@@ -145,12 +151,14 @@
         :param request: the served request.
         """
         self._queued_count -= 1
-        self._frontend.held_body_bytes -= len(request.body)
+        self._queued_body_bytes -= len(request.body)
+        self._update_held_bytes()
         self._can_read.set()
 
     def release(self) -> None:
-        """Release the body of an incomplete request."""
-        self._frontend.held_body_bytes -= self._parser.held_body_bytes
+        """Release the bodies of all requests that are not served."""
+        self._frontend.held_body_bytes -= self._held_bytes
+        self._held_bytes = 0
         self._parser.discard_body()
 
     def _read(self) -> str:
@@ -208,13 +216,13 @@
     def _parse(self, received: bytes) -> None:
         parser = self._parser
         frontend = self._frontend
-        held_body_bytes = parser.held_body_bytes
+        earlier_bytes = parser.held_body_bytes
         parser.feed(received, frontend.dispatch.limits)
-        grown_bytes = parser.held_body_bytes - held_body_bytes
-        frontend.held_body_bytes += grown_bytes
-        is_long = grown_bytes > 0 and parser.held_body_bytes > _ALLOWANCE_BYTES
+        self._update_held_bytes()
+        is_long = parser.held_body_bytes > max(earlier_bytes, _ALLOWANCE_BYTES)
         if is_long and frontend.held_body_bytes > frontend.body_budget_bytes:
-            self.release()
+            parser.discard_body()
+            self._update_held_bytes()
             raise self._fail(
                 'body_budget_full',
                 'request bodies exceed the memory budget',
@@ -223,6 +231,11 @@
             parser.expects_continue = False
             self._inbox.send(ContinueAwaited())
 
+    def _update_held_bytes(self) -> None:
+        held_bytes = self._queued_body_bytes + self._parser.held_body_bytes
+        self._frontend.held_body_bytes += held_bytes - self._held_bytes
+        self._held_bytes = held_bytes
+
     def _handle_timeout(self) -> str:
         if not self._parser.has_started:
             return 'idle'
@@ -235,7 +248,7 @@
         self._queued_count += 1
         if self._queued_count >= _MAX_PIPELINED_COUNT:
             self._can_read.clear()
-        self._frontend.held_body_bytes += len(request.body)
+        self._queued_body_bytes += len(request.body)
         self._inbox.send(request)
 
     def _fail(self, reason: str, message: str) -> InvalidRequestError:
