Refuse a body that exceeds the budget with its last bytes, once

The caller of such a body got the server's answer, and behind it a 503 that nobody had asked for, which the next request on the connection could take for its own.

Cause: the budget was checked after a piece had been parsed, when a request that ended in it had been passed on already.

Change: the reader checks the budget before it passes a request on. Requests before it on the connection are served as before.

--- a/features/steps/pipelined_bodies_steps.py
+++ b/features/steps/pipelined_bodies_steps.py
@@ -25,6 +25,8 @@
 _STREAM_FIELDS = f'{_FIRST_FIELDS}X-Token-Count: 100,40\r\n'
 _FIRST_REQUESTS = MappingProxyType(
     {
+        'nothing': '',
+        'a read': f'GET {READ_PATH} HTTP/1.1\r\n{_FIRST_FIELDS}\r\n',
         'a stream': (
             f'POST {STREAM_PATH} HTTP/1.1\r\n{_STREAM_FIELDS}'
             'Content-Length: 0\r\n\r\n'
@@ -66,7 +68,26 @@
     )
 
 
+@when(
+    'a caller sends {first}, and all but the last {missing:d} of {size:d} '
+    'bytes behind it'
+)
+def send_most(context: Any, first: str, missing: int, size: int) -> None:
+    """Send two requests, the second one without the end of its body."""
+    content = _FIRST_REQUESTS[first].encode() + _render_write(size)
+    context.connection.sendall(content + bytes(size - missing))
+    frontend = context.cluster.entries[0]._frontend
+    wait_until(lambda: frontend.held_body_bytes == size - missing)
+
+
+@when('the caller sends the last {size:d} bytes')
+def send_rest(context: Any, size: int) -> None:
+    """Send the end of the body at once."""
+    context.connection.sendall(bytes(size))
+
+
 @then('the caller gets {count:d} answer, and the connection closes')
+@then('the caller gets {count:d} answers, and the connection closes')
 def check_answers(context: Any, count: int) -> None:
     """Read to the end of the connection."""
     received = bytearray()
@@ -77,6 +98,25 @@
         # Closed while it held unread bytes.
         gevent.sleep(0)
     assert received.count(_STATUS_LINE) == count, received
+    context.received = bytes(received)
+
+
+@then('the last answer is the refusal {reason:w}')
+def check_refusal(context: Any, reason: str) -> None:
+    """Check the end of what the caller received."""
+    last = context.received.rpartition(_STATUS_LINE)[2]
+    assert f'"reason":"{reason}"'.encode() in last, context.received
+
+
+@then('no server has received the body')
+def check_not_served(context: Any) -> None:
+    """Check the requests that the servers received."""
+    methods = [
+        received.method
+        for server in context.cluster.servers
+        for received in server.received
+    ]
+    assert 'POST' not in methods, methods
 
 
 @then('the entry holds no bytes of bodies')
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -215,18 +215,12 @@
 
     def _parse(self, received: bytes) -> None:
         parser = self._parser
-        frontend = self._frontend
         earlier_bytes = parser.held_body_bytes
-        parser.feed(received, frontend.dispatch.limits)
+        parser.feed(received, self._frontend.dispatch.limits)
         self._update_held_bytes()
-        is_long = parser.held_body_bytes > max(earlier_bytes, _ALLOWANCE_BYTES)
-        if is_long and frontend.held_body_bytes > frontend.body_budget_bytes:
-            parser.discard_body()
-            self._update_held_bytes()
-            raise self._fail(
-                'body_budget_full',
-                'request bodies exceed the memory budget',
-            )
+        is_growing = parser.held_body_bytes > earlier_bytes
+        if is_growing and self._exceeds_budget(parser.held_body_bytes):
+            raise self._refuse_body()
         if parser.expects_continue:
             parser.expects_continue = False
             self._inbox.send(ContinueAwaited())
@@ -236,6 +230,20 @@
         self._frontend.held_body_bytes += held_bytes - self._held_bytes
         self._held_bytes = held_bytes
 
+    def _exceeds_budget(self, body_bytes: int) -> bool:
+        """Return whether a body that has grown has to be refused."""
+        frontend = self._frontend
+        is_long = body_bytes > _ALLOWANCE_BYTES
+        return is_long and frontend.held_body_bytes > frontend.body_budget_bytes
+
+    def _refuse_body(self) -> InvalidRequestError:
+        """Release the body that was read last, and return the refusal."""
+        self._parser.discard_body()
+        self._update_held_bytes()
+        return self._fail(
+            'body_budget_full', 'request bodies exceed the memory budget'
+        )
+
     def _handle_timeout(self) -> str:
         if not self._parser.has_started:
             return 'idle'
@@ -248,7 +256,12 @@
         self._queued_count += 1
         if self._queued_count >= _MAX_PIPELINED_COUNT:
             self._can_read.clear()
-        self._queued_body_bytes += len(request.body)
+        body_bytes = len(request.body)
+        self._queued_body_bytes += body_bytes
+        self._update_held_bytes()
+        if self._exceeds_budget(body_bytes):
+            self._queued_body_bytes -= body_bytes
+            raise self._refuse_body()
         self._inbox.send(request)
 
     def _fail(self, reason: str, message: str) -> InvalidRequestError:
