--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -170,12 +170,13 @@
   Scenario Outline: a store whose pages do not end is given up
     Given a store that answers each read with <page>, and more to come
     When an entry reads everything
-    Then it takes the store for lost with "<error>", after at most <count> pages
+    Then it takes the store for lost with "<error>", after at most <count> pages and <MiB> MiB
 
     Examples:
-      | page                   | error                              | count |
-      | the same keys          | a page ends once more with key 'a' | 2     |
-      | the next key and 1 MiB | pages exceed 33554432 bytes        | 33    |
+      | page                    | error                              | count | MiB |
+      | the same keys           | a page ends once more with key 'a' | 2     | 1   |
+      | the next key and 1 MiB  | pages exceed 33554432 bytes        | 33    | 128 |
+      | millions of empty items | reply exceeds 100000 items         | 1     | 128 |
 
   Scenario Outline: <reader> whose peer sends <part> without end cuts it off
     Given <reader> whose peer sends <part> without end
