Keep the requests that a connection carried in an array

Nothing that is decided changes.

`refusal_copies`, `broken_answers`, `reported_faults` and `doubled_answers` pass.

--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -212,12 +212,12 @@
     def _call_target(self) -> None:
         self._reserve_memory()
         connection = self._open_connection()
-        connection.record_request(self._effect.attempt_id)
+        connection.carried.add(self._effect.attempt_id)
         self._send(connection)
         if self._reservations is not None:
             self._memory_guard = gevent.spawn(self._guard_memory, connection)
         response = HttpResponse(
-            self._request.method, self._is_stale, self._is_of_target
+            self._request.method, self._skip_if_stale, self._is_of_target
         )
         while not response.is_head_complete:
             self._receive(connection, response)
@@ -226,7 +226,7 @@
         head = ResponseHead(
             metadata,
             drop_hop_by_hop_fields(fields),
-            is_first_on_connection=connection.request_count == 1,
+            is_first_on_connection=len(connection.carried) == 1,
         )
         self._notify(AttemptHead(head))
         self._read_body(connection, response)
@@ -245,16 +245,16 @@
         connection.detect_dead_peer(is_enabled=self._effect.detects_dead_target)
         return connection
 
-    def _is_stale(
+    def _skip_if_stale(
         self, status_code: int, fields: list[tuple[str, str]]
     ) -> bool:
-        """Return whether a response is a late copy of an earlier one."""
+        """Log a late copy of an earlier response; return whether it is one."""
         connection = self._connection
         if connection is None:
             return False
         named_id = self._codec.read_response(status_code, fields).attempt_id
         is_own = named_id == self._effect.attempt_id
-        if is_own or not connection.has_carried(named_id):
+        if is_own or named_id not in connection.carried:
             return False
         log_event(
             EventCode.stale_response_skipped,
@@ -340,7 +340,7 @@
             return
         if not response.keeps_alive or response.has_skipped:
             return
-        if not self._is_body_sent or not connection.may_carry_more:
+        if not self._is_body_sent or connection.carried.is_full:
             return
         connection.idle_limit = _read_idle_limit(response)
         if connection.idle_limit >= _MIN_IDLE_LIMIT:
--- a/packages/entry/src/buckthornpond_entry/direct/dispatch.py
+++ b/packages/entry/src/buckthornpond_entry/direct/dispatch.py
@@ -404,9 +404,7 @@
             candidates=decision.candidate_count,
             is_repeat=message.effect.is_repeat,
             is_new_connection=connection is None,
-            connection_requests=(
-                0 if connection is None else connection.request_count
-            ),
+            connection_requests=len(connection.carried) if connection else 0,
             configuration_version=decision.configuration_version,
             fleet_revision=decision.fleet_revision,
             source_age_ms=decision.source_age_ms,
--- a/packages/entry/src/buckthornpond_entry/direct/idle_connections.py
+++ b/packages/entry/src/buckthornpond_entry/direct/idle_connections.py
@@ -49,7 +49,7 @@
         """
         idle = self._by_address.get(address, [])
         for connection in reversed(tuple(idle)):
-            if connection.has_carried(request_id):
+            if request_id in connection.carried:
                 self._metrics.count('passed_over_connections', 'same_request')
                 continue
             idle.remove(connection)
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -10,13 +10,12 @@
 from buckthornpond_core.exceptions import BuckthornpondError, TargetError
 from buckthornpond_core.input_limits import InputLimit, InputLimitError
 
+from .carried_requests import CarriedRequests
 from .paced_sockets import PacedSocket
 from .responses import HttpResponse
 
 # Bounds the time for which parsing holds up other tasks.
 _READ_BYTES = 16_384
-# Bounds the memory for the requests that a connection has carried.
-_MAX_REQUESTS = 100
 # A peer whose machine is gone is found within three seconds.
 _KEEPALIVE_IDLE_SECONDS = 1
 _KEEPALIVE_INTERVAL_SECONDS = 1
@@ -128,10 +127,10 @@
     """
 
     __slots__ = (
-        '_carried_ids',
         '_detects_dead_peer',
         '_socket',
         'address',
+        'carried',
         'idle_since',
         'idle_limit',
     )
@@ -140,35 +139,11 @@
         self.address = address
         self.idle_since = timedelta()
         self.idle_limit = timedelta()
-        # Hashes of the identifiers of requests, which a late response may name.
-        self._carried_ids: set[int] = set()
+        # Requests that a late response may name.
+        self.carried = CarriedRequests()
         self._socket: PacedSocket | None = None
         self._detects_dead_peer = False
 
-    @property
-    def request_count(self) -> int:
-        """Number of requests with an identifier that it has carried."""
-        return len(self._carried_ids)
-
-    @property
-    def may_carry_more(self) -> bool:
-        """Whether it remembers one more request."""
-        return self.request_count < _MAX_REQUESTS
-
-    def record_request(self, request_id: str) -> None:
-        """Remember a request that is sent.
-
-        :param request_id: identifier that its response names.
-        """
-        self._carried_ids.add(hash(request_id))
-
-    def has_carried(self, request_id: str) -> bool:
-        """Return whether a request was sent on the connection.
-
-        :param request_id: identifier of the request.
-        """
-        return hash(request_id) in self._carried_ids
-
     def connect(self, timeout: timedelta) -> None:
         """Open the connection.
 
