Let no time in a load hint exceed what a clock can hold

Cause: ages in hints had no upper bound. One beyond the range of the standard time type raised OverflowError in the dispatch task, and the entry exited (70). Any host can send such a datagram.

Change: the schema bounds each time but the targets' starts, so that such a hint is malformed and only counted.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -52,3 +52,21 @@
     Then each answer belongs to its request
     And no task of the entry failed
     And the entry counted malformed hints
+
+  Scenario Outline: a hint whose times are beyond all clocks ends no entry
+    Given an entry with load hints before 1 app servers
+    When any host sends it hints of <told> with times of 2 to the power of 62
+    And a caller gets /read/1 8 times
+    Then each answer belongs to its request
+    And no task of the entry failed
+    And the entry counted malformed hints
+
+    Examples:
+      | told            |
+      | crashes         |
+      | suspects        |
+      | quarantines     |
+      | answered parts  |
+      | limits          |
+      | waiting prompts |
+      | due events      |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -3,17 +3,28 @@
 import json
 from typing import Any
 
+import gevent
 import msgspec
 from behave import given, then, when
 from gevent.socket import AF_INET, SOCK_DGRAM, socket
 
-from buckthornpond_core._generated.hints import LoadHint
+from buckthornpond_core._generated.hints import (
+    AttemptHint,
+    CrashHint,
+    LimitHint,
+    LoadHint,
+    QuarantineHint,
+    SoundPartHint,
+    SuspectHint,
+    TargetHint,
+)
 from buckthornpond_platform_standins.listening import wait_until
 from buckthornpond_platform_standins.local_clusters import find_free_port
 from features.steps.direct_steps import start_world
 
 _DEPTH = 100_000
 _ODD_NAME = 'i-odd'
+_APPLY_SECONDS = 0.2
 _MISSING = 'no field '
 _HINT_COUNTER = 'malformed_messages_total{reason="hint"}'
 
@@ -128,6 +139,50 @@
     wait_until(lambda: _HINT_COUNTER in metrics.render())
 
 
+@when(
+    'any host sends it hints of {told} with times of 2 to the power of'
+    ' {exponent:d}'
+)
+def send_late_hints(context: Any, told: str, exponent: int) -> None:
+    """Send a hint with one time that no clock reaches."""
+    server = context.cluster.servers[0]
+    datagram = msgspec.msgpack.encode(
+        _make_late_hint(told, server.name, 2**exponent)
+    )
+    with socket(AF_INET, SOCK_DGRAM) as sender:
+        sender.sendto(datagram, ('127.0.0.1', context.hint_port))
+    gevent.sleep(_APPLY_SECONDS)
+
+
+def _make_late_hint(told: str, target: str, late_ms: int) -> LoadHint:
+    hint = LoadHint('127.0.0.1:9', 1, 1, is_full=False, targets=[])
+    suspects = [SuspectHint(['part'], 0)]
+    late_suspects = [SuspectHint(['part'], late_ms)]
+    waiting = AttemptHint(late_ms, 1, 40, 100, decodes=True)
+    due = AttemptHint(1, 1, 40, 100, decodes=True, first_event_due_ms=late_ms)
+    changes: dict[str, tuple[str, Any]] = {
+        'crashes': ('crashes', CrashHint(target, 1, late_ms, suspects)),
+        'suspects': ('crashes', CrashHint(target, 1, 0, late_suspects)),
+        'quarantines': ('quarantines', QuarantineHint(['p'], 3, 0, late_ms)),
+        'answered parts': ('sound_parts', SoundPartHint('part', late_ms)),
+        'limits': (
+            'limits',
+            LimitHint(
+                target,
+                1,
+                is_limited=True,
+                requests_per_second=1,
+                age_ms=late_ms,
+            ),
+        ),
+        'waiting prompts': ('targets', TargetHint(target, [waiting])),
+        'due events': ('targets', TargetHint(target, [due])),
+    }
+    name, record = changes[told]
+    setattr(hint, name, [record])
+    return hint
+
+
 @then('the entry counted malformed hints')
 def check_hints_counted(context: Any) -> None:
     """Look at the counter."""
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -26,6 +26,7 @@
         Meta(
             description='Prefill time that probably remains, zero once the answer has begun.',
             ge=0,
+            le=9007199254740991,
         ),
     ]
     held_tokens: Annotated[
@@ -35,7 +36,9 @@
     event_gap_ms: Annotated[
         int,
         Meta(
-            description='Longest interval between events that is on time.', ge=0
+            description='Longest interval between events that is on time.',
+            ge=0,
+            le=9007199254740991,
         ),
     ]
     weight_percent: Annotated[
@@ -50,6 +53,7 @@
         Meta(
             description='Time until the first event is late, zero if it is late already; unused once the answer has begun.',
             ge=0,
+            le=9007199254740991,
         ),
     ] = 0
 
@@ -84,13 +88,19 @@
         int, Meta(description='Crashes that they explain.', ge=0)
     ]
     age_ms: Annotated[
-        int, Meta(description='Time since the last of these crashes.', ge=0)
+        int,
+        Meta(
+            description='Time since the last of these crashes.',
+            ge=0,
+            le=9007199254740991,
+        ),
     ]
     remaining_ms: Annotated[
         int,
         Meta(
             description='Time until the quarantine ends if no request holds the parts.',
             ge=0,
+            le=9007199254740991,
         ),
     ]
 
@@ -101,7 +111,10 @@
     """
 
     part: str
-    age_ms: Annotated[int, Meta(description='Time since the answer.', ge=0)]
+    age_ms: Annotated[
+        int,
+        Meta(description='Time since the answer.', ge=0, le=9007199254740991),
+    ]
 
 
 class SuspectHint(WireRecord):
@@ -116,7 +129,12 @@
         ),
     ]
     age_ms: Annotated[
-        int, Meta(description='Time since it was sent to the target.', ge=0)
+        int,
+        Meta(
+            description='Time since it was sent to the target.',
+            ge=0,
+            le=9007199254740991,
+        ),
     ]
     has_begun: Annotated[
         bool, Meta(description='Whether the target had begun to answer it.')
@@ -143,7 +161,12 @@
             ge=0.0,
         ),
     ]
-    age_ms: Annotated[int, Meta(description='Time since the statement.', ge=0)]
+    age_ms: Annotated[
+        int,
+        Meta(
+            description='Time since the statement.', ge=0, le=9007199254740991
+        ),
+    ]
 
 
 class CrashHint(WireRecord):
@@ -156,7 +179,10 @@
         int,
         Meta(description='Start of the target, in Unix milliseconds.', ge=0),
     ]
-    age_ms: Annotated[int, Meta(description='Time since the crash.', ge=0)]
+    age_ms: Annotated[
+        int,
+        Meta(description='Time since the crash.', ge=0, le=9007199254740991),
+    ]
     suspects: list[SuspectHint]
 
 
