Tell a deadly request from one beside it by which was sent last (BUDGET)

Cause: a sound request that was at the same three crashes as the deadly one tied with it, and the digest decided: in half of the cases the sound one was refused and the deadly one went on, until a fourth crash.

Change: between suspects of as many crashes, those count more that were sent last before a crash, as those do that the target had begun to answer.

Measured: deadly_requests, "a sound request that was at the same crashes as a deadly one is told from it": one of its two examples failed before (request:a was served, request:b refused), both pass now; deadly_parts and deadly_requests: 51 passed.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -51,6 +51,17 @@
     Then requests with the parts shared request:deadly are refused at every entry
     And requests with the parts shared request:own; shared request:new are served at every entry
 
+  Scenario Outline: a sound request that was at the same crashes as a deadly one is told from it
+    Given 3 entries that exchange hints
+    When 3 targets crash, <deadly> 60 ms after it was sent and <victim> 900 ms after
+    Then requests with the parts <deadly> are refused at every entry
+    And requests with the parts <victim> are served at every entry
+
+    Examples:
+      | deadly    | victim    |
+      | request:a | request:b |
+      | request:b | request:a |
+
   Scenario: a common request that was at each crash and is answered between them is not blamed
     Given 3 entries that exchange hints
     When a request with the parts request:common is answered at entry 2
--- a/features/specs/quarantines.py
+++ b/features/specs/quarantines.py
@@ -1,7 +1,7 @@
 """Entries that tell each other of crashes, on a fake clock."""
 
 import itertools
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -82,6 +82,16 @@
                 self.now,
             )
 
+    def crash_with(self, run_times: Mapping[str, timedelta]) -> None:
+        """Lose a target at which each request has run for some time."""
+        target = f'target-{next(_TARGET_NUMBERS)}'
+        for part, run_time in run_times.items():
+            self._turn = (self._turn + 1) % len(self.entries)
+            suspect = Suspect(frozenset((part,)), self.now - run_time)
+            self.entries[self._turn].quarantine.record_loss(
+                target, 1, suspect, self.now
+            )
+
     def crash_at(self, number: int, parts: Sequence[str]) -> None:
         """Lose a target at which one entry alone had a request."""
         self._turn = number - 1
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -126,6 +126,28 @@
         context.group.advance(_SECOND)
 
 
+@when(
+    '{count:d} targets crash, {first:S} {first_ms:d} ms after it was sent and'
+    ' {second:S} {second_ms:d} ms after'
+)
+def crash_apart_sent(
+    context: Any,
+    count: int,
+    first: str,
+    first_ms: int,
+    second: str,
+    second_ms: int,
+) -> None:
+    """Lose targets at which two requests had run for different times."""
+    run_times = {
+        first: timedelta(milliseconds=first_ms),
+        second: timedelta(milliseconds=second_ms),
+    }
+    for _ in range(count):
+        context.group.crash_with(run_times)
+        context.group.advance(_SECOND)
+
+
 @when(
     'entry {number:d} is cut off for {count:d} seconds and loses'
     ' {crashes:d} targets with the parts {parts}'
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -239,10 +239,18 @@
         def suspicion(name: str) -> tuple[int, bool, int, int, str]:
             found = crashes_by_part[name]
             is_new = name not in self.sound_parts
+            # A target crashes soon after it has begun to run the cause.
             begun_count = sum(crash.has_begun(name) for crash in found)
+            last_count = sum(crash.was_sent_last(name) for crash in found)
             # The first part of the cause is in requests of victims too.
             request_count = sum(crash.count_requests(name) for crash in found)
-            return counts[name], is_new, begun_count, -request_count, name
+            return (
+                counts[name],
+                is_new,
+                begun_count + last_count,
+                -request_count,
+                name,
+            )
 
         worst = max(counts, key=suspicion)
         companions = self._find_companions(worst, crashes_by_part)
--- a/packages/core/src/buckthornpond_core/serving/target_crashes.py
+++ b/packages/core/src/buckthornpond_core/serving/target_crashes.py
@@ -89,6 +89,14 @@
             if part in suspect.parts
         )
 
+    def was_sent_last(self, part: str) -> bool:
+        """Return whether no suspected request was sent after one with a part.
+
+        :param part: ID of the part.
+        """
+        last_sent_at = max(suspect.sent_at for suspect in self._suspects)
+        return self.last_sent_at(part) >= last_sent_at
+
     def has_begun(self, part: str) -> bool:
         """Return whether the target had begun to answer one with a part.
 
