Keep what a hint tells of crashes within a datagram (BUDGET)

Cause: since each request is a suspect of its own, crashes with many requests of many prompt parts made a hint longer than a datagram; it was not sent, and with it nothing of the load, for three seconds. How many parts a request leaves as evidence was limited by the size of its head only.

Change: a hint tells the latest crashes that take at most 40,000 bytes; of a request at most its last 16 shared parts count, and none longer than 64 characters.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -153,6 +153,11 @@
     Then at most 256 crashes with at most 32 requests are remembered
     And a hint takes at most 60000 bytes
 
+  Scenario: a hint that tells of crashes of long prompts fits into a datagram
+    Given 1 entries that exchange hints
+    When 20 targets crash one after another, each with 32 requests of 16 long parts
+    Then a hint tells of a crash and takes at most 60000 bytes
+
   Scenario Outline: in generated histories the deadly part is refused and others are not
     When <seeds> histories of <entries> entries are played with <deadly> of 100 requests deadly and <others> other crashes in ten seconds
     Then at most 3 deadly requests are sent 3 seconds after the fifth crash
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -254,6 +254,31 @@
         group.now += timedelta(milliseconds=1)
 
 
+@when(
+    '{count:d} targets crash one after another, each with {requests:d}'
+    ' requests of {parts:d} long parts'
+)
+def crash_long(context: Any, count: int, requests: int, parts: int) -> None:
+    """Lose targets with requests of many parts of their own."""
+    group = context.group
+    for number in range(count):
+        group.crash(
+            [
+                [f'{part:02}-{each:02}-{number:010}' for part in range(parts)]
+                for each in range(requests)
+            ]
+        )
+        group.now += timedelta(milliseconds=1)
+
+
+@then('a hint tells of a crash and takes at most {count:d} bytes')
+def check_told(context: Any, count: int) -> None:
+    """Encode a full hint after the crashes."""
+    hint = context.group.make_hint(0)
+    assert hint.crashes
+    assert len(msgspec.msgpack.encode(hint)) <= count
+
+
 @then(
     'at most {crashes:d} crashes with at most {requests:d} requests are remembered'
 )
--- a/packages/core/src/buckthornpond_core/serving/admissions.py
+++ b/packages/core/src/buckthornpond_core/serving/admissions.py
@@ -3,6 +3,10 @@
 from .._generated.serving import Organisation, RequestMetadata, Route
 from .request_identity import identify_request
 
+# Bounds what a request leaves as evidence of a crash, and tells of it.
+_MAX_SUSPECT_PARTS = 16
+_MAX_PART_CHARACTERS = 64
+
 
 class AdmittedRequest:
     """Request that the configuration allows.
@@ -36,8 +40,12 @@
     def suspect_parts(self) -> list[str]:
         """Return what is suspected if a target crashes with the request.
 
-        These are the prompt parts that other requests may hold too, and the
-        identity of the request where it is known.
+        These are the last prompt parts that other requests may hold too, and
+        the identity of the request where it is known.
         """
         identity = [self.identity] if self.identity else []
-        return [*self.metadata.shared_parts, *identity]
+        parts = self.metadata.shared_parts[-_MAX_SUSPECT_PARTS:]
+        short_parts = [
+            part for part in parts if len(part) <= _MAX_PART_CHARACTERS
+        ]
+        return [*short_parts, *identity]
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -18,6 +18,7 @@
 from .quarantines import (
     QUARANTINE_TIME,
     Quarantine,
+    limit_crashes,
     make_crash_hint,
     make_quarantine_hint,
 )
@@ -31,7 +32,6 @@
 _RELAY_TIME = timedelta(seconds=3)
 # How old crashes are told to an entry that has started or was cut off.
 _RETOLD_AGE = timedelta(seconds=60)
-_MAX_TOLD_CRASHES = 8
 _MAX_TOLD_PARTS = 64
 _MAX_TOLD_QUARANTINES = 64
 _OWN_ORIGIN = 'own'
@@ -172,7 +172,7 @@
                 for crash in self.evidence
                 if now - crash.occurred_at < max_age
             ]
-        crashes = crashes[-_MAX_TOLD_CRASHES:]
+        crashes = limit_crashes(crashes)
         hint.crashes = [make_crash_hint(crash, now) for crash in crashes]
         if hint.is_full:
             hint.quarantines = [
--- a/packages/core/src/buckthornpond_core/serving/quarantines.py
+++ b/packages/core/src/buckthornpond_core/serving/quarantines.py
@@ -1,5 +1,6 @@
 """Quarantines of parts that crash targets, and how entries tell of them."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from .._generated.hints import CrashHint, QuarantineHint, SuspectHint
@@ -18,6 +19,12 @@
 _PROBE_INTERVAL_FACTOR = 2
 _MAX_PROBE_INTERVAL = timedelta(hours=6)
 
+_MAX_TOLD_CRASHES = 8
+# A hint is one datagram, which tells of load and quarantines too.
+_MAX_TOLD_BYTES = 40_000
+_SUSPECT_OVERHEAD_BYTES = 32
+_PART_OVERHEAD_BYTES = 2
+
 
 class Quarantine:
     """Parts whose requests are refused, and until when.
@@ -56,6 +63,22 @@
         self.probe_at = now + self.probe_interval
 
 
+def limit_crashes(crashes: Iterable[TargetCrash]) -> list[TargetCrash]:
+    """Return the latest crashes that fit into a hint, oldest first.
+
+    :param crashes: crashes, oldest first.
+    """
+    found: list[TargetCrash] = []
+    length_bytes = 0
+    for crash in reversed(tuple(crashes)[-_MAX_TOLD_CRASHES:]):
+        length_bytes += _estimate_length(crash)
+        if length_bytes > _MAX_TOLD_BYTES:
+            break
+        found.append(crash)
+    found.reverse()
+    return found
+
+
 def make_crash_hint(crash: TargetCrash, now: timedelta) -> CrashHint:
     """Return what other entries hear of a crash.
 
@@ -91,3 +114,12 @@
         age_ms=(now - quarantine.evidence_at) // _MS,
         remaining_ms=max((quarantine.ends_at - now) // _MS, 0),
     )
+
+
+def _estimate_length(crash: TargetCrash) -> int:
+    """Return about how many bytes a crash takes in a hint."""
+    return sum(
+        _SUSPECT_OVERHEAD_BYTES
+        + sum(len(part) + _PART_OVERHEAD_BYTES for part in parts)
+        for parts in crash.suspects
+    )
