--- a/features/specs/long_responses.py
+++ b/features/specs/long_responses.py
@@ -1,7 +1,5 @@
 """Server whose responses are long and complete."""
 
-from http import HTTPStatus
-
 from gevent.server import StreamServer
 from gevent.socket import socket
 
@@ -13,14 +11,10 @@
     """Server that sends the same body to each request.
 
     :param length_bytes: length of the body.
-    :param status: status of the responses.
     """
 
-    def __init__(
-        self, length_bytes: int, status: HTTPStatus = HTTPStatus.OK
-    ) -> None:
+    def __init__(self, length_bytes: int) -> None:
         self._length_bytes = length_bytes
-        self._status = status
         self._server = StreamServer(('127.0.0.1', 0), self._serve)
         self._server.start()
 
@@ -37,7 +31,7 @@
         with connection:
             head = read_head(connection)
             lines = (
-                f'HTTP/1.1 {self._status.value} {self._status.phrase}',
+                'HTTP/1.1 200 OK',
                 SIGNATURE_LINE,
                 f'X-Attempt-Id: {find_attempt_id(head).decode()}',
                 f'Content-Length: {self._length_bytes}',
--- a/features/specs/measured_readers.py
+++ b/features/specs/measured_readers.py
@@ -18,7 +18,7 @@
 from buckthornpond_entry.direct.fleet_sharing import PeerQuery, PeerQueryTask
 from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform.headers import PlatformCodec
-from buckthornpond_platform.store import StoreClient
+from buckthornpond_platform.store_client import StoreClient
 from buckthornpond_runtime.calls import HttpCall
 from buckthornpond_runtime.clocks import SystemClock
 from buckthornpond_runtime.metrics import Metrics
--- a/features/specs/store_histories.py
+++ b/features/specs/store_histories.py
@@ -14,8 +14,10 @@
 from buckthornpond_core._generated.serving import DirectSettings
 from buckthornpond_core.exceptions import TargetError
 from buckthornpond_core.serving.fleet_follower import FleetChange, FleetFollower
-from buckthornpond_platform import store as store_module
-from buckthornpond_platform.store import StoreClient, StoreSource
+from buckthornpond_platform import store as source_module
+from buckthornpond_platform import store_client as client_module
+from buckthornpond_platform.store import StoreSource
+from buckthornpond_platform.store_client import StoreClient
 from buckthornpond_platform_standins.local_clusters import (
     FixedRandom,
     make_config,
@@ -164,13 +166,16 @@
     def run(self) -> None:
         """Follow the store until it has been quiet for some time."""
         source = StoreSource(StoreClient('store', Metrics()), FixedRandom())
-        patch = mock.patch.multiple(
-            store_module,
-            HttpConnection=lambda address: ScriptedConnection(self, address),
-            gevent=mock.Mock(sleep=self._sleep),
+        connect = mock.patch.object(
+            client_module,
+            'HttpConnection',
+            lambda address: ScriptedConnection(self, address),
+        )
+        sleep = mock.patch.object(
+            source_module, 'gevent', mock.Mock(sleep=self._sleep)
         )
         try:
-            with patch:
+            with connect, sleep:
                 source.run(self)
         except GreenletExit:
             return
--- a/features/steps/endless_pages_steps.py
+++ b/features/steps/endless_pages_steps.py
@@ -12,7 +12,8 @@
 
 from buckthornpond_core._generated.serving import SourceLost
 from buckthornpond_core.serving.fleet_follower import FleetChange
-from buckthornpond_platform.store import StoreClient, StoreSource
+from buckthornpond_platform.store import StoreSource
+from buckthornpond_platform.store_client import StoreClient
 from buckthornpond_platform_standins.endless import read_head
 from buckthornpond_platform_standins.local_clusters import FixedRandom
 from buckthornpond_runtime.metrics import Metrics
