Let servers begin refusals of requests that they answered

Since no connection is kept on which a request was refused, two tests of once_only proved nothing any more: their servers refused first, so that no part of a copy ever stood before another answer on the connection. Change: the servers of the first scenario answer, and begin a refusal of the last request before the next answer, cut at each place of its head. In the histories a copy may tell that its original's request was refused or misdirected, whatever became of it.

--- a/features/specs/answer_histories.py
+++ b/features/specs/answer_histories.py
@@ -49,19 +49,32 @@
 
     :param age: how many responses ago the original was sent.
     :param sent_percent: part of the copy that is sent.
+    :param result: what it tells of the original's request, ``None`` if that is
+        what the original told.
     :param is_named: whether it has the ID of the original.
     """
 
-    __slots__ = ('age', 'is_named', 'sent_percent')
+    __slots__ = ('age', 'is_named', 'result', 'sent_percent')
 
-    def __init__(self, age: int, sent_percent: int, *, is_named: bool) -> None:
+    def __init__(
+        self,
+        age: int,
+        sent_percent: int,
+        result: TurnResult | None,
+        *,
+        is_named: bool,
+    ) -> None:
         self.age = age
         self.sent_percent = sent_percent
+        self.result = result
         self.is_named = is_named
 
     def __repr__(self) -> str:
         """Return what a failure shows of it."""
-        return f'Extra({self.age}, {self.sent_percent}, {self.is_named})'
+        return (
+            f'Extra({self.age}, {self.sent_percent}, {self.result},'
+            f' {self.is_named})'
+        )
 
 
 class Turn:
@@ -106,6 +119,7 @@
         Extra,
         st.sampled_from(_AGES),
         st.just(_PERCENT) | st.integers(0, _PERCENT),
+        st.sampled_from((None, TurnResult.refused, TurnResult.misdirected)),
         is_named=st.sampled_from((True, True, False)),
     ),
     max_size=_MAX_EXTRAS,
@@ -156,6 +170,19 @@
         self._result = result
         self._is_stream = is_stream
 
+    def render_copy(self, extra: Extra) -> bytes:
+        """Return the bytes of a copy, or of a part of it.
+
+        :param extra: how it differs from the response.
+        """
+        told = SentResponse(
+            self._attempt_id,
+            extra.result or self._result,
+            is_stream=self._is_stream,
+        )
+        copy = told.render(is_named=extra.is_named)
+        return copy[: len(copy) * extra.sent_percent // _PERCENT]
+
     def render(self, *, is_named: bool = True) -> bytes:
         """Return the bytes of the response.
 
@@ -241,9 +268,8 @@
 
 
 def _render_copies(sent: list[SentResponse], extras: list[Extra]) -> bytes:
-    copies = bytearray()
-    for extra in extras:
-        if extra.age < len(sent):
-            copy = sent[-1 - extra.age].render(is_named=extra.is_named)
-            copies += copy[: len(copy) * extra.sent_percent // _PERCENT]
-    return bytes(copies)
+    return b''.join(
+        sent[-1 - extra.age].render_copy(extra)
+        for extra in extras
+        if extra.age < len(sent)
+    )
--- a/features/steps/once_only_steps.py
+++ b/features/steps/once_only_steps.py
@@ -43,9 +43,7 @@
 
 
 class CutCopyServer(ServerStandIn):
-    """Server that refuses every other request on a connection.
-
-    Before the answer to the next one it sends the beginning of a copy.
+    """Server that begins a refusal of the last request before an answer.
 
     :param status: status of the refusals.
     """
@@ -53,9 +51,9 @@
     def __init__(self, status: int) -> None:
         super().__init__('app')
         self.status = status
-        # Bytes of the copy.
+        # Bytes of the refusal.
         self.copied_bytes = 0
-        self._refused_ids: dict[socket, str] = {}
+        self._last_ids: dict[socket, str] = {}
 
     def render_refusal(self, attempt_id: str) -> bytes:
         """Return a refusal without a body.
@@ -72,13 +70,12 @@
 
     def _serve(self, connection: socket, request: CallerRequest) -> bool:
         attempt_id = ReceivedRequest(request).fields['x-attempt-id']
-        refused_id = self._refused_ids.pop(connection, '')
-        if not refused_id:
-            self._refused_ids[connection] = attempt_id
-            connection.sendall(self.render_refusal(attempt_id))
-            return True
+        last_id = self._last_ids.get(connection)
+        self._last_ids[connection] = attempt_id
         self.run_counts[attempt_id] += 1
-        copy = self.render_refusal(refused_id)[: self.copied_bytes]
+        copy = b''
+        if last_id is not None:
+            copy = self.render_refusal(last_id)[: self.copied_bytes]
         body = render_body(attempt_id)
         lines = [
             'HTTP/1.1 200 OK',
@@ -123,8 +120,8 @@
 
 
 @given(
-    'an entry before {count:d} servers that send cut copies of their {status:d}'
-    ' refusals'
+    'an entry before {count:d} servers that begin a refusal with {status:d}'
+    ' before each answer'
 )
 def start_cutting(context: Any, count: int, status: int) -> None:
     """Start an entry and the servers."""
@@ -161,7 +158,7 @@
 
 @when('for each place in the head a caller posts twice')
 def post_twice(context: Any) -> None:
-    """Send a request that is refused, and one behind a part of the copy."""
+    """Send a request, and one on its connection behind a part of a refusal."""
     client = context.cluster.connect()
     servers = list_servers(context, 'app')
     attempt_id = client.fetch('POST', WRITE_PATH, body=_BODY).attempt_id
