Show a common request refused after resets by targets that live

What callers saw: an identical read, answered before, is refused with request_quarantined at every entry for ten minutes after four lost connections in turn, though no target crashed and each answered other requests between.

Evidence: ./dev test deadly_requests, both examples fail with (503, 'request_quarantined') in each of two runs.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -41,6 +41,17 @@
     And each get of /read/1 was answered
     And each write to /write/1 with another body was answered
 
+  Scenario Outline: a common request whose connections were reset by targets that live is answered
+    Given two entries that exchange hints before 6 app servers and 1 llm servers
+    When callers get /read/1 and each app server resets its connection, <rounds> times a second apart, with writes in between
+    Then no app server crashed and each write between was answered
+    And the next 6 gets of /read/1 are answered
+
+    Examples:
+      | rounds |
+      | 4      |
+      | 6      |
+
   Scenario: a request is told from sound ones that share all its parts and go on being answered
     Given 3 entries that exchange hints
     When 1 targets crash one after another while a request with the parts shared request:deadly is unanswered
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -1,5 +1,6 @@
 """Steps on requests that crash each server that begins to run them."""
 
+from collections import deque
 from typing import Any
 
 import gevent
@@ -14,6 +15,7 @@
     find_free_port,
 )
 from buckthornpond_platform_standins.server_responses import (
+    Behaviour,
     ReceivedRequest,
     render_body,
 )
@@ -22,6 +24,7 @@
 
 _ARRIVAL_INTERVAL_SECONDS = 0.15
 _RESTART_SECONDS = 0.3
+_RESET_INTERVAL_SECONDS = 1.1
 # Victims are many among the few requests here, and each may be sent again.
 _RETRY_BUDGET_RATIO = 2.0
 _NO_BODY = 'nothing'
@@ -151,6 +154,46 @@
         )
 
 
+@when(
+    'callers get /read/1 and each app server resets its connection, {rounds:d}'
+    ' times a second apart, with writes in between'
+)
+def reset_reads(context: Any, rounds: int) -> None:
+    """Reset the same read everywhere, and answer other requests."""
+    context.reads = []
+    context.writes = []
+    _read(context, 0)
+    gevent.sleep(_RESET_INTERVAL_SECONDS)
+    for number in range(rounds):
+        servers = list_servers(context, 'app')
+        for server in servers:
+            server.behaviours = deque((Behaviour.reset,))
+        context.cluster.connect(number % 2).fetch('GET', READ_PATH)
+        gevent.sleep(_RESET_INTERVAL_SECONDS)
+        for server in servers:
+            server.behaviours.clear()
+        for write in range(2 * len(servers)):
+            client = context.cluster.connect(write % 2)
+            body = b'sound %d %d' % (number, write)
+            context.writes.append(client.fetch('POST', WRITE_PATH, body=body))
+
+
+@then('no app server crashed and each write between was answered')
+def check_alive(context: Any) -> None:
+    """Check that the targets were there all the time."""
+    servers = list_servers(context, 'app')
+    assert not sum(server.crash_count for server in servers)
+    _check_answered(context.writes)
+
+
+@then('the next {count:d} gets of /read/1 are answered')
+def check_next_reads(context: Any, count: int) -> None:
+    """Send the read again to both entries in turn."""
+    for number in range(count):
+        _read(context, number % 2)
+    _check_answered(context.reads)
+
+
 @then(
     '{low:d} to {high:d} requests {method:w} {path:S} with the body {body:w}'
     ' reached the servers'
