--- a/features/once_only.feature
+++ b/features/once_only.feature
@@ -33,3 +33,15 @@
       | app     | two times |
       | llm     | once      |
       | llm     | two times |
+
+  Scenario Outline: a header field that names a proxy by its address costs no caller the answer
+    Given an entry before 2 app servers and 0 llm servers
+    And servers whose answers hold the field <field>
+    When 4 times a caller posts 10 bytes to /write/1
+    Then each answer is 200 and belongs to its request
+
+    Examples:
+      | field                         |
+      | Via: HTTP/1.1 192.168.0.7     |
+      | Via: HTTP/1.1 127.0.0.1:8080  |
+      | Via: 1.1 a, HTTP/1.0 200proxy |
--- a/features/steps/once_only_steps.py
+++ b/features/steps/once_only_steps.py
@@ -193,6 +193,22 @@
     context.cluster.wait_until_synced()
 
 
+@given('servers whose answers hold the field {line}')
+def add_field(context: Any, line: str) -> None:
+    """Let every server add a header field to its answers."""
+    for server in context.cluster.servers:
+        server.statement_lines = [line]
+
+
+@then('each answer is 200 and belongs to its request')
+def check_answers(context: Any) -> None:
+    """Compare each answer with what its request is answered with."""
+    assert context.answers
+    for answer in context.answers:
+        assert answer.status == _SUCCESS, (answer.status, answer.reason)
+        assert answer.body == render_body(answer.attempt_id), answer.body
+
+
 @when(
     '{count:d} histories are played while a caller sends requests that may run'
     ' once'
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -27,8 +27,9 @@
 _EVENT_END = b'\n\n'
 _BODILESS_STATUSES = frozenset((204, 304))
 _CHUNKED = 'chunked'
-# Start of a response inside a line of another one, whose head broke off.
-_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d')
+# Start of a response inside a line of another one, whose head broke off. In
+# a field such as Via, the address of a proxy may follow the protocol.
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?:\s|\Z)')
 
 HeadCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
 
