--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -103,6 +103,21 @@
     And 1 targets crash one after another while a request with the parts dead is unanswered
     Then requests with the parts dead are refused at every entry
 
+  Scenario Outline: crashes seen in short cuts, in which no entry is taken for gone, become known
+    Given 3 entries that exchange hints
+    When entry 1 is cut off for <seconds> seconds and loses 1 targets with the parts dead
+    And entry 2 is cut off for <seconds> seconds and loses 1 targets with the parts dead
+    And 1 targets crash one after another while a request with the parts dead is unanswered
+    Then requests with the parts dead are refused at every entry
+
+    Examples:
+      | seconds |
+      | 1       |
+      | 2       |
+      | 3       |
+      | 4       |
+      | 5       |
+
   Scenario: an entry that has just started learns of crashes that convict nobody yet
     Given 3 entries that exchange hints
     When 2 targets crash one after another while a request with the parts dead is unanswered
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -28,8 +28,9 @@
 _MS = timedelta(milliseconds=1)
 _MAX_QUARANTINES = 256
 # Crashes are told again for this long, for entries that missed a datagram or
-# are told by others only.
-_RELAY_TIME = timedelta(seconds=3)
+# are told by others only. Longer than an entry may be silent before it counts
+# as newly heard, and the interval of full hints.
+_RELAY_TIME = timedelta(seconds=5)
 # How old crashes are told to an entry that has started or was cut off.
 _RETOLD_AGE = timedelta(seconds=60)
 _MAX_TOLD_PARTS = 64
