--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -52,6 +52,11 @@
       | 4      |
       | 6      |
 
+  Scenario: a request that targets answer with 404 between lost connections is not blamed
+    Given two entries that exchange hints before 6 app servers and 1 llm servers
+    When 4 times two connections of a get of /read/1 are lost, and 4 more such gets are answered with 404
+    Then each get in between was answered with 404
+
   Scenario: a request is told from sound ones that share all its parts and go on being answered
     Given 3 entries that exchange hints
     When 1 targets crash one after another while a request with the parts shared request:deadly is unanswered
--- a/features/steps/deadly_requests_steps.py
+++ b/features/steps/deadly_requests_steps.py
@@ -178,6 +178,31 @@
             context.writes.append(client.fetch('POST', WRITE_PATH, body=body))
 
 
+@when(
+    '{rounds:d} times two connections of a get of /read/1 are lost, and'
+    ' {count:d} more such gets are answered with 404'
+)
+def lose_missing_reads(context: Any, rounds: int, count: int) -> None:
+    """Let any server reset the first two attempts, and then know no answer."""
+    context.reads = []
+    for _ in range(rounds):
+        queue = deque((Behaviour.reset, Behaviour.reset))
+        queue.extend(Behaviour.missing for _ in range(count))
+        for server in list_servers(context, 'app'):
+            server.behaviours = queue
+        context.cluster.connect().fetch('GET', READ_PATH)
+        gevent.sleep(_ARRIVAL_INTERVAL_SECONDS)
+        for number in range(count):
+            _read(context, number % 2)
+
+
+@then('each get in between was answered with 404')
+def check_missing(context: Any) -> None:
+    """Check the statuses of the reads behind the lost ones."""
+    answers = [(each.status, each.reason) for each in context.reads]
+    assert {status for status, _ in answers} == {404}, answers
+
+
 @then('no app server crashed and each write between was answered')
 def check_alive(context: Any) -> None:
     """Check that the targets were there all the time."""
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -49,6 +49,9 @@
         report = self._report
         if report.is_proven_sound:
             quarantine.record_sound(parts, now - report.proof_age_ms * _MS)
+        elif self._is_answered_with_error and self._admission.identity:
+            # The target may have looked at no part of the prompt.
+            quarantine.record_sound([self._admission.identity], now)
         elif self.is_connection_lost:
             placement = self._placement
             quarantine.record_loss(
@@ -84,3 +87,10 @@
             'shared_parts': self._admission.metadata.shared_parts,
             'identity': self._admission.identity,
         }
+
+    @property
+    def _is_answered_with_error(self) -> bool:
+        """Return whether the caller got the target's own error."""
+        report = self._report
+        is_answered = report.outcome == AttemptOutcome.answered
+        return is_answered and not report.is_proven_sound
