Guard against an ID that one connection carries twice (TWICE)

No test failed when IdleConnections.pop no longer passed over connections that had carried the ID: 29 passed, 0 failed of refusal_copies and once_only, since a refusal closes its connection by itself. The new scenario uses an ID again after an answer; with that check taken out it fails with (3, 1), three requests on one connection, and passes as the code stands.

--- a/features/refusal_copies.feature
+++ b/features/refusal_copies.feature
@@ -62,3 +62,8 @@
       | refusal |
       | shed    |
       | moved   |
+
+  Scenario: no connection carries one ID twice
+    Given an entry before 1 app servers and 1 llm servers
+    When a caller writes 3 times with one ID, each time on a new connection of its own
+    Then the app servers saw 3 connections with a request each
--- a/features/steps/refusal_copies_steps.py
+++ b/features/steps/refusal_copies_steps.py
@@ -166,3 +166,24 @@
         _refuse_next(context, refusal)
         for _ in range(3):
             _send(context, client, _WRITE)
+
+
+@when(
+    'a caller writes {count:d} times with one ID, each time on a new connection'
+    ' of its own'
+)
+def write_with_one_id(context: Any, count: int) -> None:
+    """Use an ID again after each answer."""
+    for _ in range(count):
+        client = context.cluster.connect()
+        answer = client.fetch('POST', WRITE_PATH, X_Attempt_Id='one')
+        assert answer.status == 200, (answer.status, answer.reason)
+
+
+@then('the app servers saw {count:d} connections with a request each')
+def check_apart(context: Any, count: int) -> None:
+    """Count the connections from the entry, and what came on them."""
+    servers = list_servers(context, 'app')
+    received = sum(len(server.received) for server in servers)
+    connections = sum(server.connection_count for server in servers)
+    assert (received, connections) == (count, count), (received, connections)
