--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -11,8 +11,15 @@
 from collections.abc import Collection, Iterable, Iterator
 from datetime import timedelta
 
+from .request_identity import is_identity
 from .sound_parts import SoundParts
-from .target_crashes import OpenCrash, PartSet, Suspect, TargetCrash
+from .target_crashes import (
+    KnownStarts,
+    OpenCrash,
+    PartSet,
+    Suspect,
+    TargetCrash,
+)
 
 _MS = timedelta(milliseconds=1)
 _RETENTION_MS = 600_000
@@ -52,11 +59,20 @@
 
 
 class CrashEvidence:
-    """Recent crashes of targets, and parts that are known to be sound."""
+    """Recent crashes of targets, and parts that are known to be sound.
 
-    __slots__ = ('_crashes', '_crashes_by_part', 'sound_parts')
+    :param known_starts: the targets that are listed.
+    """
+
+    __slots__ = (
+        '_crashes',
+        '_crashes_by_part',
+        '_known_starts',
+        'sound_parts',
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, known_starts: KnownStarts) -> None:
+        self._known_starts = known_starts
         self._crashes: list[TargetCrash] = []
         # Crashes with a suspected request that holds the part, oldest first.
         self._crashes_by_part: dict[str, list[TargetCrash]] = {}
@@ -147,7 +163,10 @@
         whose requests were its victims.
         """
         causes: list[CrashCause] = []
-        open_crashes = [OpenCrash(each, self.sound_parts) for each in self]
+        open_crashes = [
+            OpenCrash(each, self.sound_parts, self._known_starts)
+            for each in self
+        ]
         while True:
             cause = self._find_cause(open_crashes)
             if cause is None:
@@ -258,11 +277,17 @@
         return CrashCause(companions, counts[worst], last_crash_at)
 
     def _has_enough(self, part: str, crashes: list[OpenCrash]) -> bool:
-        """Return whether a part was there in enough crashes to be a cause."""
-        needed_count = _CRASH_COUNT
-        if part in self.sound_parts:
-            needed_count = _CRASH_COUNT_IF_SOUND_BEFORE
-        return self._count_apart(part, crashes) >= needed_count
+        """Return whether a part was there in enough crashes to be a cause.
+
+        Against a whole request that was answered before, only targets count
+        that have started anew since, or are gone.
+        """
+        if part not in self.sound_parts:
+            return self._count_apart(part, crashes) >= _CRASH_COUNT
+        if is_identity(part):
+            crashes = [each for each in crashes if not each.is_still_listed]
+        count = self._count_apart(part, crashes)
+        return count >= _CRASH_COUNT_IF_SOUND_BEFORE
 
     def _count_apart(self, part: str, crashes: Iterable[OpenCrash]) -> int:
         """Count crashes with a part, those that may be one event as one.
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -101,6 +101,7 @@
             int(random.random() * 2**_INCARNATION_BITS),
             settings.peer_addresses,
             recorder,
+            self.fleet,
         )
         self.statements = TargetStatements(
             self.fleet, self.load_exchange, recorder
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -176,6 +176,15 @@
         """
         return self._targets.get(name)
 
+    def has_start(self, target: str, started_ms: int) -> bool:
+        """Return whether a target is listed with a start.
+
+        :param target: name of the target.
+        :param started_ms: start of the target, in Unix milliseconds.
+        """
+        view = self.find(target)
+        return view is not None and view.record.started_ms == started_ms
+
     def find_address(self, address: str) -> TargetView | None:
         """Return the target at an address.
 
--- a/packages/core/src/buckthornpond_core/serving/load_exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/load_exchange.py
@@ -13,11 +13,13 @@
 from .fleet import Fleet, TargetView
 from .membership import Membership
 from .part_quarantine import PartQuarantine
+from .target_crashes import KnownStarts, NoStarts
 
 # A peer that sends nothing for this long is removed together with its load.
 _PEER_TIMEOUT = timedelta(seconds=3)
 _MS = timedelta(milliseconds=1)
 _PERCENT = 100
+_NO_STARTS = NoStarts()
 # Interval of full hints, which make up for lost datagrams.
 _FULL_HINT_INTERVAL = timedelta(seconds=1)
 # Time in which a new entry learns of all others through the seeds.
@@ -51,6 +53,7 @@
     :param incarnation: changes with each start of this entry.
     :param seeds: addresses of entries that always receive hints.
     :param recorder: receives counters and log events.
+    :param known_starts: the targets that are listed.
     """
 
     __slots__ = (
@@ -72,12 +75,15 @@
         incarnation: int,
         seeds: Iterable[str],
         recorder: Recorder,
+        known_starts: KnownStarts = _NO_STARTS,
     ) -> None:
         self.address = address
         self.seeds = tuple(seed for seed in seeds if seed != address)
         self.peers: dict[str, Peer] = {}
         self.membership = Membership()
-        self.quarantine = PartQuarantine(address, self.membership, recorder)
+        self.quarantine = PartQuarantine(
+            address, self.membership, recorder, known_starts
+        )
         self.incarnation = incarnation
         # When this entry began to learn of the others, at first or through
         # changed seeds.
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -23,7 +23,7 @@
     make_quarantine_hint,
 )
 from .request_identity import is_identity
-from .target_crashes import PartSet, Suspect, TargetCrash
+from .target_crashes import KnownStarts, PartSet, Suspect, TargetCrash
 
 _MS = timedelta(milliseconds=1)
 _MAX_QUARANTINES = 256
@@ -44,6 +44,7 @@
     :param address: address of this entry.
     :param membership: other entries that may be alive.
     :param recorder: receives counters and log events.
+    :param known_starts: the targets that are listed.
     """
 
     __slots__ = (
@@ -59,12 +60,16 @@
     )
 
     def __init__(
-        self, address: str, membership: Membership, recorder: Recorder
+        self,
+        address: str,
+        membership: Membership,
+        recorder: Recorder,
+        known_starts: KnownStarts,
     ) -> None:
         self._address = address
         self._membership = membership
         self._recorder = recorder
-        self.evidence = CrashEvidence()
+        self.evidence = CrashEvidence(known_starts)
         self._quarantines: dict[PartSet, Quarantine] = {}
         # What the next hint tells, and whether it is due at once.
         self._has_news = False
--- a/packages/core/src/buckthornpond_core/serving/target_crashes.py
+++ b/packages/core/src/buckthornpond_core/serving/target_crashes.py
@@ -1,12 +1,38 @@
 """Crashes of targets, and the unanswered requests that they took along."""
 
 from datetime import timedelta
+from typing import Protocol
 
 from .sound_parts import SoundParts
 
 PartSet = frozenset[str]
 
 
+class KnownStarts(Protocol):
+    """Tells which start of each target is known."""
+
+    def has_start(self, target: str, started_ms: int) -> bool:
+        """Return whether a target is listed with a start.
+
+        :param target: name of the target.
+        :param started_ms: start of the target, in Unix milliseconds.
+        """
+
+
+class NoStarts:
+    """Knows no target, so that every lost one counts as crashed."""
+
+    __slots__ = ()
+
+    def has_start(self, target: str, started_ms: int) -> bool:
+        """Return that the target is not listed.
+
+        :param target: name of the target.
+        :param started_ms: start of the target, in Unix milliseconds.
+        """
+        return False
+
+
 class Suspect:
     """Request that a target had not answered when it crashed.
 
@@ -61,12 +87,28 @@
 
     :param crash: the crash.
     :param sound_parts: when each part was last answered.
+    :param known_starts: the targets that are listed.
     """
 
-    __slots__ = ('_suspects', 'occurred_at', 'open_parts', 'requests')
+    __slots__ = (
+        '_suspects',
+        'is_still_listed',
+        'occurred_at',
+        'open_parts',
+        'requests',
+    )
 
-    def __init__(self, crash: TargetCrash, sound_parts: SoundParts) -> None:
+    def __init__(
+        self,
+        crash: TargetCrash,
+        sound_parts: SoundParts,
+        known_starts: KnownStarts,
+    ) -> None:
         self.occurred_at = crash.occurred_at
+        # The target may live, and only have closed connections.
+        self.is_still_listed = known_starts.has_start(
+            crash.target, crash.started_ms
+        )
         self._suspects = crash.suspects.values()
         self.requests = [
             frozenset(
