--- a/packages/core/src/buckthornpond_core/serving/__init__.py
+++ b/packages/core/src/buckthornpond_core/serving/__init__.py
@@ -1,21 +1,25 @@
 """Decisions of entries that call targets directly.
 
-=================== =======================================================
-module              responsibility
-=================== =======================================================
-``routes``          route and organisation of a request
-``fleet``           known targets and whether they may be used
-``health``          failure rate and circuit breaker of a target
-``budgets``         limits of retries and of requests to cold targets
-``engine_load``     load of an engine, and the cost of a request there
-``load_exchange``   load of other entries at the targets
-``placement``       policies that choose the targets of an attempt
-``fleet_follower``  changes that the source of the fleet reports
-``dispatcher``      all decisions above for one entry
-``events``          boundaries of the events of a stream
-``exchange``        states of one request from its head to its answer
-``memory_budgets``  which response is given up when too many are held
-``crash_evidence``  prompt parts that may have crashed targets
-``part_quarantine`` requests that are refused for the parts of their prompts
-=================== =======================================================
+==================== ======================================================
+module               responsibility
+==================== ======================================================
+``routes``           route and organisation of a request
+``fleet``            known targets and whether they may be used
+``health``           failure rate and circuit breaker of a target
+``budgets``          limits of retries and of requests to cold targets
+``engine_load``      load of an engine, and the cost of a request there
+``load_exchange``    load of other entries at the targets
+``placement``        policies that choose the targets of an attempt
+``fleet_follower``   changes that the source of the fleet reports
+``dispatcher``       all decisions above for one entry
+``events``           boundaries of the events of a stream
+``exchange``         states of one request from its head to its answer
+``memory_budgets``   which response is given up when too many are held
+``request_identity`` what a request is known by when it comes again
+``target_crashes``   lost targets, and the unanswered requests at each
+``sound_parts``      parts of prompts and requests that were answered
+``crash_evidence``   parts and requests that may have crashed targets
+``quarantines``      one quarantine, and what others are told of it
+``part_quarantine``  requests that are refused since they crash targets
+==================== ======================================================
 """
