Blame no first part because a victim was sent last (BUDGET)

Cause: "Tell a deadly request from one beside it by which was sent last" looked at that before it looked at how many requests hold a part. Of a part that all share, some request was sent last nearly always, so it was blamed for the part behind it.

Change: which was sent last decides only between suspects that as many requests hold.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -74,6 +74,12 @@
     Then requests with the parts shared dead are refused at every entry
     And requests with the parts shared; shared other are served at every entry
 
+  Scenario: a first part of a victim that was sent last is not blamed for the part behind it
+    Given 3 entries that exchange hints
+    When 3 targets crash, shared+dead 60 ms after it was sent and shared 10 ms after
+    Then requests with the parts shared dead are refused at every entry
+    And requests with the parts shared; shared other are served at every entry
+
   Scenario: many connections that break at once quarantine nothing
     Given 3 entries that exchange hints
     When 40 targets crash at once while a request with the parts rare is unanswered
--- a/features/specs/quarantines.py
+++ b/features/specs/quarantines.py
@@ -85,9 +85,10 @@
     def crash_with(self, run_times: Mapping[str, timedelta]) -> None:
         """Lose a target at which each request has run for some time."""
         target = f'target-{next(_TARGET_NUMBERS)}'
-        for part, run_time in run_times.items():
+        for parts, run_time in run_times.items():
             self._turn = (self._turn + 1) % len(self.entries)
-            suspect = Suspect(frozenset((part,)), self.now - run_time)
+            held_parts = frozenset(parts.split('+'))
+            suspect = Suspect(held_parts, self.now - run_time)
             self.entries[self._turn].quarantine.record_loss(
                 target, 1, suspect, self.now
             )
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -255,20 +255,22 @@
         if not counts:
             return None
 
-        def suspicion(name: str) -> tuple[int, bool, int, int, str]:
+        def suspicion(
+            name: str,
+        ) -> tuple[int, bool, int, int, tuple[int, str]]:
             found = crashes_by_part[name]
             is_new = name not in self.sound_parts
-            # A target crashes soon after it has begun to run the cause.
             begun_count = sum(crash.has_begun(name) for crash in found)
-            last_count = sum(crash.was_sent_last(name) for crash in found)
             # The first part of the cause is in requests of victims too.
             request_count = sum(crash.count_requests(name) for crash in found)
+            # A target crashes soon after it has begun to run the cause.
+            last_count = sum(crash.was_sent_last(name) for crash in found)
             return (
                 counts[name],
                 is_new,
-                begun_count + last_count,
+                begun_count,
                 -request_count,
-                name,
+                (last_count, name),
             )
 
         worst = max(counts, key=suspicion)
