--- a/review/6/case.py
+++ b/review/6/case.py
@@ -28,8 +28,12 @@
 SHARED = [f'{0xB0000000 + number:08x}' for number in range(19)]
 # Seconds between two sound requests on each of the two routes.
 SOUND_S = float(os.environ.get('SOUND_S', '0.25'))
+# Seconds between two requests with the part: 0.05 of all, for 22 s, as on the
+# day that the letter of issue 25 gives.
+DEADLY_S = float(os.environ.get('DEADLY_S', '2.5'))
+DEADLY_FOR_S = 22.0
 BACK_AFTER_S = 2.0
-SECONDS = 36.0
+SECONDS = 30.0
 ENTRY_COUNT = 2
 
 
@@ -131,7 +135,8 @@
                 for path in ('/draft/', '/review/')
             ]
             await asyncio.sleep(4)
-            await self.send('/draft/', 0.8, end - 1, is_deadly=True)
+            until = record.now() + DEADLY_FOR_S
+            await self.send('/draft/', DEADLY_S, until, is_deadly=True)
             await asyncio.gather(*sound)
         finally:
             self.deployment.close()
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -63,7 +63,7 @@
         record, store = self.record, self.deployment.store
         servers = [
             Server(record, store, f'i-{number:08x}', 'app', work_s=0.045)
-            for number in (1, 2)
+            for number in range(1, 5)
         ]
         leaver = servers[0]
         route = make_route(
