--- a/review/7/case.py
+++ b/review/7/case.py
@@ -122,7 +122,7 @@
         served = sum(each.is_served for each in outcomes)
         refused = sum(each.status == 503 for each in outcomes)
         cut = sum(
-            each.id in passed_on and not each.is_served for each in outcomes
+            each.id in passed_on and not each.is_whole for each in outcomes
         )
         # Sent so long after the signal, in ms, and lost.
         lost = [
@@ -130,7 +130,7 @@
                 round((each.sent_at - stopped_at) * 1000)
                 for each in found
                 if each.id in passed_on
-                and not each.is_served
+                and not each.is_whole
                 and each.sent_at > stopped_at + EXCUSED_S
             )
             for stopped_at, found in self.stops
