Log when the notice of a stop ends, and when the requests that it cuts were read

A stop that cuts requests said only how many. Whether they came before the notice ended, or late in it, could not be told apart from requests that were sent in time and read late. E107 marks the end of the notice, E105 lists when the latest of the cut requests were read.

--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -12,6 +12,7 @@
     process_stopped = 104
     stop_cut_short = 105
     task_not_ended = 106
+    stop_notice_ended = 107
     link_opened = 201
     agent_silent = 202
     malformed_agent_message = 203
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -1,5 +1,7 @@
 """Tasks that serve callers' connections."""
 
+from datetime import timedelta
+
 import gevent
 
 from buckthornpond_core._generated.serving import (
@@ -47,6 +49,7 @@
         '_pending_messages',
         '_reader',
         '_writer',
+        'served_since',
     )
 
     def __init__(
@@ -61,6 +64,8 @@
         self._reader = CallerReader(connection, peer, frontend, self._mailbox)
         self._writer = ResponseWriter(connection, frontend)
         self._pending_messages: list[ReaderMessage] = []
+        # When the request that is served was read, on the monotonic clock.
+        self.served_since: timedelta | None = None
 
     @property
     def has_open_request(self) -> bool:
@@ -113,12 +118,14 @@
             self._finish(request)
 
     def _finish(self, request: CallerRequest) -> None:
+        self.served_since = None
         self._reader.is_serving = False
         self._reader.finish_request(request)
         self._frontend.held_count -= 1
 
     def _serve(self, request: CallerRequest) -> None:
         arrival = self._frontend.clock.monotonic()
+        self.served_since = arrival
         self._writer.begin_response(request)
         try:
             metadata = self._frontend.codec.read_request(
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -44,6 +44,7 @@
 # Between two polls, what has arrived at a socket is read.
 _MIN_QUIET_COUNT = 2
 _MS = timedelta(milliseconds=1)
+_MAX_LOGGED_ARRIVALS = 16
 
 
 class FleetSource(Protocol):
@@ -285,6 +286,8 @@
         quiet_count = 0
         while not stop.ends_at_once and self._clock.monotonic() < deadline:
             if self._clock.monotonic() >= notice_end:
+                if not frontend.rejects_new_requests:
+                    self._log_notice_end(started_at)
                 frontend.rejects_new_requests = True
                 quiet_count += 1
                 if frontend.has_open_requests:
@@ -293,15 +296,27 @@
                 break
             gevent.sleep(_DRAIN_POLL_SECONDS)
         if frontend.held_count:
-            log_event(
-                EventCode.stop_cut_short,
-                held_count=frontend.held_count,
-            )
+            self._log_cut(started_at)
             self._end_held_requests()
         log_event(EventCode.process_stopped)
         flush_logs()
         os._exit(0)
 
+    def _log_notice_end(self, started_at: timedelta) -> None:
+        log_event(
+            EventCode.stop_notice_ended,
+            since_begin_ms=(self._clock.monotonic() - started_at) // _MS,
+            held_count=self._frontend.held_count,
+        )
+
+    def _log_cut(self, started_at: timedelta) -> None:
+        arrivals = self._frontend.list_arrivals()[-_MAX_LOGGED_ARRIVALS:]
+        log_event(
+            EventCode.stop_cut_short,
+            held_count=self._frontend.held_count,
+            arrivals_ms=[(each - started_at) // _MS for each in arrivals],
+        )
+
 
 def _count_connections(descriptor_count: int) -> int:
     return int(descriptor_count * _CALLER_DESCRIPTOR_SHARE)
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -1,5 +1,6 @@
 """State that all caller tasks share."""
 
+from datetime import timedelta
 from typing import Protocol
 
 from buckthornpond_core.serving.codec import RequestCodec
@@ -20,6 +21,10 @@
     def has_open_request(self) -> bool:
         """Whether any byte of a request without a complete response came."""
 
+    @property
+    def served_since(self) -> timedelta | None:
+        """When the request that is served was read, on the monotonic clock."""
+
     def announce_end(self) -> None:
         """Tell the task of the caller that the process ends."""
 
@@ -88,3 +93,8 @@
     def has_open_requests(self) -> bool:
         """Whether any caller waits for a response, or sends a request."""
         return any(each.has_open_request for each in self.connections)
+
+    def list_arrivals(self) -> list[timedelta]:
+        """Return when the requests were read that are served now, in order."""
+        arrivals = (each.served_since for each in self.connections)
+        return sorted(each for each in arrivals if each is not None)
