Take late in a planned stop only what ends before it (LOST)

Cause: the notice of 3 s, as long as the span in which a cut is excused, began when a poll had seen the signal and ended when another poll saw its end. E107 and the arrivals in E105 show the requests read while it lasted, 3,000 to 3,015 ms after E103. Ruled out by the same lines: requests that were sent in time and waited unread.

Change: the handler of the signal notes the time; PlannedStop decides by the time when a request is taken, so that a late look leads to a refusal.

--- a/packages/agent/src/buckthornpond_agent/cli.py
+++ b/packages/agent/src/buckthornpond_agent/cli.py
@@ -138,7 +138,7 @@
     metrics.add_gauge('held_body_bytes', lambda: admission.held_body_bytes)
     metrics.add_gauge('held_answer_bytes', lambda: task.held_answer_bytes)
     metrics.add_gauge('reserved_tokens', lambda: admission.reserved_tokens)
-    stop = StopSignal()
+    stop = StopSignal(clock)
     supervisor = Supervisor()
     supervisor.start('admission', task.run)
     supervisor.start('port', peer_listener.run)
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -124,7 +124,7 @@
         'held_answer_bytes',
         lambda: router_task.held_answer_bytes,
     )
-    stop = StopSignal()
+    stop = StopSignal(clock)
     supervisor = Supervisor()
     supervisor.start('router', router_task.run)
     assembly.start(supervisor, router_task.mailbox.send)
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -141,8 +141,15 @@
         if isinstance(admission, PlacementFailure):
             self._send_refusal(admission, metadata.attempt_id)
             return
+        exchange = RequestExchange(admission, arrival)
+        if not self._frontend.accepts_request(exchange.deadline):
+            stopping = PlacementFailure(
+                'entry_stopping', _STOPPING_RETRY_AFTER_MS
+            )
+            self._send_refusal(stopping, metadata.attempt_id)
+            return
         runner = ExchangeRunner(
-            RequestExchange(admission, arrival),
+            exchange,
             request,
             writer=self._writer,
             frontend=self._frontend,
@@ -156,8 +163,6 @@
         self,
         metadata: RequestMetadata,
     ) -> AdmittedRequest | PlacementFailure:
-        if self._frontend.rejects_new_requests:
-            return PlacementFailure('entry_stopping', _STOPPING_RETRY_AFTER_MS)
         self._frontend.dispatch.mailbox.send(
             AdmissionRequest(metadata, self._mailbox),
         )
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -14,6 +14,7 @@
 from buckthornpond_core.event_codes import EventCode
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.dispatcher import Dispatcher
+from buckthornpond_core.serving.planned_stops import PlannedStop
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.administration import AdministrationTask
 from buckthornpond_runtime.logs import flush_logs, log_event, start_logging
@@ -33,16 +34,9 @@
 _LISTEN_BACKLOG = 1024
 # The other descriptors are for the connections to targets.
 _CALLER_DESCRIPTOR_SHARE = 0.5
-# By then, load balancers have seen the entry as not ready.
-_NOTICE_PERIOD = timedelta(seconds=3)
-_STOP_MARGIN_MS = 700
-_STOP_MARGIN = timedelta(milliseconds=_STOP_MARGIN_MS)
-# Part of the margin in which callers that still wait are answered.
-_FINAL_ANSWER_MS = 300
-_FINAL_ANSWER_TIME = timedelta(milliseconds=_FINAL_ANSWER_MS)
-_DRAIN_POLL_SECONDS = 0.1
+_DRAIN_POLL_SECONDS = 0.05
 # Between two polls, what has arrived at a socket is read.
-_MIN_QUIET_COUNT = 2
+_MIN_QUIET_COUNT = 3
 _MS = timedelta(milliseconds=1)
 _MAX_LOGGED_ARRIVALS = 16
 
@@ -174,15 +168,17 @@
 
         :param source: reads the fleet and its configuration.
         """
-        stop = StopSignal()
+        stop = StopSignal(self._clock)
         self._set_up_monitoring()
         log_event(
             EventCode.process_started,
             incarnation=new_incarnation(self._settings.instance),
         )
         self.start_tasks(source)
-        stop.wait()
-        self._drain(stop)
+        signalled_at = stop.wait()
+        self._drain(
+            stop, PlannedStop(signalled_at, self._settings.grace_ms * _MS)
+        )
 
     def start_tasks(self, source: FleetSource) -> None:
         """Start the tasks of the entry.
@@ -267,54 +263,66 @@
             lambda: self._dispatch.quarantine_count,
         )
 
-    def _end_held_requests(self) -> None:
+    def _end_held_requests(self, limit: timedelta) -> None:
         """Let each caller that still waits get a final answer."""
         for connection in tuple(self._frontend.connections):
             connection.announce_end()
-        end = self._clock.monotonic() + _FINAL_ANSWER_TIME
+        end = self._clock.monotonic() + limit
         while self._frontend.held_count and self._clock.monotonic() < end:
             gevent.sleep(_DRAIN_POLL_SECONDS)
 
-    def _drain(self, stop: StopSignal) -> None:
+    def _drain(self, stop: StopSignal, schedule: PlannedStop) -> None:
+        frontend = self._frontend
+        frontend.stop = schedule
+        log_event(
+            EventCode.stop_begun,
+            held_count=frontend.held_count,
+            since_signal_ms=self._since_signal_ms(schedule),
+        )
+        self._await_requests(stop, schedule)
+        if frontend.held_count:
+            self._log_cut(schedule)
+            self._end_held_requests(schedule.final_answer_time)
+        log_event(EventCode.process_stopped)
+        flush_logs()
+        os._exit(0)
+
+    def _await_requests(self, stop: StopSignal, schedule: PlannedStop) -> None:
+        """Return once no caller waits after the notice, or time is up."""
         frontend = self._frontend
-        started_at = self._clock.monotonic()
-        frontend.is_stopping = True
-        log_event(EventCode.stop_begun, held_count=frontend.held_count)
-        grace = self._settings.grace_ms * _MS
-        notice_end = started_at + min(_NOTICE_PERIOD, grace / 2)
-        deadline = started_at + max(grace - _STOP_MARGIN, grace / 2)
         quiet_count = 0
-        while not stop.ends_at_once and self._clock.monotonic() < deadline:
-            if self._clock.monotonic() >= notice_end:
-                if not frontend.rejects_new_requests:
-                    self._log_notice_end(started_at)
-                frontend.rejects_new_requests = True
+        is_notice_over = False
+        while not stop.ends_at_once and quiet_count < _MIN_QUIET_COUNT:
+            now = self._clock.monotonic()
+            if now >= schedule.ends_at:
+                return
+            if now >= schedule.notice_ends_at:
+                if not is_notice_over:
+                    is_notice_over = True
+                    self._log_notice_end(schedule)
                 quiet_count += 1
                 if frontend.has_open_requests:
                     quiet_count = 0
-            if quiet_count >= _MIN_QUIET_COUNT:
-                break
             gevent.sleep(_DRAIN_POLL_SECONDS)
-        if frontend.held_count:
-            self._log_cut(started_at)
-            self._end_held_requests()
-        log_event(EventCode.process_stopped)
-        flush_logs()
-        os._exit(0)
 
-    def _log_notice_end(self, started_at: timedelta) -> None:
+    def _since_signal_ms(self, schedule: PlannedStop) -> int:
+        return (self._clock.monotonic() - schedule.signalled_at) // _MS
+
+    def _log_notice_end(self, schedule: PlannedStop) -> None:
         log_event(
             EventCode.stop_notice_ended,
-            since_begin_ms=(self._clock.monotonic() - started_at) // _MS,
+            since_signal_ms=self._since_signal_ms(schedule),
             held_count=self._frontend.held_count,
         )
 
-    def _log_cut(self, started_at: timedelta) -> None:
+    def _log_cut(self, schedule: PlannedStop) -> None:
         arrivals = self._frontend.list_arrivals()[-_MAX_LOGGED_ARRIVALS:]
         log_event(
             EventCode.stop_cut_short,
             held_count=self._frontend.held_count,
-            arrivals_ms=[(each - started_at) // _MS for each in arrivals],
+            arrivals_ms=[
+                (each - schedule.signalled_at) // _MS for each in arrivals
+            ],
         )
 
 
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -5,6 +5,7 @@
 
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.memory_budgets import MemoryBudget
+from buckthornpond_core.serving.planned_stops import PlannedStop
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.metrics import Metrics
 
@@ -47,10 +48,9 @@
         'dispatch',
         'held_body_bytes',
         'held_count',
-        'is_stopping',
         'metrics',
-        'rejects_new_requests',
         'response_budget',
+        'stop',
     )
 
     def __init__(
@@ -73,10 +73,8 @@
         self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
         self.held_count = 0
-        # The entry is not ready, and each response closes its connection.
-        self.is_stopping = False
-        # New requests are refused; requests in flight are finished.
-        self.rejects_new_requests = False
+        # Schedule of the planned stop that has begun, if any.
+        self.stop: PlannedStop | None = None
         self.limit_memory(memory_bytes)
 
     def limit_memory(self, memory_bytes: int) -> None:
@@ -89,6 +87,21 @@
             memory_bytes * _RESPONSE_MEMORY_SHARE
         )
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the entry is not ready, and closes connections."""
+        return self.stop is not None
+
+    def accepts_request(self, deadline: timedelta) -> bool:
+        """Return whether a request is taken, which a planned stop may forbid.
+
+        :param deadline: when it has its final answer at the latest, on the
+            monotonic clock.
+        """
+        if self.stop is None:
+            return True
+        return self.stop.accepts(deadline, self.clock.monotonic())
+
     @property
     def has_open_requests(self) -> bool:
         """Whether any caller waits for a response, or sends a request."""
--- a/packages/runtime/src/buckthornpond_runtime/processes.py
+++ b/packages/runtime/src/buckthornpond_runtime/processes.py
@@ -30,21 +30,26 @@
 
     SIGTERM begins a graceful stop, however often it comes. SIGINT begins one
     as well, and ends one that has begun.
+
+    :param clock: source of time.
     """
 
-    __slots__ = ('_has_begun', 'ends_at_once')
+    __slots__ = ('_began_at', '_clock', 'ends_at_once')
 
-    def __init__(self) -> None:
-        self._has_begun = False
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._began_at: timedelta | None = None
         # Whether a graceful stop is over, whatever is still in flight.
         self.ends_at_once = False
-        gevent.signal_handler(signal.SIGTERM, self._begin)
-        gevent.signal_handler(signal.SIGINT, self._interrupt)
+        # Unlike gevent's handlers, these do not wait for a busy event loop.
+        signal.signal(signal.SIGTERM, self._begin)
+        signal.signal(signal.SIGINT, self._interrupt)
 
-    def wait(self) -> None:
-        """Return after the first signal."""
-        while not self._has_begun:
+    def wait(self) -> timedelta:
+        """Return after the first signal; return when it came."""
+        while self._began_at is None:
             gevent.sleep(_POLL_INTERVAL_SECONDS)
+        return self._began_at
 
     def wait_for_interrupt(self, limit_seconds: float) -> None:
         """Return when the stop is to end at once, or after the time limit.
@@ -56,12 +61,13 @@
             gevent.sleep(min(_POLL_INTERVAL_SECONDS, remaining_seconds))
             remaining_seconds -= _POLL_INTERVAL_SECONDS
 
-    def _begin(self) -> None:
-        self._has_begun = True
+    def _begin(self, *_signal: object) -> None:
+        if self._began_at is None:
+            self._began_at = self._clock.monotonic()
 
-    def _interrupt(self) -> None:
-        self.ends_at_once = self._has_begun
-        self._has_begun = True
+    def _interrupt(self, *_signal: object) -> None:
+        self.ends_at_once = self._began_at is not None
+        self._begin()
 
 
 def drain(
