Log which parts of a prompt are no evidence of a crash

E609 listed the shared parts of a request at a lost target, and not which of them are suspected. So a part that is never looked at could not be told from one that an answer had cleared, or from a quarantine that was not asked. It also lists 32 parts at most, as a prompt may have hundreds.

--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -10,6 +10,7 @@
 from .target_crashes import Suspect
 
 _MS = timedelta(milliseconds=1)
+_MAX_LOGGED_PARTS = 32
 
 
 class EndedAttempt:
@@ -74,6 +75,8 @@
         placement = self._placement
         view = fleet.find(placement.target)
         attempts = view.all_attempts if view else []
+        parts = self._admission.metadata.shared_parts
+        unsuspected = set(parts).difference(self._admission.suspect_parts)
         return {
             'request': self._admission.metadata.attempt_id,
             'target': placement.target,
@@ -84,7 +87,9 @@
             'in_flight_count': len(attempts),
             'held_tokens': sum(each.held_tokens for each in attempts),
             'is_cold': view is not None and view.is_cold(now),
-            'shared_parts': self._admission.metadata.shared_parts,
+            'shared_parts': parts[:_MAX_LOGGED_PARTS],
+            'shared_part_count': len(parts),
+            'unsuspected_parts': sorted(unsuspected)[:_MAX_LOGGED_PARTS],
             'identity': self._admission.identity,
         }
 
