--- a/packages/core/src/buckthornpond_core/serving/admissions.py
+++ b/packages/core/src/buckthornpond_core/serving/admissions.py
@@ -2,10 +2,7 @@
 
 from .._generated.serving import Organisation, RequestMetadata, Route
 from .request_identity import identify_request
-
-# Bounds what a request leaves as evidence of a crash, and tells of it.
-_MAX_SUSPECT_PARTS = 16
-_MAX_PART_CHARACTERS = 64
+from .suspect_parts import name_parts
 
 
 class AdmittedRequest:
@@ -18,7 +15,14 @@
     :param service: service chosen among the shares of the route.
     """
 
-    __slots__ = ('identity', 'metadata', 'organisation', 'route', 'service')
+    __slots__ = (
+        'identity',
+        'metadata',
+        'organisation',
+        'route',
+        'service',
+        'suspect_parts',
+    )
 
     def __init__(
         self,
@@ -35,17 +39,8 @@
         self.identity = identify_request(
             metadata, organisation.name if organisation else ''
         )
-
-    @property
-    def suspect_parts(self) -> list[str]:
-        """Return what is suspected if a target crashes with the request.
-
-        These are the last prompt parts that other requests may hold too, and
-        the identity of the request where it is known.
-        """
-        identity = [self.identity] if self.identity else []
-        parts = self.metadata.shared_parts[-_MAX_SUSPECT_PARTS:]
-        short_parts = [
-            part for part in parts if len(part) <= _MAX_PART_CHARACTERS
-        ]
-        return [*short_parts, *identity]
+        # Suspected if a target crashes with the request: the prompt parts that
+        # other requests may hold too, and its identity where it is known.
+        self.suspect_parts = name_parts(metadata.shared_parts)
+        if self.identity:
+            self.suspect_parts.append(self.identity)
--- a/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/attempt_evidence.py
@@ -76,7 +76,6 @@
         view = fleet.find(placement.target)
         attempts = view.all_attempts if view else []
         parts = self._admission.metadata.shared_parts
-        unsuspected = set(parts).difference(self._admission.suspect_parts)
         return {
             'request': self._admission.metadata.attempt_id,
             'target': placement.target,
@@ -89,7 +88,6 @@
             'is_cold': view is not None and view.is_cold(now),
             'shared_parts': parts[:_MAX_LOGGED_PARTS],
             'shared_part_count': len(parts),
-            'unsuspected_parts': sorted(unsuspected)[:_MAX_LOGGED_PARTS],
             'identity': self._admission.identity,
         }
 
--- a/packages/core/src/buckthornpond_core/serving/crash_evidence.py
+++ b/packages/core/src/buckthornpond_core/serving/crash_evidence.py
@@ -13,6 +13,7 @@
 
 from .request_identity import is_identity
 from .sound_parts import SoundParts
+from .suspect_parts import estimate_length, select_evidence
 from .target_crashes import (
     KnownStarts,
     OpenCrash,
@@ -36,8 +37,11 @@
 _CRASH_DURATION_MS = 1000
 _CRASH_DURATION = timedelta(milliseconds=_CRASH_DURATION_MS)
 _MAX_CRASHES = 256
+# The oldest crashes are forgotten beyond this length of their parts.
+_MAX_HELD_BYTES = 2_097_152
 _MAX_SUSPECTS = 32
 _MAX_LOGGED_CRASHES = 8
+_MAX_LOGGED_PARTS = 32
 
 
 class CrashCause:
@@ -67,6 +71,7 @@
     __slots__ = (
         '_crashes',
         '_crashes_by_part',
+        '_held_bytes',
         '_known_starts',
         'sound_parts',
     )
@@ -76,12 +81,23 @@
         self._crashes: list[TargetCrash] = []
         # Crashes with a suspected request that holds the part, oldest first.
         self._crashes_by_part: dict[str, list[TargetCrash]] = {}
+        # Length of the parts of all suspects.
+        self._held_bytes = 0
         self.sound_parts = SoundParts()
 
     def __iter__(self) -> Iterator[TargetCrash]:
         """Iterate over the crashes, oldest first."""
         return iter(self._crashes)
 
+    def select(self, parts: Iterable[str]) -> PartSet:
+        """Return the parts of a request that are remembered after a crash.
+
+        :param parts: parts of its prompt, and its identity.
+        """
+        return select_evidence(
+            parts, self.sound_parts, self._crashes_by_part.__contains__
+        )
+
     def record_crash(
         self,
         target: str,
@@ -108,8 +124,9 @@
         is_new = False
         for parts in sorted(added, key=sorted):
             if parts in crash.suspects or len(crash.suspects) < _MAX_SUSPECTS:
-                is_new = crash.add(added[parts]) or is_new
-        self._index(crash)
+                is_new = self._add(crash, added[parts]) or is_new
+        while self._held_bytes > _MAX_HELD_BYTES and len(self._crashes) > 1:
+            self._drop(self._crashes[:1])
         return is_new
 
     def find_answered(self, crashes: Iterable[TargetCrash]) -> list[str]:
@@ -163,8 +180,16 @@
         whose requests were its victims.
         """
         causes: list[CrashCause] = []
+        # Only these can be causes, or parts that come with one.
+        repeated = frozenset(
+            part
+            for part in self._crashes_by_part
+            if self._is_open_in_enough(part)
+        )
+        if not repeated:
+            return causes
         open_crashes = [
-            OpenCrash(each, self.sound_parts, self._known_starts)
+            OpenCrash(each, repeated, self.sound_parts, self._known_starts)
             for each in self
         ]
         while True:
@@ -192,7 +217,8 @@
             if any(parts <= suspected for suspected in crash.suspects)
         ]
         proofs = (
-            (part, self.sound_parts.answered_at(part)) for part in sorted(parts)
+            (part, self.sound_parts.answered_at(part))
+            for part in sorted(parts)[:_MAX_LOGGED_PARTS]
         )
         return {
             'crashes': [
@@ -213,16 +239,25 @@
         first = crashes[-_CRASH_COUNT]
         return not self.sound_parts.is_answered_since(part, first.occurred_at)
 
-    def _index(self, crash: TargetCrash) -> None:
-        for part in frozenset[str]().union(*crash.suspects):
-            crashes = self._crashes_by_part.setdefault(part, [])
-            if crash not in crashes:
-                crashes.append(crash)
-                crashes.sort(key=_occurred_at)
+    def _add(self, crash: TargetCrash, suspect: Suspect) -> bool:
+        """Add a suspected request to a crash; return whether it is new."""
+        is_new = crash.add(suspect)
+        if is_new:
+            self._held_bytes += estimate_length(suspect.parts)
+            for part in suspect.parts:
+                self._index(part, crash)
+        return is_new
+
+    def _index(self, part: str, crash: TargetCrash) -> None:
+        crashes = self._crashes_by_part.setdefault(part, [])
+        if crash not in crashes:
+            crashes.append(crash)
+            crashes.sort(key=_occurred_at)
 
     def _drop(self, crashes: Iterable[TargetCrash]) -> None:
         for crash in tuple(crashes):
             self._crashes.remove(crash)
+            self._held_bytes -= sum(map(estimate_length, crash.suspects))
             for part in frozenset[str]().union(*crash.suspects):
                 remaining = self._crashes_by_part[part]
                 remaining.remove(crash)
@@ -257,7 +292,7 @@
 
         def suspicion(
             name: str,
-        ) -> tuple[int, bool, int, int, tuple[int, str]]:
+        ) -> tuple[bool, int, int, int, tuple[int, str]]:
             found = crashes_by_part[name]
             is_new = name not in self.sound_parts
             begun_count = sum(crash.has_begun(name) for crash in found)
@@ -266,8 +301,8 @@
             # A target crashes soon after it has begun to run the cause.
             last_count = sum(crash.was_sent_last(name) for crash in found)
             return (
-                counts[name],
                 is_new,
+                counts[name],
                 begun_count,
                 -request_count,
                 (last_count, name),
--- a/packages/core/src/buckthornpond_core/serving/part_quarantine.py
+++ b/packages/core/src/buckthornpond_core/serving/part_quarantine.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
-from operator import attrgetter
 
 from .._generated.hints import LoadHint, QuarantineHint, SoundPartHint
 from ..event_codes import EventCode
@@ -19,6 +18,7 @@
     QUARANTINE_TIME,
     Quarantine,
     limit_crashes,
+    limit_quarantines,
     make_crash_hint,
     make_quarantine_hint,
 )
@@ -33,8 +33,8 @@
 _RELAY_TIME = timedelta(seconds=5)
 # How old crashes are told to an entry that has started or was cut off.
 _RETOLD_AGE = timedelta(seconds=60)
-_MAX_TOLD_PARTS = 64
-_MAX_TOLD_QUARANTINES = 64
+_MAX_TOLD_PARTS = 256
+_MAX_LOGGED_PARTS = 32
 _OWN_ORIGIN = 'own'
 
 
@@ -134,9 +134,14 @@
         :param suspect: the request.
         :param now: time on the monotonic clock.
         """
-        if self._record_crash(target, started_ms, [suspect], now):
+        evidence = Suspect(
+            self.evidence.select(suspect.parts),
+            suspect.sent_at,
+            has_begun=suspect.has_begun,
+        )
+        if self._record_crash(target, started_ms, [evidence], now):
             self._has_news = True
-            self._update([suspect], _OWN_ORIGIN)
+            self._update([evidence], _OWN_ORIGIN)
 
     def record_sound(self, parts: Iterable[str], proven_at: timedelta) -> None:
         """Record that a target answered a request.
@@ -183,7 +188,7 @@
         if hint.is_full:
             hint.quarantines = [
                 make_quarantine_hint(quarantine, now)
-                for quarantine in self._list_latest()
+                for quarantine in limit_quarantines(self._quarantines.values())
             ]
         hint.sound_parts = self._make_sound_hints(crashes, now)
         self._has_news = False
@@ -268,12 +273,6 @@
         self._new_crashes.append(crash)
         return True
 
-    def _list_latest(self) -> list[Quarantine]:
-        """Return the quarantines with the latest evidence."""
-        return sorted(
-            self._quarantines.values(), key=attrgetter('evidence_at')
-        )[-_MAX_TOLD_QUARANTINES:]
-
     def _make_sound_hints(
         self, told_crashes: Iterable[TargetCrash], now: timedelta
     ) -> list[SoundPartHint]:
@@ -350,7 +349,8 @@
         self._recorder.count('quarantines', _OWN_ORIGIN if is_own else 'peer')
         self._recorder.log(
             EventCode.parts_quarantined,
-            parts=sorted(quarantine.parts),
+            parts=sorted(quarantine.parts)[:_MAX_LOGGED_PARTS],
+            part_count=len(quarantine.parts),
             crash_count=quarantine.crash_count,
             origin=origin,
             **self.evidence.describe(quarantine.parts, quarantine.evidence_at),
@@ -392,7 +392,8 @@
         self._recorder.count('ended_quarantines', reason)
         self._recorder.log(
             EventCode.parts_released,
-            parts=sorted(quarantine.parts),
+            parts=sorted(quarantine.parts)[:_MAX_LOGGED_PARTS],
+            part_count=len(quarantine.parts),
             crash_count=quarantine.crash_count,
             reason=reason,
         )
--- a/packages/core/src/buckthornpond_core/serving/quarantines.py
+++ b/packages/core/src/buckthornpond_core/serving/quarantines.py
@@ -5,7 +5,8 @@
 
 from .._generated.hints import CrashHint, QuarantineHint, SuspectHint
 from .crash_evidence import CrashCause
-from .target_crashes import TargetCrash
+from .suspect_parts import estimate_length
+from .target_crashes import Suspect, TargetCrash
 
 _MS = timedelta(milliseconds=1)
 # Time without a request after which a quarantine ends.
@@ -20,10 +21,11 @@
 _MAX_PROBE_INTERVAL = timedelta(hours=6)
 
 _MAX_TOLD_CRASHES = 8
-# A hint is one datagram, which tells of load and quarantines too.
-_MAX_TOLD_BYTES = 40_000
+_MAX_TOLD_QUARANTINES = 64
+# A hint is one datagram, which tells of load too.
+_MAX_CRASH_BYTES = 24_000
+_MAX_QUARANTINE_BYTES = 8000
 _SUSPECT_OVERHEAD_BYTES = 32
-_PART_OVERHEAD_BYTES = 2
 
 
 class Quarantine:
@@ -66,15 +68,41 @@
 def limit_crashes(crashes: Iterable[TargetCrash]) -> list[TargetCrash]:
     """Return the latest crashes that fit into a hint, oldest first.
 
+    Of one that does not fit as a whole the likeliest suspects are told.
+
     :param crashes: crashes, oldest first.
     """
     found: list[TargetCrash] = []
-    length_bytes = 0
+    remaining_bytes = _MAX_CRASH_BYTES
     for crash in reversed(tuple(crashes)[-_MAX_TOLD_CRASHES:]):
-        length_bytes += _estimate_length(crash)
-        if length_bytes > _MAX_TOLD_BYTES:
+        told = TargetCrash(crash.target, crash.started_ms, crash.occurred_at)
+        for suspect in sorted(
+            crash.suspects.values(), key=_likelihood, reverse=True
+        ):
+            remaining_bytes -= _SUSPECT_OVERHEAD_BYTES
+            remaining_bytes -= estimate_length(suspect.parts)
+            if remaining_bytes < 0:
+                break
+            told.add(suspect)
+        if told.suspects:
+            found.append(told)
+    found.reverse()
+    return found
+
+
+def limit_quarantines(quarantines: Iterable[Quarantine]) -> list[Quarantine]:
+    """Return those with the latest evidence that fit into a hint, oldest first.
+
+    :param quarantines: all quarantines.
+    """
+    found: list[Quarantine] = []
+    remaining_bytes = _MAX_QUARANTINE_BYTES
+    for quarantine in sorted(quarantines, key=_evidence_at, reverse=True):
+        remaining_bytes -= estimate_length(quarantine.parts)
+        is_full = len(found) >= _MAX_TOLD_QUARANTINES or remaining_bytes < 0
+        if found and is_full:
             break
-        found.append(crash)
+        found.append(quarantine)
     found.reverse()
     return found
 
@@ -116,10 +144,10 @@
     )
 
 
-def _estimate_length(crash: TargetCrash) -> int:
-    """Return about how many bytes a crash takes in a hint."""
-    return sum(
-        _SUSPECT_OVERHEAD_BYTES
-        + sum(len(part) + _PART_OVERHEAD_BYTES for part in parts)
-        for parts in crash.suspects
-    )
+def _likelihood(suspect: Suspect) -> tuple[bool, timedelta]:
+    """Return how likely a request crashed its target, as an order."""
+    return suspect.has_begun, suspect.sent_at
+
+
+def _evidence_at(quarantine: Quarantine) -> timedelta:
+    return quarantine.evidence_at
--- a/packages/core/src/buckthornpond_core/serving/sound_parts.py
+++ b/packages/core/src/buckthornpond_core/serving/sound_parts.py
@@ -5,7 +5,7 @@
 
 from .request_identity import is_identity
 
-_MAX_PARTS = 8192
+_MAX_PARTS = 32_768
 _MAX_IDENTITIES = 8192
 
 
--- a/packages/core/src/buckthornpond_core/serving/target_crashes.py
+++ b/packages/core/src/buckthornpond_core/serving/target_crashes.py
@@ -86,6 +86,7 @@
     """Crash with the parts that no later answer has cleared.
 
     :param crash: the crash.
+    :param repeated: parts of several crashes; others are left out.
     :param sound_parts: when each part was last answered.
     :param known_starts: the targets that are listed.
     """
@@ -101,6 +102,7 @@
     def __init__(
         self,
         crash: TargetCrash,
+        repeated: PartSet,
         sound_parts: SoundParts,
         known_starts: KnownStarts,
     ) -> None:
@@ -113,7 +115,7 @@
         self.requests = [
             frozenset(
                 part
-                for part in parts
+                for part in parts & repeated
                 if not sound_parts.is_answered_since(part, crash.occurred_at)
             )
             for parts in crash.suspects
