Let what a target says of itself bind whoever heard it (DRAIN, BUDGET)

A server that refused with Retry-After got the next request at once.

Cause: Server-Leaving was decoded nowhere, Retry-After of a server neither; only the store's record counted, and the entry was cut off from the store. Ruled out by reading: a path around the check, since there was none.

Change: TargetStatement has leaving and backoff beside the limit; TargetTerms keeps them for one start, also while the target is not listed, and may_send asks for all three wherever a target is chosen. Entries tell each other of leaving targets. Malformed values are ignored and counted, backoffs bounded.

--- a/features/steps/stated_limit_steps.py
+++ b/features/steps/stated_limit_steps.py
@@ -247,11 +247,11 @@
 def check_all_limited(context: Any) -> None:
     """Look at each entry's view."""
     for dispatcher in context.dispatchers:
-        assert dispatcher.fleet.find(context.target).is_limited
+        assert dispatcher.fleet.find(context.target).terms.is_limited
 
 
 @then('no entry knows a limit')
 def check_none_limited(context: Any) -> None:
     """Look at each entry's view."""
     for dispatcher in context.dispatchers:
-        assert not dispatcher.fleet.find(context.target).is_limited
+        assert not dispatcher.fleet.find(context.target).terms.is_limited
--- a/packages/core/src/buckthornpond_core/_generated/hints.py
+++ b/packages/core/src/buckthornpond_core/_generated/hints.py
@@ -169,6 +169,18 @@
     ]
 
 
+class TargetStartHint(WireRecord):
+    """
+    One start of a target.
+    """
+
+    target: str
+    started_ms: Annotated[
+        int,
+        Meta(description='Start of the target, in Unix milliseconds.', ge=0),
+    ]
+
+
 class CrashHint(WireRecord):
     """
     Crash of a target, and the unanswered requests that it took along.
@@ -233,3 +245,7 @@
         list[LimitHint],
         Meta(description='Limits that targets stated to the sender lately.'),
     ] = field(default_factory=list)
+    leaving_targets: Annotated[
+        list[TargetStartHint],
+        Meta(description='Targets that told the sender that they leave.'),
+    ] = field(default_factory=list)
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -571,9 +571,25 @@
         ]
         | None
     )
-    has_malformed_limit: Annotated[
-        bool, Meta(description='Whether a limit is stated that cannot be read.')
+    is_leaving: Annotated[
+        bool,
+        Meta(
+            description='Whether the target leaves, and gets no further requests.'
+        ),
     ] = False
+    backoff_ms: Annotated[
+        int,
+        Meta(
+            description='Time in which the target wants no request from this entry, zero if it states none.',
+            ge=0,
+        ),
+    ] = 0
+    malformed_fields: Annotated[
+        list[str],
+        Meta(
+            description='What is stated but cannot be read: limit, leaving or backoff.'
+        ),
+    ] = field(default_factory=list)
 
 
 class ResponseMetadata(Struct):
--- a/packages/core/src/buckthornpond_core/event_codes.py
+++ b/packages/core/src/buckthornpond_core/event_codes.py
@@ -61,5 +61,7 @@
     log_lines_dropped = 632
     target_limited = 633
     target_limit_ended = 634
+    target_leaving = 635
+    target_backoff = 636
     parts_quarantined = 641
     parts_released = 642
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -431,7 +431,7 @@
             configuration_version=self.configuration_version,
             fleet_revision=self.fleet.revision,
             source_age_ms=self.fleet.source_age(now) // _MS,
-            has_statement=selection.target.is_limited,
+            has_statement=selection.target.terms.is_limited,
         )
 
     def _build_tickets(self, selection: TargetSelection) -> list[MemoryTicket]:
@@ -455,11 +455,15 @@
     def _refuse_limited(
         self, candidates: Collection[Candidate], now: timedelta
     ) -> PlacementFailure:
-        limited = [each.view for each in candidates if each.view.is_limited]
-        if not limited:
+        bound = [
+            each.view
+            for each in candidates
+            if not self.statements.may_send(each.view, now)
+        ]
+        if not bound:
             return self._build_failure('target_cold', now)
         failure = self._build_failure('target_limited', now)
-        delay = self.statements.find_retry_delay(limited, self._random, now)
+        delay = self.statements.find_retry_delay(bound, self._random, now)
         failure.retry_after_ms = delay // _MS
         return failure
 
--- a/packages/core/src/buckthornpond_core/serving/exchange.py
+++ b/packages/core/src/buckthornpond_core/serving/exchange.py
@@ -459,11 +459,16 @@
             # The running attempt may still succeed.
             return []
         if not self.history.is_empty:
-            return self._finish_unanswered(found.reason)
+            return self._finish_unanswered(
+                found.reason,
+                max(found.retry_after_ms, _NOT_RUN_RETRY_AFTER_MS),
+            )
         self.is_done = True
         return [SendRefusal(found.reason, found.retry_after_ms)]
 
-    def _finish_unanswered(self, reason: str) -> list[ExchangeEffect]:
+    def _finish_unanswered(
+        self, reason: str, retry_after_ms: int = _NOT_RUN_RETRY_AFTER_MS
+    ) -> list[ExchangeEffect]:
         self.is_done = True
         if self.is_response_started:
             return [AbortResponse(reason)]
@@ -471,7 +476,7 @@
             return [self._whole_response]
         if self.history.may_have_run:
             return [SendRefusal('answer_lost', 0)]
-        return [SendRefusal('target_refused', _NOT_RUN_RETRY_AFTER_MS)]
+        return [SendRefusal('target_refused', retry_after_ms)]
 
     def _give_up(self, reason: str, now: timedelta) -> list[ExchangeEffect]:
         self.is_done = True
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -11,7 +11,7 @@
 from .health import TargetHealth
 from .reported_load import UnexplainedLoad
 from .source_positions import SourcePosition
-from .stated_limits import StatedLimit
+from .target_terms import FormerTerms, TargetTerms
 
 # Targets whose records expired during an outage of the source register again
 # within this time, if at all.
@@ -29,6 +29,7 @@
     """State of one target as an entry knows it.
 
     :param record: record that the target registered.
+    :param terms: what this start of it has said of itself.
     """
 
     __slots__ = (
@@ -42,12 +43,13 @@
         'is_held',
         'peer_attempts',
         'record',
-        'stated_limit',
+        'terms',
         'unexplained_load',
     )
 
-    def __init__(self, record: TargetRecord) -> None:
+    def __init__(self, record: TargetRecord, terms: TargetTerms) -> None:
         self.record = record
+        self.terms = terms
         self.health = TargetHealth()
         self.unexplained_load = UnexplainedLoad()
         self.attempts: dict[str, InFlightAttempt] = {}
@@ -55,7 +57,6 @@
         self.peer_attempts: dict[str, list[InFlightAttempt]] = {}
         self.cold_until = timedelta()
         self.cold_rate_limit: ColdRateLimit | None = None
-        self.stated_limit: StatedLimit | None = None
         self._latency_ms = 0.0
         self._latency_updated_at = timedelta()
         self.expires_at: timedelta | None = None
@@ -112,18 +113,12 @@
         """
         return now < self.cold_until
 
-    @property
-    def is_limited(self) -> bool:
-        """Return whether the target states a limit of its request rate."""
-        stated = self.stated_limit
-        return stated is not None and stated.requests_per_second is not None
-
     def accepts_work(self, now: timedelta) -> bool:
-        """Return whether the target is registered and not draining.
+        """Return whether the target is registered and does not leave.
 
         :param now: time on the monotonic clock.
         """
-        if self.record.is_draining or self.is_held:
+        if self.record.is_draining or self.is_held or self.terms.is_leaving:
             return False
         return self.expires_at is None or now < self.expires_at
 
@@ -134,6 +129,7 @@
     __slots__ = (
         '_departures',
         '_first_lost_at',
+        '_former_terms',
         '_services',
         '_targets',
         'confirmed_at',
@@ -150,6 +146,7 @@
         self._services: dict[str, dict[str, TargetView]] = {}
         self._first_lost_at: timedelta | None = None
         self._departures = Departures()
+        self._former_terms = FormerTerms()
         self.evacuated_zones: set[str] = set()
         # Evacuated zones that an older copy of the source does not list.
         self.held_zones: set[str] = set()
@@ -220,7 +217,7 @@
         """
         view = self._targets.get(record.name)
         if view is None or view.record.started_ms != record.started_ms:
-            view = TargetView(record)
+            view = TargetView(record, self._former_terms.take(record))
         self._drop(record.name)
         self._targets[record.name] = view
         self._services.setdefault(record.service, {})[record.name] = view
@@ -244,8 +241,7 @@
         if self.is_source_unstable(now) and not view.record.is_draining:
             view.expires_at = self._grace_end(now)
             return False
-        self._departures.record(view.record, now)
-        self._drop(name)
+        self._record_departure(view, now)
         return True
 
     def evacuate(self, zone: str) -> None:
@@ -324,15 +320,14 @@
         :param now: time on the monotonic clock.
         """
         gone = [
-            view.record.name
-            for view in self
-            if view.expires_at is not None and now >= view.expires_at
+            each
+            for each in self
+            if each.expires_at is not None and now >= each.expires_at
         ]
-        for name in gone:
-            self._departures.record(self._targets[name].record, now)
-            self._drop(name)
+        for view in gone:
+            self._record_departure(view, now)
         self._departures.drop_expired(now)
-        return gone
+        return [each.record.name for each in gone]
 
     def mark_source_lost(self, now: timedelta) -> bool:
         """Record that the source does not answer; return whether that is new.
@@ -421,6 +416,11 @@
             )
         self.put(record).is_held = has_left
 
+    def _record_departure(self, view: TargetView, now: timedelta) -> None:
+        self._departures.record(view.record, now)
+        self._former_terms.keep(view.record, view.terms)
+        self._drop(view.record.name)
+
     def _drop(self, name: str) -> None:
         view = self._targets.pop(name, None)
         if view is not None:
--- a/packages/core/src/buckthornpond_core/serving/target_statements.py
+++ b/packages/core/src/buckthornpond_core/serving/target_statements.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from .._generated.hints import LimitHint, LoadHint
+from .._generated.hints import LimitHint, LoadHint, TargetStartHint
 from .._generated.serving import Placement, TargetStatement
 from ..event_codes import EventCode
 from ..types import RandomSource, Recorder
@@ -12,6 +12,7 @@
 from .stated_limits import LimitDivision, StatedLimit
 
 _MS = timedelta(milliseconds=1)
+_OWN_ORIGIN = 'own'
 # Other entries are told of what a response stated for so long.
 _HINT_TIME = timedelta(seconds=3)
 # Delay before a retry at other entries, which may have a share.
@@ -21,6 +22,8 @@
 _MIN_RETRY_DELAY = _MIN_RETRY_DELAY_MS * _MS
 _MAX_RETRY_DELAY_MS = 2500
 _MAX_RETRY_DELAY = _MAX_RETRY_DELAY_MS * _MS
+# One faulty response takes a target out of use for no longer than this.
+_MAX_BACKOFF_MS = 600_000
 
 
 class TargetStatements:
@@ -52,17 +55,18 @@
         :param view: the target.
         :param now: time on the monotonic clock.
         """
-        if view.stated_limit is None:
-            return True
-        return self._find_delay(view, now) == timedelta()
+        terms = view.terms
+        if terms.is_leaving or now < terms.backoff_until:
+            return False
+        return terms.limit is None or self._find_delay(view, now) == timedelta()
 
     def record_request(self, view: TargetView) -> None:
         """Count a request that this entry sends to a target.
 
         :param view: the target.
         """
-        if view.stated_limit is not None:
-            view.stated_limit.record_request()
+        if view.terms.limit is not None:
+            view.terms.limit.record_request()
 
     def find_retry_delay(
         self,
@@ -96,17 +100,23 @@
         :param statement: the statement, or ``None`` if there is none.
         :param now: time on the monotonic clock.
         """
-        if statement is not None and statement.has_malformed_limit:
-            self._recorder.count('malformed_messages', 'target_limit')
-            return
-        view = self._fleet.find(placement.target)
-        if view is None or view.record.started_ms != placement.started_ms:
+        malformed = statement.malformed_fields if statement else ()
+        for name in malformed:
+            self._recorder.count('malformed_messages', f'target_{name}')
+        view = self._find_start(placement.target, placement.started_ms)
+        if view is None:
             # Another start of the target owes nothing of it.
             return
-        limit = None if statement is None else statement.requests_per_second
+        if statement is not None:
+            self._set_backoff(view, statement.backoff_ms, now)
+            if statement.is_leaving:
+                self._set_leaving(view, _OWN_ORIGIN)
+        if 'limit' in malformed:
+            return
+        limit = statement.requests_per_second if statement else None
         self._set_limit(view, limit, now, now)
-        if view.stated_limit is not None:
-            view.stated_limit.is_first_hand = True
+        if view.terms.limit is not None:
+            view.terms.limit.is_first_hand = True
 
     def fill_hint(self, hint: LoadHint, now: timedelta) -> None:
         """Add what targets told this entry lately to a hint.
@@ -114,16 +124,23 @@
         :param hint: hint of this entry.
         :param now: time on the monotonic clock.
         """
-        views: Iterable[TargetView | None] = self._fleet
+        views: list[TargetView | None] = list(self._fleet)
         if not hint.is_full:
-            views = (self._fleet.find(each.target) for each in hint.targets)
+            views = [self._fleet.find(each.target) for each in hint.targets]
         hint.limits = [
             _make_limit_hint(view, stated, now)
             for view in views
             if view is not None
-            and (stated := view.stated_limit) is not None
+            and (stated := view.terms.limit) is not None
             and _is_news(stated, now)
         ]
+        hint.leaving_targets = [
+            TargetStartHint(view.record.name, view.record.started_ms)
+            for view in views
+            if view is not None
+            and view.terms.is_leaving
+            and view.terms.is_first_hand
+        ]
 
     def apply_hint(self, hint: LoadHint, now: timedelta) -> None:
         """Record what targets told another entry.
@@ -132,37 +149,84 @@
         :param now: time on the monotonic clock.
         """
         for limit_hint in hint.limits:
-            view = self._fleet.find(limit_hint.target)
-            is_same = (
-                view is not None
-                and view.record.started_ms == limit_hint.started_ms
-            )
-            if view is not None and is_same:
+            view = self._find_start(limit_hint.target, limit_hint.started_ms)
+            if view is not None:
                 self._apply_limit_hint(view, limit_hint, now)
+        for start in hint.leaving_targets:
+            view = self._find_start(start.target, start.started_ms)
+            if view is not None:
+                self._set_leaving(view, hint.sender)
 
     def _apply_limit_hint(
         self, view: TargetView, hint: LimitHint, now: timedelta
     ) -> None:
         heard_at = now - hint.age_ms * _MS
-        known = view.stated_limit
+        known = view.terms.limit
         if known is not None and known.heard_at >= heard_at:
             return
         limit = hint.requests_per_second if hint.is_limited else None
         self._set_limit(view, limit, heard_at, now)
-        if view.stated_limit is not None:
-            view.stated_limit.is_first_hand = False
+        if view.terms.limit is not None:
+            view.terms.limit.is_first_hand = False
+
+    def _find_start(self, target: str, started_ms: int) -> TargetView | None:
+        """Return a target if this start of it is known."""
+        view = self._fleet.find(target)
+        if view is None or view.record.started_ms != started_ms:
+            return None
+        return view
 
     def _find_delay(self, view: TargetView, now: timedelta) -> timedelta | None:
         """Return the time until a request may be sent, if this entry may."""
-        stated = view.stated_limit
+        backoff = max(view.terms.backoff_until - now, timedelta())
+        stated = view.terms.limit
         if stated is None or stated.requests_per_second is None:
-            return timedelta()
+            return backoff
         share = self._division.find_share(
             view.record.name,
             stated.requests_per_second,
             knows_others=bool(self._load_exchange.count_entries(now)),
         )
-        return None if share is None else stated.find_delay(share, now)
+        if share is None:
+            return None
+        return max(stated.find_delay(share, now), backoff)
+
+    def _set_leaving(self, view: TargetView, origin: str) -> None:
+        terms = view.terms
+        terms.is_first_hand = terms.is_first_hand or origin == _OWN_ORIGIN
+        if terms.is_leaving:
+            return
+        terms.is_leaving = True
+        self._recorder.count('target_statements', 'leaving')
+        self._load_exchange.mark_changed(view.record.name)
+        self._recorder.log(
+            EventCode.target_leaving,
+            target=view.record.name,
+            address=view.record.address,
+            started_ms=view.record.started_ms,
+            origin=origin,
+        )
+
+    def _set_backoff(
+        self, view: TargetView, backoff_ms: int, now: timedelta
+    ) -> None:
+        if not backoff_ms:
+            return
+        bounded_ms = min(backoff_ms, _MAX_BACKOFF_MS)
+        is_new = now >= view.terms.backoff_until
+        view.terms.backoff_until = max(
+            view.terms.backoff_until, now + bounded_ms * _MS
+        )
+        if not is_new:
+            return
+        self._recorder.count('target_statements', 'backoff')
+        self._recorder.log(
+            EventCode.target_backoff,
+            target=view.record.name,
+            address=view.record.address,
+            started_ms=view.record.started_ms,
+            backoff_ms=bounded_ms,
+        )
 
     def _set_limit(
         self,
@@ -171,12 +235,12 @@
         heard_at: timedelta,
         now: timedelta,
     ) -> None:
-        stated = view.stated_limit
+        stated = view.terms.limit
         if stated is None:
             if limit is None:
                 return
             stated = StatedLimit(None, heard_at)
-            view.stated_limit = stated
+            view.terms.limit = stated
         was_limited = stated.requests_per_second is not None
         if limit is None and was_limited:
             self._log(EventCode.target_limit_ended, view, stated, now)
@@ -184,6 +248,7 @@
         stated.requests_per_second = limit
         if limit is not None and not was_limited:
             stated.begin(heard_at)
+            self._recorder.count('target_statements', 'limit')
             self._log(EventCode.target_limited, view, stated, now)
         if was_limited != (limit is not None):
             self._load_exchange.mark_changed(view.record.name)
