--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -1,11 +1,15 @@
 """HTTP connections to servers."""
 
+import os
 import select
 import socket as standard_socket
 from collections.abc import Iterable
 from datetime import timedelta
+from fcntl import ioctl
+from struct import Struct
+from termios import TIOCOUTQ
 
-from gevent import Timeout
+from gevent import Timeout, sleep
 
 from buckthornpond_core.exceptions import BuckthornpondError, TargetError
 from buckthornpond_core.input_limits import InputLimit, InputLimitError
@@ -22,6 +26,10 @@
 _KEEPALIVE_PROBE_COUNT = 2
 # Keepalive probes are sent only while no sent bytes are unacknowledged.
 _UNACKNOWLEDGED_TIMEOUT_MS = 2500
+# Wait for a request to be received whole, once the server has closed.
+_DELIVERY_TIMEOUT_SECONDS = 3.0
+_DELIVERY_POLL_SECONDS = 0.005
+_INTEGER = Struct('@i')
 _DEAD_PEER_OPTIONS = (
     (standard_socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS),
     (standard_socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS),
@@ -128,6 +136,8 @@
 
     __slots__ = (
         '_detects_dead_peer',
+        '_error',
+        '_pending_send_count',
         '_socket',
         'address',
         'carried',
@@ -143,6 +153,9 @@
         self.carried = CarriedRequests()
         self._socket: PacedSocket | None = None
         self._detects_dead_peer = False
+        # First error of any call: the socket tells it to one caller only.
+        self._error: OSError | None = None
+        self._pending_send_count = 0
 
     def connect(self, timeout: timedelta) -> None:
         """Open the connection.
@@ -235,8 +248,8 @@
         flags = standard_socket.MSG_PEEK | standard_socket.MSG_DONTWAIT
         try:
             return bool(self._socket.recv(1, flags))
-        except OSError:
-            # The server reset the connection.
+        except OSError as error:
+            self._note_error(error)
             return False
 
     def fileno(self) -> int:
@@ -251,10 +264,14 @@
         """
         if self._socket is None:
             raise self.make_error('not connected', 'send')
+        self._pending_send_count += 1
         try:
             self._socket.sendall(content)
         except OSError as error:
+            self._note_error(error)
             raise self._wrap_error(error, 'send') from error
+        finally:
+            self._pending_send_count -= 1
 
     def receive(self, response: HttpResponse, step: str) -> None:
         """Feed the next bytes from the server to a response.
@@ -269,6 +286,8 @@
         received = b''
         try:
             received = self._socket.recv(_READ_BYTES)
+            if not received and response.ends_with_connection:
+                self._confirm_end()
             response.feed(received)
         except InputLimitError as error:
             raise self.make_error(
@@ -343,6 +362,51 @@
             is_silent=is_silent,
         )
 
+    def _note_error(self, error: OSError) -> None:
+        if self._error is None:
+            self._error = error
+
+    def _confirm_end(self) -> None:
+        """Return once the server is known to have closed in order.
+
+        It has, if it has received the whole request by then: one that fails
+        resets the connection for what it has not read. Whoever uses the
+        socket meets that error, be it a greenlet that still sends.
+
+        :raises OSError: when the connection was reset or timed out.
+        """
+        expired = ConnectionAbortedError(
+            'server closed before it had the whole request'
+        )
+        with Timeout(_DELIVERY_TIMEOUT_SECONDS, expired):
+            while self._has_unsent_request():
+                sleep(_DELIVERY_POLL_SECONDS)
+
+    def _has_unsent_request(self) -> bool:
+        """Return whether the server has yet to receive bytes.
+
+        :raises OSError: when any call has met an error of the connection.
+        """
+        if self._socket is not None:
+            code = self._socket.getsockopt(
+                standard_socket.SOL_SOCKET, standard_socket.SO_ERROR
+            )
+            if code:
+                self._note_error(OSError(code, os.strerror(code)))
+        if self._error is not None:
+            raise self._error
+        return bool(self._pending_send_count or self._count_unsent_bytes())
+
+    def _count_unsent_bytes(self) -> int:
+        """Return how many sent bytes the server has not acknowledged."""
+        unsent = bytearray(_INTEGER.size)
+        try:
+            ioctl(self.fileno(), TIOCOUTQ, unsent)
+        except OSError:
+            # The platform does not tell.
+            return 0
+        return int(_INTEGER.unpack(unsent)[0])
+
     def _wrap_error(
         self, error: Exception, step: str, *, has_received: bool = False
     ) -> TargetError:
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -113,6 +113,15 @@
         self._unsearched = bytearray()
         self._parser = HttpResponseParser(self)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether nothing but the end of the connection ends the body."""
+        return (
+            self.is_head_complete
+            and not self.is_complete
+            and not self.is_body_delimited
+        )
+
     @property
     def is_body_delimited(self) -> bool:
         """Whether the head says how the body ends."""
