--- a/packages/runtime/src/buckthornpond_runtime/embedded_heads.py
+++ b/packages/runtime/src/buckthornpond_runtime/embedded_heads.py
@@ -5,12 +5,15 @@
 
 import re
 
+from .head_lines import LIKELY_STATUS
+
 _MARK = b'HTTP/1.'
 _LINE_END = b'\n'
 _RETURN = b'\r'
-_STATUS_LINE = re.compile(rb'HTTP/1\.[01] ([1-5]\d\d)(?: [^\r\n]*)?\Z')
-_FIELD_LINE = re.compile(rb"([!#$%&'*+.^`|~\w-]+):[ \t]*([^\r\n]*)\r\n")
-_FIELD_LINES = re.compile(rb"(?:[!#$%&'*+.^`|~\w-]+:[^\r\n]*\r\n)*")
+# A name may hold anything that a server in trouble writes.
+_FIELD_LINE = re.compile(rb'([^:\r\n]+):[ \t]*([^\r\n]*)\r\n')
+_FIELD_LINES = re.compile(rb'(?:[^:\r\n]+:[^\r\n]*\r\n)*')
+_NO_NAME = re.compile(rb'[^!-~]+')
 _HEAD_END = b'\r\n'
 # Longer heads are not looked for, which bounds what is held back.
 _MAX_HEAD_BYTES = 8192
@@ -33,7 +36,7 @@
     def fields(self) -> list[tuple[str, str]]:
         """Return the header fields in their order."""
         return [
-            (name.decode(), text.decode('latin-1'))
+            (_NO_NAME.sub(b'', name).decode(), text.decode('latin-1'))
             for name, text in _FIELD_LINE.findall(self._field_lines)
         ]
 
@@ -54,13 +57,15 @@
         '_needs_input',
         '_searched_bytes',
         '_status_code',
+        'is_inside_head',
     )
 
     def __init__(self) -> None:
         self._held = bytearray()
         # Whether the held bytes begin with the mark of a status line.
         self._has_mark = False
-        # Status of the head at their start, zero before its first line ends.
+        # Whether the bytes so far end inside a head, after its first line.
+        self.is_inside_head = False
         self._status_code = 0
         # Index of the first header field of that head.
         self._fields_start = 0
@@ -71,11 +76,6 @@
         self._needs_input = False
         self._found: list[EmbeddedHead] = []
 
-    @property
-    def is_inside_head(self) -> bool:
-        """Whether the bytes so far end inside a head, after its first line."""
-        return self._status_code > 0
-
     def feed(self, part: bytes) -> bytes:
         """Return the bytes of the body that are not held back, in order.
 
@@ -118,7 +118,7 @@
     def _read_line(self) -> int:
         end = self._held.find(_LINE_END, self._searched_bytes)
         self._searched_bytes = len(self._held) if end < 0 else end + 1
-        if end >= 0 and self._status_code:
+        if end >= 0 and self.is_inside_head:
             return self._read_fields()
         if self._searched_bytes > _MAX_HEAD_BYTES:
             return self._give_up()
@@ -130,10 +130,11 @@
     def _read_status_line(self, line: bytes) -> int:
         # The status line may follow the last byte of the body.
         text = line.removesuffix(_RETURN).rpartition(_RETURN)[2]
-        status = _STATUS_LINE.search(text)
+        status = LIKELY_STATUS.search(text)
         if status is None or not line.endswith(_RETURN):
             return self._restart(self._searched_bytes)
         start = len(line) - len(_RETURN) - len(text) + status.start()
+        self.is_inside_head = True
         self._status_code = int(status[1])
         self._searched_bytes -= start
         self._fields_start = self._searched_bytes
@@ -158,14 +159,14 @@
 
     def _give_up(self) -> int:
         """Go on behind what has become too long for a head."""
-        if self._status_code:
+        if self.is_inside_head:
             return self._restart(self._line_start)
         last_mark = self._held.rfind(_MARK, 1, _MAX_HEAD_BYTES)
         return self._restart(max(last_mark, 1))
 
     def _restart(self, start: int) -> int:
         self._has_mark = False
-        self._status_code = 0
+        self.is_inside_head = False
         return start
 
 
--- a/packages/runtime/src/buckthornpond_runtime/responses.py
+++ b/packages/runtime/src/buckthornpond_runtime/responses.py
@@ -1,6 +1,5 @@
 """HTTP responses, parsed from the bytes that a socket's owner feeds in."""
 
-import re
 from collections.abc import Callable
 from typing import TypeAlias
 
@@ -10,7 +9,6 @@
     HttpResponseParser,
 )
 
-from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_core.input_limits import (
     MAX_FIELD_COUNT,
     MAX_FRAMING_BYTES,
@@ -21,30 +19,18 @@
 )
 
 from .embedded_heads import EmbeddedHeadSearch
+from .head_lines import HeadSplitter, MalformedResponseError, check_text
 
 _LOWEST_FINAL_STATUS = 200
 _MAX_BUFFERED_BYTES = 1_048_576
 _EVENT_END = b'\n\n'
 _BODILESS_STATUSES = frozenset((204, 304))
 _CHUNKED = 'chunked'
-# Start of a response inside a line of another one, whose head broke off. In
-# a field such as Via, the address of a proxy may follow the protocol.
-_STATUS_LINE = re.compile(rb'HTTP/1\.[01] [1-5]\d\d(?:\s|\Z)')
+_NO_BODY_LENGTHS = frozenset(('', '0'))
 
 HeadCheck: TypeAlias = Callable[[int, list[tuple[str, str]]], bool]
 
 
-class MalformedResponseError(BuckthornpondError):
-    """A server sent bytes that are not a complete HTTP response."""
-
-    def __init__(self, message: str) -> None:
-        super().__init__(message, step='parse response', peer='server')
-
-    def __str__(self) -> str:
-        """Return only the message; the caller adds step and peer."""
-        return self.message
-
-
 class HttpResponse:
     """Head and buffered body of one response.
 
@@ -71,6 +57,7 @@
         '_received_body_bytes',
         '_search',
         '_searched_bytes',
+        '_splitter',
         '_unsearched',
         'fields',
         'has_skipped',
@@ -111,6 +98,7 @@
         # Looks for further responses, in a body that ends with its connection.
         self._search: EmbeddedHeadSearch | None = None
         self._unsearched = bytearray()
+        self._splitter = HeadSplitter()
         self._parser = HttpResponseParser(self)
 
     @property
@@ -155,7 +143,10 @@
             return
         had_head = self.is_head_complete
         earlier_body_bytes = self._received_body_bytes
-        self._parse(received)
+        if had_head:
+            self._parse(received)
+        else:
+            self._parse_head(received)
         self._check_field_count()
         self._search_further()
         if not self.is_head_complete:
@@ -227,7 +218,7 @@
         if len(self.fields) > MAX_FIELD_COUNT:
             # Enough to see that there are too many.
             return
-        _check_head_line(field)
+        check_text(field)
         text = field.decode('latin-1')
         self._fields[name.decode('latin-1').lower()] = text
         self.fields.append((name.decode('latin-1'), text))
@@ -241,13 +232,17 @@
         status_code = self._parser.get_status_code()
         if self.has_trailing_bytes:
             return
-        _check_head_line(self._reason_phrase)
+        check_text(self._reason_phrase)
         if status_code < _LOWEST_FINAL_STATUS:
+            self._check_interim()
             return
         if self._is_stale is not None:
             self._is_skipping = self._is_stale(status_code, self.fields)
         if self._is_skipping:
             self.has_skipped = True
+            if status_code not in _BODILESS_STATUSES:
+                length = self.get('content-length', '0')
+                self._splitter.body_bytes = int(length)
             return
         self.status_code = status_code
         self.is_head_complete = True
@@ -268,6 +263,7 @@
 
     def on_message_complete(self) -> None:
         """Mark a response that is not interim as complete."""
+        self._splitter.is_at_start = True
         if self._is_skipping:
             self._is_skipping = False
         elif self.is_head_complete and not self.is_complete:
@@ -331,6 +327,24 @@
             )
         self._body += search.take_held()
 
+    def _check_interim(self) -> None:
+        length = self.get('content-length', '')
+        has_body = length not in _NO_BODY_LENGTHS
+        if has_body or 'transfer-encoding' in self._fields:
+            raise MalformedResponseError('interim response with a body')
+
+    def _parse_head(self, received: bytes) -> None:
+        splitter = self._splitter
+        splitter.add(received)
+        while not self.is_head_complete:
+            piece = splitter.take_piece()
+            if not piece:
+                return
+            self._parse(piece)
+        rest = splitter.take_rest()
+        if rest:
+            self._parse(rest)
+
     def _parse(self, received: bytes) -> None:
         try:
             self._parser.feed_data(received)
@@ -343,11 +357,6 @@
                 raise MalformedResponseError(str(cause)) from error
 
 
-def _check_head_line(line: bytes | bytearray) -> None:
-    if _STATUS_LINE.search(line):
-        raise MalformedResponseError('another response inside the head')
-
-
 def _limit_error(limit: InputLimit, max_bytes: int) -> InputLimitError:
     return InputLimitError(
         limit, max_bytes, step='parse response', peer='server'
