Move failures of placement and whole fetches into modules of their own

What a refused request is told, and why, stands in placement_failures now; the limits and the result of a response that is read as a whole in fetches.

--- a/features/specs/store_histories.py
+++ b/features/specs/store_histories.py
@@ -23,7 +23,7 @@
     make_config,
 )
 from buckthornpond_platform_standins.store import StoreStandIn, WaitingWatches
-from buckthornpond_runtime.connections import FetchedResponse, FetchLimits
+from buckthornpond_runtime.fetches import FetchedResponse, FetchLimits
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.responses import HttpResponse
 from features.specs.dispatchers import NullRecorder
--- a/features/steps/slow_store_steps.py
+++ b/features/steps/slow_store_steps.py
@@ -14,7 +14,8 @@
     make_config,
     make_route,
 )
-from buckthornpond_runtime.connections import FetchLimits, HttpConnection
+from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.fetches import FetchLimits
 
 _BODY_BYTES = 1_000_000
 _INTERVAL_SECONDS = 0.1
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Collection
 from datetime import timedelta
-from types import MappingProxyType
 
 from .._generated.serving import (
     AttemptReport,
@@ -25,34 +24,16 @@
 from .health import AttemptOutcome
 from .load_exchange import LoadExchange
 from .placement import (
-    Candidate,
     LeastExpectedLoss,
     LeastInFlight,
     PlacementPolicy,
     TargetSelection,
 )
-from .quarantines import QUARANTINE_RETRY_AFTER_MS
+from .placement_failures import PlacementFailures
 from .routes import RouteTable, choose_service
 from .target_statements import TargetStatements
 
 _MS = timedelta(milliseconds=1)
-# An unknown route or credential may be newer than a fleet view of this age.
-_STALE_SOURCE_AGE_MS = 2500
-_STALE_SOURCE_AGE = _STALE_SOURCE_AGE_MS * _MS
-_DEFAULT_RETRY_AFTER_MS = 200
-_STALE_RETRY_AFTER_MS = 50
-# A new process that cannot reach the source gets no configuration sooner.
-_START_RETRY_AFTER_MS = 2000
-_RETRY_AFTER_MS_BY_REASON = MappingProxyType(
-    {
-        'configuration_stale': _STALE_RETRY_AFTER_MS,
-        'credential_unknown': 0,
-        'no_configuration': _START_RETRY_AFTER_MS,
-        'prompt_quarantined': QUARANTINE_RETRY_AFTER_MS,
-        'request_quarantined': QUARANTINE_RETRY_AFTER_MS,
-        'route_unknown': 0,
-    },
-)
 # Prompt tokens that add 1 to the base weight of 1.
 _PROMPT_TOKENS_PER_WEIGHT = 10_000
 _INCARNATION_BITS = 52
@@ -72,6 +53,7 @@
     __slots__ = (
         '_budgets',
         '_candidates',
+        '_failures',
         '_policies',
         '_random',
         '_recorder',
@@ -106,6 +88,9 @@
         self.statements = TargetStatements(
             self.fleet, self.load_exchange, recorder
         )
+        self._failures = PlacementFailures(
+            self.follower, self.statements, random
+        )
         self._candidates = CandidateFinder(
             settings, self.fleet, self.load_exchange, self.statements, random
         )
@@ -186,16 +171,16 @@
         :param now: time on the monotonic clock.
         """
         if self.route_table is None:
-            return self._build_failure('no_configuration', now)
+            return self._failures.build('no_configuration', now)
         route = self.route_table.find(metadata.host_name, metadata.path)
         if route is None:
-            return self._refuse_unknown('route_unknown', now)
+            return self._failures.build_unknown('route_unknown', now)
         organisation = self.route_table.authenticate(metadata.credential)
         needs_credential = (
             self.route_table.needs_credentials and not route.is_public
         )
         if needs_credential and organisation is None:
-            return self._refuse_unknown('credential_unknown', now)
+            return self._failures.build_unknown('credential_unknown', now)
         service = choose_service(route, self._random)
         self._find_budget(service).record_request(now)
         return AdmittedRequest(metadata, route, organisation, service)
@@ -219,21 +204,21 @@
         quarantine = self.load_exchange.quarantine
         parts = admission.suspect_parts
         if not quarantine.may_place(parts, now):
-            return self._build_failure(quarantine.find_reason(parts), now)
+            return self._failures.build(quarantine.find_reason(parts), now)
         candidates = self._candidates.find(admission, excluded, now)
         if not candidates:
-            return self._build_failure('no_target', now)
+            return self._failures.build('no_target', now)
         usable = [
             each
             for each in candidates
             if self._candidates.may_use(each.view, now)
         ]
         if not usable:
-            return self._refuse_limited(candidates, now)
+            return self._failures.build_limited(candidates, now)
         if is_repeat and not self._find_budget(admission.service).allow_retry(
             now
         ):
-            return self._build_failure('retry_budget_exhausted', now)
+            return self._failures.build('retry_budget_exhausted', now)
         service = self._find_service(admission.service)
         profile = _build_profile(admission)
         policy = self._policies[service.engine is not None]
@@ -245,7 +230,7 @@
             entry_count=self.load_exchange.count_entries(now),
         )
         if not selection.fits_memory:
-            return self._build_failure('memory_full', now)
+            return self._failures.build('memory_full', now)
         self._record_attempts(admission, selection, profile, now)
         return self._build_placement(admission, selection, len(usable), now)
 
@@ -452,37 +437,6 @@
             )
         return tickets
 
-    def _refuse_limited(
-        self, candidates: Collection[Candidate], now: timedelta
-    ) -> PlacementFailure:
-        bound = [
-            each.view
-            for each in candidates
-            if not self.statements.may_send(each.view, now)
-        ]
-        if not bound:
-            return self._build_failure('target_cold', now)
-        failure = self._build_failure('target_limited', now)
-        delay = self.statements.find_retry_delay(bound, self._random, now)
-        failure.retry_after_ms = delay // _MS
-        return failure
-
-    def _refuse_unknown(self, reason: str, now: timedelta) -> PlacementFailure:
-        if self.fleet.source_age(now) > _STALE_SOURCE_AGE:
-            return self._build_failure('configuration_stale', now)
-        return self._build_failure(reason, now)
-
-    def _build_failure(self, reason: str, now: timedelta) -> PlacementFailure:
-        return PlacementFailure(
-            reason=reason,
-            retry_after_ms=_RETRY_AFTER_MS_BY_REASON.get(
-                reason, _DEFAULT_RETRY_AFTER_MS
-            ),
-            configuration_version=self.configuration_version,
-            fleet_revision=self.fleet.revision,
-            source_age_ms=self.fleet.source_age(now) // _MS,
-        )
-
 
 def _split_tokens(
     selection: TargetSelection, profile: RequestProfile
--- a/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
+++ b/packages/entry/src/buckthornpond_entry/direct/fleet_sharing.py
@@ -13,7 +13,8 @@
 from buckthornpond_core.serving.source_positions import SourcePosition
 from buckthornpond_core.types import DECODE_ERRORS, Clock
 from buckthornpond_runtime.administration import EndpointResponse, EndpointTask
-from buckthornpond_runtime.connections import FetchLimits, HttpConnection
+from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.fetches import FetchLimits
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.metrics import Metrics
 from buckthornpond_runtime.tasks import Inbox, Mailbox
--- a/packages/entry/src/buckthornpond_entry/direct/reservations.py
+++ b/packages/entry/src/buckthornpond_entry/direct/reservations.py
@@ -13,7 +13,8 @@
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.effects import TargetControlRequest
 from buckthornpond_core.types import Clock
-from buckthornpond_runtime.connections import FetchLimits, HttpConnection
+from buckthornpond_runtime.connections import HttpConnection
+from buckthornpond_runtime.fetches import FetchLimits
 from buckthornpond_runtime.logs import log_event
 from buckthornpond_runtime.tasks import Mailbox
 
