Count at its cost all that a caller makes an entry hold for its requests

Callers saw an entry end for want of memory, and a 431 for a head inside the limits. Cause: what a caller sends became objects that nothing counted. One read of 64 KiB was parsed whole, hundreds of requests at once; a field of 4 bytes became a tuple and two strings; the budget counted the length of bodies only; each refused connection kept its last read through the traceback of its error, or through a Timeout that its own frame names, for as long as it lingered, and gaps in the heap stayed where bodies grew. Whoever grew last was refused, not who stood still.

Now the parser stops behind each request and keeps heads as bytes, decoded when used; two requests are read ahead at most, and behind a served one no more than 16 KiB. Bodies are kept in blocks and passed on from them, with no second copy. MemoryBudget counts heads, bodies, unparsed bytes and a widened receive buffer of every connection; whoever holds over 16 KiB and stands still gives way first, then who grows. Accepted connections have a small receive buffer, since unread bytes are memory too. The limit of 256 fields is gone for callers: maxHeaderBytes bounds their bytes. A caller that closes while it isn't read is seen by a poll.

The row of bounded_readers on 14 KiB of fields expected the 256 fields that the users' issue calls a fault; it expects the head's time limit now, and its bound of memory stays.

--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -122,7 +122,7 @@
     When 200 callers send 14 KiB of header fields at once and go on slowly while others are served
     Then the memory of the entry grew by at most 32 MiB
     And the others were served in time
-    And the entry counts "refusals_total{reason="head_too_large"}" and logs "head exceeds 256 fields"
+    And the entry counts "refusals_total{reason="head_timeout"}" and logs "timed out while reading the request"
 
   Scenario: long responses are not given up for those that do not end
     Given an entry process before 0 app servers and 1 llm servers
--- /dev/null
+++ b/features/misbehaving_clients.feature
@@ -0,0 +1,47 @@
+Feature: Clients that do not behave neither end nor hang an entry
+
+  Scenario Outline: <count> clients that <shape>
+    Given an entry process on a machine of 80 MB and 2000 files
+    When <count> clients <shape> and stay connected
+    Then the process lives within its memory and its files
+    And an ordinary request of another client is answered
+    When the clients close their connections
+    Then an ordinary request of another client is answered
+    And the process lives within its memory and its files
+
+    Examples: heads
+      | count | shape                                            |
+      | 900   | send one byte                                    |
+      | 900   | send heads of short lines that do not end        |
+      | 900   | send heads of folded lines that do not end       |
+      | 900   | send heads of connection options that do not end |
+
+    Examples: bodies
+      | count | shape                                              |
+      | 400   | send all but the end of a long body                |
+      | 400   | send all but the end of a body in chunks           |
+
+    Examples: requests ahead
+      | count | shape                              |
+      | 400   | send requests ahead                |
+      | 400   | send requests without an ID ahead  |
+      | 400   | send bare requests ahead           |
+      | 400   | send requests of short lines ahead |
+
+  Scenario Outline: one request of <count> <kind> is served in calm
+    Given an entry process on a machine of 80 MB and 2000 files
+    When a client sends a request of <count> <kind>
+    Then it is answered with 200
+
+    Examples:
+      | count   | kind             |
+      | 100     | short lines      |
+      | 240     | short lines      |
+      | 260     | short lines      |
+      | 1000    | short lines      |
+      | 2700    | short lines      |
+      | 4000    | empty lines      |
+      | 16000   | bytes in a line  |
+      | 4194304 | bytes in a body  |
+      | 256     | chunks of 16 KiB |
+      | 200000  | chunks of a byte |
--- a/features/specs/measured_readers.py
+++ b/features/specs/measured_readers.py
@@ -16,6 +16,7 @@
 from buckthornpond_entry.direct import reservations
 from buckthornpond_entry.direct.attempts import AttemptTask, AttemptUpdate
 from buckthornpond_entry.direct.fleet_sharing import PeerQuery, PeerQueryTask
+from buckthornpond_entry.direct.header_blocks import HeaderBlock
 from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform.headers import PlatformCodec
 from buckthornpond_platform.store_client import StoreClient
@@ -86,7 +87,7 @@
     updates: Mailbox[AttemptUpdate] = Mailbox()
     attempt = AttemptTask(
         1,
-        CallerRequest('GET', '/', [], is_http10=False),
+        CallerRequest('GET', '/', HeaderBlock(), is_http10=False),
         StartAttempt(
             Placement(target='i-1', address=address, service='bad'),
             _TIMEOUT,
--- a/features/steps/direct_soak_steps.py
+++ b/features/steps/direct_soak_steps.py
@@ -11,6 +11,7 @@
 import gevent
 from behave import given, then, when
 
+from buckthornpond_entry.direct.header_blocks import HeaderBlock
 from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform_standins.clients import ClientResponse
 from buckthornpond_platform_standins.listening import wait_until
@@ -53,8 +54,9 @@
     """Let a server have received a request that was cut at once."""
     context.result = SoakResult(1)
     _cut(context.result, 'passed-on', 0)
-    request = CallerRequest('GET', '/', [], is_http10=False)
-    request.fields = [('X-Attempt-Id', 'passed-on')]
+    head = HeaderBlock()
+    head.add(b'X-Attempt-Id', b'passed-on')
+    request = CallerRequest('GET', '/', head, is_http10=False)
     context.servers = [mock.Mock(received=[ReceivedRequest(request)])]
 
 
--- /dev/null
+++ b/features/steps/misbehaving_client_steps.py
@@ -0,0 +1,144 @@
+"""Steps for crowds of clients that do not behave."""
+
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import psutil
+from behave import given, then, when
+from gevent.socket import create_connection
+
+from buckthornpond_core.exceptions import BuckthornpondError
+from buckthornpond_platform_standins.clients import Client
+from buckthornpond_platform_standins.local_clusters import API_KEY, HOST
+from buckthornpond_platform_standins.processes import EntryProcess
+from features.specs.client_crowds import (
+    MAX_BODY_BYTES,
+    MAX_HEAD_BYTES,
+    ClientCrowd,
+    make_allowed_request,
+)
+from features.specs.counts import report
+from features.specs.process_worlds import ProcessWorld
+
+_BYTES_PER_MB = 1_000_000
+_KIBIBYTE = 1024
+# How long an ordinary client waits for an answer before it gives up.
+_PATIENCE = timedelta(seconds=10)
+# The time that an entry gives a client to send a body.
+_ALLOWED_PATIENCE = timedelta(seconds=60)
+_START_BYTES = 1000
+_CLIENT_LIMITS = {
+    'maxHeaderBytes': MAX_HEAD_BYTES,
+    'maxBodyBytes': MAX_BODY_BYTES,
+    'headerTimeoutMs': 10_000,
+    'idleTimeoutMs': 15_000,
+}
+_RECEIVE_QUEUE_COLUMN = 4
+_ADDRESS_COLUMN = 1
+
+
+@given('an entry process on a machine of {memory:d} MB and {files:d} files')
+def start_limited(context: Any, memory: int, files: int) -> None:
+    """Start an entry before one app server."""
+    cluster = ProcessWorld()
+    context.cluster = cluster
+    context.fleet = cluster
+    cluster.add_server('app')
+    cluster.configure(limits=_CLIENT_LIMITS)
+    cluster.process = EntryProcess(cluster.store.address)
+    context.process = cluster.process
+    cluster.process.settings['limits'] = {
+        'memoryMb': memory,
+        'maxFds': files,
+    }
+    cluster.process.start()
+
+
+@when('{count:d} clients {shape} and stay connected')
+def send_crowd(context: Any, count: int, shape: str) -> None:
+    """Let all clients send at the same time."""
+    context.crowd = ClientCrowd(context.process.address, count, shape)
+    context.add_cleanup(context.crowd.close)
+    context.crowd.send()
+
+
+@then('the process lives within its memory and its files')
+def check_usage(context: Any) -> None:
+    """Compare the most that the process has held with its settings."""
+    assert context.process.is_running
+    limits = context.process.settings['limits']
+    process_id = context.process.process.pid
+    peak_bytes = _read_peak_bytes(process_id)
+    unread_bytes = _count_unread_bytes(context.process.address)
+    files = psutil.Process(process_id).num_fds()
+    report(
+        f'{peak_bytes / _BYTES_PER_MB:.1f} MB at the peak,'
+        f' {unread_bytes / _BYTES_PER_MB:.1f} MB unread, {files} files'
+    )
+    used_bytes = peak_bytes + unread_bytes
+    assert used_bytes <= limits['memoryMb'] * _BYTES_PER_MB, used_bytes
+    assert files <= limits['maxFds'], files
+
+
+@then('an ordinary request of another client is answered')
+def check_answered(context: Any) -> None:
+    """Send one request on a new connection."""
+    response = _send_read(context)
+    assert response == 200, response
+
+
+@when('the clients close their connections')
+def close_crowd(context: Any) -> None:
+    """Close all at once."""
+    context.crowd.close()
+
+
+@when('a client sends a request of {count:d} {kind}')
+def send_allowed(context: Any, count: int, kind: str) -> None:
+    """Send it whole and read the start of the answer."""
+    host, port = context.process.address.rsplit(':', 1)
+    with create_connection(
+        (host, int(port)), _ALLOWED_PATIENCE.total_seconds()
+    ) as connection:
+        connection.sendall(make_allowed_request(kind, count))
+        context.start = connection.recv(_START_BYTES)
+
+
+@then('it is answered with {status:d}')
+def check_status(context: Any, status: int) -> None:
+    """Compare the status line."""
+    assert context.start.startswith(b'HTTP/1.1 %d ' % status), context.start
+
+
+def _send_read(context: Any) -> int | str:
+    """Return the status, or why there is none."""
+    client = Client(context.process.address, HOST, API_KEY)
+    try:
+        client.connection.connect(_PATIENCE)
+        client.connection.set_timeout(_PATIENCE)
+        response = client.fetch('GET', '/read/1')
+    except BuckthornpondError as error:
+        return str(error)
+    finally:
+        client.connection.close()
+    return response.status or response.error
+
+
+def _read_peak_bytes(process_id: int) -> int:
+    """Return the most resident memory that a process has had."""
+    lines = Path(f'/proc/{process_id}/status').read_text().splitlines()
+    peak = next(line for line in lines if line.startswith('VmHWM:'))
+    return int(peak.split()[1]) * _KIBIBYTE
+
+
+def _count_unread_bytes(address: str) -> int:
+    """Return the bytes that the kernel holds for the readers of a port."""
+    port = f'{int(address.rpartition(":")[2]):04X}'
+    total_bytes = 0
+    for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        columns = line.split()
+        if columns[_ADDRESS_COLUMN].endswith(f':{port}'):
+            queues = columns[_RECEIVE_QUEUE_COLUMN]
+            total_bytes += int(queues.partition(':')[2], 16)
+    return total_bytes
--- a/packages/core/src/buckthornpond_core/serving/request_identity.py
+++ b/packages/core/src/buckthornpond_core/serving/request_identity.py
@@ -5,6 +5,7 @@
 into logs or to other entries.
 """
 
+from collections.abc import Iterable
 from hashlib import blake2b
 
 from .._generated.serving import RequestMetadata
@@ -14,12 +15,15 @@
 _DIGEST_BYTES = 12
 
 
-def digest_body(body: bytes) -> str:
+def digest_body(blocks: Iterable[bytes | bytearray]) -> str:
     """Return the digest of a body as hexadecimal text.
 
-    :param body: whole body of a request.
+    :param blocks: whole body of a request, in order.
     """
-    return blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
+    digest = blake2b(digest_size=_DIGEST_BYTES)
+    for block in blocks:
+        digest.update(block)
+    return digest.hexdigest()
 
 
 def identify_request(metadata: RequestMetadata, organisation: str) -> str:
--- a/packages/entry/src/buckthornpond_entry/direct/attempts.py
+++ b/packages/entry/src/buckthornpond_entry/direct/attempts.py
@@ -290,9 +290,9 @@
 
     def _send(self, connection: HttpConnection) -> None:
         head = self._render_head(connection)
-        body = self._request.body
-        if len(body) <= _MAX_INLINE_BODY_BYTES:
-            connection.send(head + body)
+        body = self._request.content
+        if body.size_bytes <= _MAX_INLINE_BODY_BYTES:
+            connection.send(head + body.join())
             return
         connection.send(head)
         self._is_body_sent = False
@@ -302,7 +302,8 @@
         # A target may respond without reading the whole body. If it did need
         # the rest, its response or the error of the pending read says so.
         with suppress(TargetError):
-            connection.send(self._request.body)
+            for block in self._request.content.blocks:
+                connection.send(block)
             self._is_body_sent = True
 
     def _read_body(
@@ -356,8 +357,9 @@
         )
         lines = [f'{request.method} {request.path} HTTP/1.1']
         lines.extend(f'{name}: {text}' for name, text in fields)
-        if request.body or request.method in _BODY_METHODS:
-            lines.append(f'Content-Length: {len(request.body)}')
+        body_bytes = request.content.size_bytes
+        if body_bytes or request.method in _BODY_METHODS:
+            lines.append(f'Content-Length: {body_bytes}')
         if any('\r' in line or '\n' in line for line in lines):
             raise connection.make_error(
                 'line break in a header field',
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -27,6 +27,7 @@
     ContinueAwaited,
     ReaderMessage,
 )
+from .request_memory import GivenUp
 from .requests import CallerRequest
 from .writers import ResponseWriter
 
@@ -46,8 +47,10 @@
         '_connection',
         '_frontend',
         '_mailbox',
+        '_peer',
         '_pending_messages',
         '_reader',
+        '_reading',
         '_writer',
         'served_since',
     )
@@ -59,6 +62,7 @@
         frontend: FrontendState,
     ) -> None:
         self._connection = connection
+        self._peer = peer
         self._frontend = frontend
         self._mailbox: Mailbox[CallerMessage] = Mailbox(_MAILBOX_CAPACITY)
         self._reader = CallerReader(connection, peer, frontend, self._mailbox)
@@ -66,6 +70,7 @@
         self._pending_messages: list[ReaderMessage] = []
         # When the request that is served was read, on the monotonic clock.
         self.served_since: timedelta | None = None
+        self._reading: AnyGreenlet | None = None
 
     @property
     def has_open_request(self) -> bool:
@@ -79,16 +84,16 @@
     def run(self) -> None:
         """Serve requests until the connection ends."""
         self._frontend.connections.add(self)
-        greenlet: AnyGreenlet = gevent.spawn(self._reader.run)
+        self._reading = gevent.spawn(self._reader.run)
         try:
             while self._writer.is_open:
                 self._serve_next()
         finally:
-            self._close(greenlet)
+            self._close(self._reading)
 
-    def _close(self, greenlet: AnyGreenlet) -> None:
+    def _close(self, reading: AnyGreenlet) -> None:
         self._frontend.connections.discard(self)
-        greenlet.kill(block=False)
+        reading.kill(block=False)
         self._reader.release()
         self._connection.close()
 
@@ -100,10 +105,35 @@
             self._writer.send_interim()
         elif isinstance(message, BadRequest):
             self._reject_invalid(message.error)
+        else:
+            self._end(message)
+
+    def _end(self, message: CallerMessage | None) -> None:
+        if isinstance(message, GivenUp):
+            self._give_up(message.reason)
         elif isinstance(message, CallerDisconnected):
             self._frontend.metrics.count('closed_connections', message.code)
             self._writer.is_open = False
 
+    def _give_up(self, reason: str) -> None:
+        """Refuse the request that is being read, if there is one, and close."""
+        if self._reading is not None:
+            self._reading.kill()
+        has_open_request = self._reader.has_open_request
+        self._reader.release()
+        if has_open_request:
+            self._reject_invalid(
+                InvalidRequestError(
+                    reason,
+                    'given up for other callers',
+                    step='read request',
+                    peer=self._peer,
+                )
+            )
+            return
+        self._frontend.metrics.count('closed_connections', reason)
+        self._writer.is_open = False
+
     def _receive(self) -> CallerMessage | None:
         if self._pending_messages:
             return self._pending_messages.pop(0)
@@ -136,7 +166,7 @@
         except InvalidRequestError as error:
             self._reject_invalid(error)
             return
-        metadata.body_digest = digest_body(request.body)
+        metadata.body_digest = digest_body(request.content.blocks)
         admission = self._admit(metadata)
         if isinstance(admission, PlacementFailure):
             self._send_refusal(admission, metadata.attempt_id)
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -250,6 +250,10 @@
             'held_body_bytes',
             lambda: self._frontend.held_body_bytes,
         )
+        self.metrics.add_gauge(
+            'held_request_bytes',
+            lambda: self._frontend.request_budget.held_bytes,
+        )
         self.metrics.add_gauge(
             'held_response_bytes',
             lambda: self._frontend.response_budget.held_bytes,
--- a/packages/entry/src/buckthornpond_entry/direct/exchanges.py
+++ b/packages/entry/src/buckthornpond_entry/direct/exchanges.py
@@ -39,6 +39,7 @@
 )
 from .frontend import FrontendState
 from .readers import CallerDisconnected, ReaderMessage
+from .request_memory import GivenUp
 from .requests import CallerRequest
 from .response_memory import MemoryExceeded, ResponseShare
 from .writers import ResponseWriter
@@ -56,7 +57,12 @@
 
 
 CallerMessage: TypeAlias = (
-    ReaderMessage | DispatchReply | AttemptUpdate | EntryEnding | MemoryExceeded
+    ReaderMessage
+    | DispatchReply
+    | AttemptUpdate
+    | EntryEnding
+    | GivenUp
+    | MemoryExceeded
 )
 
 
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -4,14 +4,18 @@
 from typing import Protocol
 
 from buckthornpond_core.serving.codec import RequestCodec
-from buckthornpond_core.serving.memory_budgets import MemoryBudget
+from buckthornpond_core.serving.memory_budgets import (
+    LargestFirst,
+    MemoryBudget,
+    StalledFirst,
+)
 from buckthornpond_core.serving.planned_stops import PlannedStop
 from buckthornpond_core.types import Clock
 from buckthornpond_runtime.metrics import Metrics
 
 from .dispatch import DispatchTask
 
-_BODY_MEMORY_SHARE = 0.25
+_REQUEST_MEMORY_SHARE = 0.25
 _RESPONSE_MEMORY_SHARE = 0.125
 
 
@@ -41,7 +45,6 @@
     """
 
     __slots__ = (
-        'body_budget_bytes',
         'clock',
         'codec',
         'connections',
@@ -49,6 +52,7 @@
         'held_body_bytes',
         'held_count',
         'metrics',
+        'request_budget',
         'response_budget',
         'stop',
     )
@@ -66,10 +70,10 @@
         self.codec = codec
         self.clock = clock
         self.metrics = metrics
-        # Maximum size of all request bodies in memory.
-        self.body_budget_bytes = 0
+        # Of all requests, while they are read and until they are answered.
+        self.request_budget = MemoryBudget(0, StalledFirst())
         # Of all responses that are held until they are complete.
-        self.response_budget = MemoryBudget(0)
+        self.response_budget = MemoryBudget(0, LargestFirst())
         self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
         self.held_count = 0
@@ -78,11 +82,13 @@
         self.limit_memory(memory_bytes)
 
     def limit_memory(self, memory_bytes: int) -> None:
-        """Set the budgets of bodies and responses.
+        """Set the budgets of requests and responses.
 
         :param memory_bytes: memory that the process may use.
         """
-        self.body_budget_bytes = int(memory_bytes * _BODY_MEMORY_SHARE)
+        self.request_budget.limit_bytes = int(
+            memory_bytes * _REQUEST_MEMORY_SHARE
+        )
         self.response_budget.limit_bytes = int(
             memory_bytes * _RESPONSE_MEMORY_SHARE
         )
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -8,21 +8,26 @@
 from gevent.event import Event
 
 from buckthornpond_core.exceptions import InvalidRequestError
+from buckthornpond_core.serving.memory_budgets import ALLOWANCE_BYTES
 from buckthornpond_runtime.paced_sockets import PacedSocket
 from buckthornpond_runtime.tasks import Inbox
 
 from .frontend import FrontendState
+from .receive_windows import ReceiveWindow
+from .request_memory import RequestShare
 from .requests import CallerRequest, RequestParser
 
-_READ_BYTES = 65_536
+_READ_BYTES = 16_384
+# Of a body whose length is known.
+_BODY_READ_BYTES = 65_536
 _MS = timedelta(milliseconds=1)
 # Longest time that a caller may take to send one body.
 _MAX_BODY_TIME = timedelta(seconds=60)
 _MIN_WAIT_SECONDS = 0.001
 # Bounds the requests that a caller may pipeline on one connection.
 _MAX_PIPELINED_COUNT = 2
-# A body up to this size is never refused for those of other callers.
-_ALLOWANCE_BYTES = 16_384
+# Time between two looks at whether a caller that is not read has closed.
+_CLOSE_POLL_SECONDS = 0.2
 _STEP = 'read request'
 
 
@@ -95,14 +100,18 @@
         '_connection',
         '_deadline',
         '_frontend',
-        '_held_bytes',
+        '_held_body_bytes',
         '_inbox',
         '_parser',
         '_peer',
         '_queued_body_bytes',
+        '_queued_bytes',
         '_queued_count',
         '_read_step',
+        '_unparsed_bytes',
+        '_window',
         'is_serving',
+        'share',
     )
 
     def __init__(
@@ -120,10 +129,15 @@
         self._can_read = Event()
         self._can_read.set()
         self._queued_count = 0
-        # Size of the bodies of the queued requests.
+        # Memory that the queued requests take, and the size of their bodies.
+        self._queued_bytes = 0
         self._queued_body_bytes = 0
-        # What counts towards the budget of all callers.
-        self._held_bytes = 0
+        self._unparsed_bytes = 0
+        self._window = ReceiveWindow(connection)
+        self._held_body_bytes = 0
+        self.share = RequestShare(
+            frontend.request_budget, inbox, frontend.clock
+        )
         self._read_step = _ReadStep.idle
         self._deadline: timedelta | None = None
         # Read timeouts are ignored while a request is served.
@@ -139,6 +153,7 @@
         try:
             reason = self._read()
         except InvalidRequestError as error:
+            _drop_frames(error)
             self._inbox.send(BadRequest(error))
             return
         except OSError as error:
@@ -151,31 +166,59 @@
         :param request: the served request.
         """
         self._queued_count -= 1
-        self._queued_body_bytes -= len(request.body)
+        self._queued_bytes -= request.held_bytes
+        self._queued_body_bytes -= request.content.size_bytes
+        self.share.may_give_up = not self._queued_count
+        self.share.note_progress()
         self._update_held_bytes()
-        self._can_read.set()
 
     def release(self) -> None:
-        """Release the bodies of all requests that are not served."""
-        self._frontend.held_body_bytes -= self._held_bytes
-        self._held_bytes = 0
-        self._parser.discard_body()
+        """Release all requests that are not served."""
+        self.share.release()
+        self._frontend.held_body_bytes -= self._held_body_bytes
+        self._held_body_bytes = 0
+        self._parser.discard()
 
     def _read(self) -> str:
-        while True:
-            self._can_read.wait()
-            received = self._receive()
-            if received:
-                self._parse(received)
-            elif received is not None:
-                return 'closed'
-            elif not self.is_serving:
-                return self._handle_timeout()
+        reason = ''
+        while not reason:
+            self._await_room()
+            reason = self._read_some()
+        return reason
+
+    def _read_some(self) -> str:
+        """Read once; return why the connection ends, empty if it goes on.
+
+        What was received is not kept while the next bytes are awaited.
+        """
+        received = self._receive()
+        if received:
+            self.share.note_received(len(received))
+            self._parse(received)
+            return ''
+        if received is not None:
+            return 'closed'
+        return '' if self.is_serving else self._handle_timeout()
+
+    def _await_room(self) -> None:
+        """Wait until a request may be read behind those that are served.
+
+        :raises OSError: when the caller closes the connection.
+        """
+        while not self._can_read.wait(_CLOSE_POLL_SECONDS):
+            self._check_open()
+
+    def _check_open(self) -> None:
+        if self._connection.is_closed_by_peer():
+            raise ConnectionAbortedError('closed before its input was parsed')
 
     def _receive(self) -> bytes | None:
         with gevent.Timeout.start_new(self._find_wait_seconds()) as timeout:
             try:
-                return self._connection.recv(_READ_BYTES)
+                return self._connection.recv(
+                    min(self._parser.missing_body_bytes, _BODY_READ_BYTES)
+                    or _READ_BYTES
+                )
             except gevent.Timeout as expired:
                 if expired is not timeout:
                     raise
@@ -214,31 +257,51 @@
         return _ReadStep.head
 
     def _parse(self, received: bytes) -> None:
+        position = 0
+        while position < len(received):
+            self._await_room()
+            position = self._parse_some(received, position)
+
+    def _parse_some(self, received: bytes, start: int) -> int:
+        """Parse to the end of a request at most; return where it stopped."""
         parser = self._parser
-        earlier_bytes = parser.held_body_bytes
-        parser.feed(received, self._frontend.dispatch.limits)
-        self._update_held_bytes()
-        is_growing = parser.held_body_bytes > earlier_bytes
-        if is_growing and self._exceeds_budget(parser.held_body_bytes):
+        self._unparsed_bytes = 0
+        end = parser.feed_turn(received, start, self._frontend.dispatch.limits)
+        self._unparsed_bytes = len(received) - end
+        if not self._update_held_bytes():
             raise self._refuse_body()
         if parser.expects_continue:
             parser.expects_continue = False
             self._inbox.send(ContinueAwaited())
-
-    def _update_held_bytes(self) -> None:
-        held_bytes = self._queued_body_bytes + self._parser.held_body_bytes
-        self._frontend.held_body_bytes += held_bytes - self._held_bytes
-        self._held_bytes = held_bytes
-
-    def _exceeds_budget(self, body_bytes: int) -> bool:
-        """Return whether a body that has grown has to be refused."""
-        frontend = self._frontend
-        is_long = body_bytes > _ALLOWANCE_BYTES
-        return is_long and frontend.held_body_bytes > frontend.body_budget_bytes
+        return end
+
+    def _update_held_bytes(self) -> bool:
+        """Count what is held; return whether the caller may go on."""
+        if self.share.is_given_up:
+            return False
+        held_body_bytes = self._queued_body_bytes + self._parser.held_body_bytes
+        self._frontend.held_body_bytes += (
+            held_body_bytes - self._held_body_bytes
+        )
+        self._held_body_bytes = held_body_bytes
+        self._window.adapt(self._parser.held_body_bytes)
+        waiting_bytes = self._unparsed_bytes + self._parser.held_bytes
+        has_room = not self._queued_count or (
+            self._queued_count < _MAX_PIPELINED_COUNT
+            and waiting_bytes < ALLOWANCE_BYTES
+        )
+        if has_room:
+            self._can_read.set()
+        else:
+            self._can_read.clear()
+        return self.share.record(
+            self._queued_bytes + waiting_bytes + self._window.held_bytes
+        )
 
     def _refuse_body(self) -> InvalidRequestError:
-        """Release the body that was read last, and return the refusal."""
-        self._parser.discard_body()
+        """Release the request that was read last, and return the refusal."""
+        self._parser.discard()
+        self._unparsed_bytes = 0
         self._update_held_bytes()
         return self._fail(
             'body_budget_full', 'request bodies exceed the memory budget'
@@ -254,14 +317,14 @@
 
     def _enqueue(self, request: CallerRequest) -> None:
         self._queued_count += 1
-        if self._queued_count >= _MAX_PIPELINED_COUNT:
-            self._can_read.clear()
-        body_bytes = len(request.body)
-        self._queued_body_bytes += body_bytes
-        self._update_held_bytes()
-        if self._exceeds_budget(body_bytes):
-            self._queued_body_bytes -= body_bytes
+        self._queued_bytes += request.held_bytes
+        self._queued_body_bytes += request.content.size_bytes
+        if not self._update_held_bytes():
+            self._queued_count -= 1
+            self._queued_bytes -= request.held_bytes
+            self._queued_body_bytes -= request.content.size_bytes
             raise self._refuse_body()
+        self.share.may_give_up = False
         self._inbox.send(request)
 
     def _fail(self, reason: str, message: str) -> InvalidRequestError:
@@ -271,3 +334,13 @@
             step=_STEP,
             peer=self._peer,
         )
+
+
+def _drop_frames(error: InvalidRequestError) -> None:
+    """Drop the traceback, which keeps what has been received from the caller.
+
+    :param error: error that outlives its handling.
+    """
+    error.__traceback__ = None
+    error.__cause__ = None
+    error.__context__ = None
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -12,7 +12,10 @@
 
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.exceptions import InvalidRequestError
-from buckthornpond_core.input_limits import MAX_FIELD_COUNT, FramingMeter
+from buckthornpond_core.input_limits import FramingMeter
+
+from .header_blocks import HeaderBlock
+from .request_bodies import RequestBody
 
 _STEP = 'read request'
 _ABSOLUTE_FORM = re.compile('https?://([^/?]+)(.*)', re.IGNORECASE)
@@ -20,6 +23,15 @@
 _HOST = 'host'
 _UPGRADE = 'upgrade'
 _TUNNEL_METHOD = 'CONNECT'
+_LENGTH = b'content-length'
+_EXPECT = b'expect'
+_LINE_END = b'\n'
+_LAST_CHUNK_DIGIT = ord('0')
+_LAST_CHUNK_START = b'\n0'
+# Bytes of chunks that are parsed at once.
+_BLOCK_BYTES = 4096
+# Objects of one request, without its bytes.
+_REQUEST_COST_BYTES = 1024
 
 
 class CallerRequest:
@@ -27,26 +39,53 @@
 
     :param method: HTTP method.
     :param path: path with query, as received.
-    :param fields: header fields in the caller's order.
+    :param head: header fields in the caller's order.
     :param is_http10: whether the request uses HTTP/1.0.
     """
 
-    __slots__ = ('body', 'fields', 'is_http10', 'keeps_alive', 'method', 'path')
+    __slots__ = (
+        'content',
+        'head',
+        'is_http10',
+        'keeps_alive',
+        'method',
+        'path',
+    )
 
     def __init__(
         self,
         method: str,
         path: str,
-        fields: list[tuple[str, str]],
+        head: HeaderBlock,
         *,
         is_http10: bool,
     ) -> None:
         self.method = method
         self.path = path
-        self.fields = fields
+        self.head = head
         self.is_http10 = is_http10
         self.keeps_alive = False
-        self.body = b''
+        self.content = RequestBody()
+
+    @property
+    def body(self) -> bytes:
+        """A copy of the whole body."""
+        return self.content.join()
+
+    @property
+    def fields(self) -> list[tuple[str, str]]:
+        """Header fields in the caller's order, decoded anew."""
+        return self.head.decode()
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes."""
+        return (
+            _REQUEST_COST_BYTES
+            + len(self.path)
+            + self.head.size_bytes
+            + self.content.size_bytes
+        )
 
     def use_origin_form(self) -> None:
         """Take the host out of a request line that has a whole URL.
@@ -56,23 +95,32 @@
         url = _ABSOLUTE_FORM.fullmatch(self.path)
         if url is None:
             return
-        others = [each for each in self.fields if each[0].lower() != _HOST]
-        self.fields = [('Host', url[1]), *others]
+        head = HeaderBlock()
+        head.add(b'Host', url[1].encode('latin-1'))
+        for name, text in self.fields:
+            if name.lower() != _HOST:
+                head.add(name.encode('latin-1'), text.encode('latin-1'))
+        self.head = head
         self.path = url[2] if url[2].startswith('/') else f'/{url[2]}'
 
 
 class RequestParser:
     """Parses the requests of one connection.
 
+    It goes on in turns, since a peer decides how much work a byte brings, and
+    keeps bytes rather than objects, since it decides how many those are.
+
     :param on_request: called with each complete request.
     :param peer: the caller's address, for errors.
     """
 
     __slots__ = (
         '_body',
-        '_fields',
+        '_body_bytes_wanted',
         '_framing',
-        '_head_bytes',
+        '_has_ended_request',
+        '_head',
+        '_is_chunk_end_near',
         '_limits',
         '_on_request',
         '_parser',
@@ -96,14 +144,17 @@
         self._parser = HttpRequestParser(self)
         self._limits: CallerLimits | None = None
         self._path = bytearray()
-        self._fields: list[tuple[str, str]] = []
-        # Size of the path and of the header fields.
-        self._head_bytes = 0
-        self._body = bytearray()
+        self._head = HeaderBlock()
+        self._body = RequestBody()
+        # Announced length of a body without chunks.
+        self._body_bytes_wanted = 0
         self._received_body_bytes = 0
         self._framing = FramingMeter()
         self._received_head_bytes = 0
         self._request: CallerRequest | None = None
+        self._has_ended_request = False
+        # Whether the next line may end a body of chunks.
+        self._is_chunk_end_near = False
         self.has_started = False
         self.is_head_complete = False
         self.expects_continue = False
@@ -111,7 +162,19 @@
     @property
     def held_body_bytes(self) -> int:
         """Number of body bytes of the incomplete request."""
-        return len(self._body)
+        return self._body.size_bytes
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the incomplete request takes."""
+        return len(self._path) + self._head.size_bytes + self._body.size_bytes
+
+    @property
+    def missing_body_bytes(self) -> int:
+        """Number of bytes that are missing of a body without chunks."""
+        if not self.is_head_complete:
+            return 0
+        return max(self._body_bytes_wanted - self._body.size_bytes, 0)
 
     def feed(self, received: bytes, limits: CallerLimits) -> None:
         """Parse bytes from the caller.
@@ -121,23 +184,43 @@
         :raises InvalidRequestError: when the bytes are not a valid request, or
             exceed a limit.
         """
+        position = 0
+        while position < len(received):
+            position = self.feed_turn(received, position, limits)
+
+    def feed_turn(
+        self, received: bytes, start: int, limits: CallerLimits
+    ) -> int:
+        """Parse to the end of a request at most; return where it stopped.
+
+        :param received: bytes from the socket.
+        :param start: position of the first byte to parse.
+        :param limits: size limits of a request.
+        :raises InvalidRequestError: when the bytes are not a valid request, or
+            exceed a limit.
+        """
         self._limits = limits
+        self._has_ended_request = False
         earlier_body_bytes = self._received_body_bytes
         earlier_request = self._request
-        if not self.is_head_complete:
-            self._received_head_bytes += len(received)
-        self._parse(received)
+        position = start
+        while position < len(received):
+            position = self._feed_piece(received, position)
+            if self._has_ended_request:
+                break
         if not self.is_head_complete:
             self._check_head()
         elif self._request is earlier_request:
             self._check_framing(
-                len(received),
+                position - start,
                 self._received_body_bytes - earlier_body_bytes,
             )
+        return position
 
-    def discard_body(self) -> None:
-        """Release the body of a request that is not served."""
-        self._body = bytearray()
+    def discard(self) -> None:
+        """Release what is held of a request that is not served."""
+        self._head = HeaderBlock()
+        self._body = RequestBody()
 
     # Callbacks of httptools.
 
@@ -148,18 +231,18 @@
     def on_url(self, url: bytes) -> None:
         """Append to the path."""
         self._path += url
-        self._head_bytes += len(url)
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Add a header field."""
         if self.is_head_complete:
             # Trailer fields are ignored.
             return
-        if len(self._fields) <= MAX_FIELD_COUNT:
-            self._fields.append(
-                (name.decode('latin-1'), field.decode('latin-1'))
-            )
-        self._head_bytes += len(name) + len(field)
+        self._head.add(name, field)
+        lower_name = name.lower()
+        if lower_name == _LENGTH:
+            self._body_bytes_wanted = int(field)
+        elif lower_name == _EXPECT:
+            self.expects_continue = True
 
     def on_headers_complete(self) -> None:
         """Create the request, now that its head is complete."""
@@ -168,23 +251,21 @@
         self._request = CallerRequest(
             self._parser.get_method().decode('latin-1'),
             self._path.decode('latin-1'),
-            self._fields,
+            self._head,
             is_http10=self._parser.get_http_version() == '1.0',
         )
         self._request.use_origin_form()
-        self.expects_continue = any(
-            name.lower() == 'expect' for name, _ in self._fields
-        )
 
     def on_body(self, part: bytes) -> None:
         """Append to the body.
 
         :raises InvalidRequestError: when the body exceeds its limit.
         """
-        self._body += part
+        self._body.add(part)
         self._received_body_bytes += len(part)
+        self._is_chunk_end_near = False
         limits = self._limits
-        if limits is not None and len(self._body) > limits.body_bytes:
+        if limits is not None and self._body.size_bytes > limits.body_bytes:
             raise self._fail('body_too_large', 'body exceeds the size limit')
 
     def on_message_complete(self) -> None:
@@ -194,19 +275,49 @@
             # Behind an offer of another protocol the parser stops at the end
             # of the head, and the rest of the message is still to come.
             return
-        request.body = bytes(self._body)
+        request.content = self._body
         request.keeps_alive = self._parser.should_keep_alive()
-        self._request = None
-        self._path = bytearray()
-        self._fields = []
-        self._head_bytes = 0
-        self._body = bytearray()
+        self._start_head()
+        self._body = RequestBody()
         self._framing = FramingMeter()
         self._received_head_bytes = 0
+        self._has_ended_request = True
+        self._is_chunk_end_near = False
         self.has_started = False
+        self._on_request(request)
+
+    def _start_head(self) -> None:
+        self._request = None
+        self._path = bytearray()
+        self._head = HeaderBlock()
+        self._body_bytes_wanted = 0
         self.is_head_complete = False
         self.expects_continue = False
-        self._on_request(request)
+
+    def _feed_piece(self, received: bytes, start: int) -> int:
+        """Parse the next piece, in which one request ends at most."""
+        end = self._find_piece_end(received, start)
+        if not self.is_head_complete:
+            self._received_head_bytes += end - start
+        self._parse(received[start:end])
+        return end
+
+    def _find_piece_end(self, received: bytes, start: int) -> int:
+        """Return where a piece ends that holds no end but its own.
+
+        A head ends with a line, a body under a length with its last byte, and
+        one in chunks with a line too, behind a chunk size of zero.
+        """
+        if self.missing_body_bytes:
+            return min(start + self.missing_body_bytes, len(received))
+        if self.is_head_complete and not self._is_chunk_end_near:
+            if received[start] != _LAST_CHUNK_DIGIT:
+                end = min(start + _BLOCK_BYTES, len(received))
+                found = received.find(_LAST_CHUNK_START, start, end)
+                return end if found < 0 else found + 1
+            self._is_chunk_end_near = True
+        found = received.find(_LINE_END, start)
+        return len(received) if found < 0 else found + 1
 
     def _parse(self, received: bytes) -> None:
         try:
@@ -237,26 +348,18 @@
         )
         lines.extend(('', ''))
         self._parser = HttpRequestParser(self)
-        self._request = None
-        self._path = bytearray()
-        self._fields = []
-        self._head_bytes = 0
-        self.is_head_complete = False
+        self._start_head()
         self._parse('\r\n'.join(lines).encode('latin-1'))
         if rest:
             self._parse(rest)
 
     def _check_head(self) -> None:
         limits = self._limits
-        head_bytes = self._head_bytes
+        head_bytes = len(self._path) + self._head.text_bytes
         if not self.is_head_complete:
             head_bytes = max(head_bytes, self._received_head_bytes)
         if limits is not None and head_bytes > limits.head_bytes:
             raise self._fail('head_too_large', 'head exceeds the size limit')
-        if len(self._fields) > MAX_FIELD_COUNT:
-            raise self._fail(
-                'head_too_large', f'head exceeds {MAX_FIELD_COUNT} fields'
-            )
 
     def _check_framing(self, received_bytes: int, body_bytes: int) -> None:
         if not self._framing.record(received_bytes, body_bytes):
--- a/packages/entry/src/buckthornpond_entry/direct/response_memory.py
+++ b/packages/entry/src/buckthornpond_entry/direct/response_memory.py
@@ -19,7 +19,7 @@
     :param inbox: mailbox of the caller task.
     """
 
-    __slots__ = ('_budget', '_inbox', 'may_give_up')
+    __slots__ = ('_budget', '_inbox', 'is_stalled', 'may_give_up')
 
     def __init__(self, budget: MemoryBudget, inbox: Inbox[Any]) -> None:
         self._budget = budget
@@ -27,6 +27,8 @@
         # Whether the task waits for the rest of the response. While it writes,
         # it would not notice a message.
         self.may_give_up = False
+        # It holds what a target has sent, whoever stands still.
+        self.is_stalled = False
 
     def give_up(self) -> None:
         """Tell the task to give up what it holds."""
--- a/packages/entry/src/buckthornpond_entry/direct/writers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/writers.py
@@ -17,7 +17,7 @@
 from .frontend import FrontendState
 from .requests import BODILESS_STATUS_CODES, CallerRequest
 
-_READ_BYTES = 65_536
+_READ_BYTES = 16_384
 _LINGER_SECONDS = 0.3
 _MAX_LINGER_BYTES = 1_048_576
 _LAST_CHUNK = b'0\r\n\r\n'
@@ -168,18 +168,21 @@
         """Discard input for a while so that the caller can read the response."""
         # Closing with unread bytes would reset the connection, which can
         # discard the response before the caller reads it.
-        timeout = gevent.Timeout.start_new(_LINGER_SECONDS)
-        with timeout, suppress(OSError, gevent.Timeout):
+        with (
+            suppress(OSError, gevent.Timeout),
+            gevent.Timeout(_LINGER_SECONDS),
+        ):
             self._connection.shutdown(SHUT_WR)
             self._discard_input()
 
     def _discard_input(self) -> None:
         remaining_bytes = _MAX_LINGER_BYTES
         while remaining_bytes > 0:
-            received = self._connection.recv(_READ_BYTES)
-            if not received:
+            # Not kept in a variable while the next bytes are awaited.
+            received_bytes = len(self._connection.recv(_READ_BYTES))
+            if not received_bytes:
                 return
-            remaining_bytes -= len(received)
+            remaining_bytes -= received_bytes
 
     def _set_linger(self, option: bytes) -> None:
         with suppress(OSError):
--- a/packages/runtime/src/buckthornpond_runtime/connections.py
+++ b/packages/runtime/src/buckthornpond_runtime/connections.py
@@ -140,12 +140,7 @@
 
         Bytes that it sent before may still be unread.
         """
-        if self._socket is None:
-            return False
-        poller = select.poll()
-        poller.register(self._socket.fileno(), select.POLLRDHUP)
-        # Errors and hang-ups are always reported.
-        return bool(poller.poll(0))
+        return self._socket is not None and self._socket.is_closed_by_peer()
 
     def has_input(self) -> bool:
         """Return whether bytes can be read now; waits for none.
@@ -166,7 +161,7 @@
         """Return the file descriptor of an open connection, else -1."""
         return -1 if self._socket is None else self._socket.fileno()
 
-    def send(self, content: bytes) -> None:
+    def send(self, content: bytes | bytearray) -> None:
         """Send bytes.
 
         :param content: what to send.
--- a/packages/runtime/src/buckthornpond_runtime/paced_sockets.py
+++ b/packages/runtime/src/buckthornpond_runtime/paced_sockets.py
@@ -1,5 +1,6 @@
 """Stream sockets on which no peer can keep the processor by sending."""
 
+import select
 from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
@@ -58,6 +59,18 @@
         self._pacer.record(read_bytes, self._clock.monotonic())
         return read_bytes
 
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the peer closed or lost the connection.
+
+        Bytes that it sent before may still be unread.
+        """
+        if self.fileno() < 0:
+            return True
+        poller = select.poll()
+        poller.register(self.fileno(), select.POLLRDHUP)
+        # Errors and hang-ups are always reported.
+        return bool(poller.poll(0))
+
     def _await_turn(self) -> None:
         pause = self._pacer.find_pause(self._clock.monotonic())
         if pause:
