Parse what takes much work in turn, and nothing of a caller that has closed

Callers who sent bodies in chunks of a byte kept an entry from answering anyone for 10 s and more, also after they had closed. Cause: pacing counted reads, not the work that a read brings: 64 KiB of such chunks are over ten thousand callbacks in one turn, and each of many connections had such a turn before the next one of another caller; what had come before a close was parsed to its end.

Fields and parts of a body under 32 bytes are counted now. A connection parses 512 of them at once, and gets that allowance again with each request that has been served; beyond it, it parses in turn with the others like it, one at a time, and everybody else gets the processor between two turns. A caller that has closed is dropped before its turn.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -20,6 +20,7 @@
       | count | shape                                              |
       | 400   | send all but the end of a long body                |
       | 400   | send all but the end of a body in chunks           |
+      | 400   | send all but the end of a body in chunks of a byte |
 
     Examples: requests ahead
       | count | shape                              |
@@ -28,6 +29,14 @@
       | 400   | send bare requests ahead           |
       | 400   | send requests of short lines ahead |
 
+  Scenario: chunks of a byte of many clients keep the processor from no other
+    Given an entry process on a machine of 300 MB and 4200 files
+    When 1800 clients send all but the end of a body in chunks of a byte and stay connected
+    Then an ordinary request of another client is answered
+    When the clients close their connections
+    Then an ordinary request of another client is answered
+    And the process lives within its memory and its files
+
   Scenario Outline: one request of <count> <kind> is served in calm
     Given an entry process on a machine of 80 MB and 2000 files
     When a client sends a request of <count> <kind>
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -3,6 +3,8 @@
 from datetime import timedelta
 from typing import Protocol
 
+from gevent.lock import BoundedSemaphore
+
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.memory_budgets import (
     LargestFirst,
@@ -52,6 +54,7 @@
         'held_body_bytes',
         'held_count',
         'metrics',
+        'parsing',
         'request_budget',
         'response_budget',
         'stop',
@@ -74,6 +77,8 @@
         self.request_budget = MemoryBudget(0, StalledFirst())
         # Of all responses that are held until they are complete.
         self.response_budget = MemoryBudget(0, LargestFirst())
+        # Held in turn by callers whose input takes more work than others'.
+        self.parsing = BoundedSemaphore(1)
         self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
         self.held_count = 0
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from buckthornpond_core.exceptions import InvalidRequestError
+from buckthornpond_core.input_pacing import PiecePacer
 from buckthornpond_core.serving.memory_budgets import ALLOWANCE_BYTES
 from buckthornpond_runtime.paced_sockets import PacedSocket
 from buckthornpond_runtime.tasks import Inbox
@@ -102,6 +103,7 @@
         '_frontend',
         '_held_body_bytes',
         '_inbox',
+        '_pacer',
         '_parser',
         '_peer',
         '_queued_body_bytes',
@@ -138,6 +140,7 @@
         self.share = RequestShare(
             frontend.request_budget, inbox, frontend.clock
         )
+        self._pacer = PiecePacer(frontend.clock.monotonic())
         self._read_step = _ReadStep.idle
         self._deadline: timedelta | None = None
         # Read timeouts are ignored while a request is served.
@@ -170,6 +173,7 @@
         self._queued_body_bytes -= request.content.size_bytes
         self.share.may_give_up = not self._queued_count
         self.share.note_progress()
+        self._pacer.reset(self._frontend.clock.monotonic())
         self._update_held_bytes()
 
     def release(self) -> None:
@@ -260,7 +264,18 @@
         position = 0
         while position < len(received):
             self._await_room()
-            position = self._parse_some(received, position)
+            if self._pacer.is_exhausted(self._frontend.clock.monotonic()):
+                position = self._parse_in_turn(received, position)
+            else:
+                position = self._parse_some(received, position)
+
+    def _parse_in_turn(self, received: bytes, start: int) -> int:
+        """Parse some bytes once it is this caller's turn; return their end."""
+        with self._frontend.parsing:
+            self._check_open()
+            end = self._parse_some(received, start)
+            gevent.sleep(0)
+        return end
 
     def _parse_some(self, received: bytes, start: int) -> int:
         """Parse to the end of a request at most; return where it stopped."""
@@ -268,6 +283,9 @@
         self._unparsed_bytes = 0
         end = parser.feed_turn(received, start, self._frontend.dispatch.limits)
         self._unparsed_bytes = len(received) - end
+        self._pacer.record(
+            parser.take_small_piece_count(), self._frontend.clock.monotonic()
+        )
         if not self._update_held_bytes():
             raise self._refuse_body()
         if parser.expects_continue:
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -13,6 +13,7 @@
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.exceptions import InvalidRequestError
 from buckthornpond_core.input_limits import FramingMeter
+from buckthornpond_core.input_pacing import SMALL_PIECE_BYTES
 
 from .header_blocks import HeaderBlock
 from .request_bodies import RequestBody
@@ -30,6 +31,8 @@
 _LAST_CHUNK_START = b'\n0'
 # Bytes of chunks that are parsed at once.
 _BLOCK_BYTES = 4096
+# Small pieces after which a parser lets others have their turn.
+_PIECES_PER_TURN = 512
 # Objects of one request, without its bytes.
 _REQUEST_COST_BYTES = 1024
 
@@ -129,6 +132,7 @@
         '_received_body_bytes',
         '_received_head_bytes',
         '_request',
+        '_small_piece_count',
         'expects_continue',
         'has_started',
         'is_head_complete',
@@ -155,6 +159,7 @@
         self._has_ended_request = False
         # Whether the next line may end a body of chunks.
         self._is_chunk_end_near = False
+        self._small_piece_count = 0
         self.has_started = False
         self.is_head_complete = False
         self.expects_continue = False
@@ -176,6 +181,12 @@
             return 0
         return max(self._body_bytes_wanted - self._body.size_bytes, 0)
 
+    def take_small_piece_count(self) -> int:
+        """Return the number of small pieces since the last call."""
+        count = self._small_piece_count
+        self._small_piece_count = 0
+        return count
+
     def feed(self, received: bytes, limits: CallerLimits) -> None:
         """Parse bytes from the caller.
 
@@ -203,10 +214,12 @@
         self._has_ended_request = False
         earlier_body_bytes = self._received_body_bytes
         earlier_request = self._request
+        last_piece_count = self._small_piece_count + _PIECES_PER_TURN
         position = start
         while position < len(received):
             position = self._feed_piece(received, position)
-            if self._has_ended_request:
+            is_over = self._small_piece_count >= last_piece_count
+            if is_over or self._has_ended_request:
                 break
         if not self.is_head_complete:
             self._check_head()
@@ -238,6 +251,8 @@
             # Trailer fields are ignored.
             return
         self._head.add(name, field)
+        if len(name) + len(field) < SMALL_PIECE_BYTES:
+            self._small_piece_count += 1
         lower_name = name.lower()
         if lower_name == _LENGTH:
             self._body_bytes_wanted = int(field)
@@ -264,6 +279,8 @@
         self._body.add(part)
         self._received_body_bytes += len(part)
         self._is_chunk_end_near = False
+        if len(part) < SMALL_PIECE_BYTES:
+            self._small_piece_count += 1
         limits = self._limits
         if limits is not None and self._body.size_bytes > limits.body_bytes:
             raise self._fail('body_too_large', 'body exceeds the size limit')
