Let callers who stand still make room for those who connect

Callers found no entry to connect to while others held all connections open with requests that they did not finish: no answer in 10 s, until the others ran into their limits of 10 s and more. Cause: the number of connections was bounded by descriptors only, not by what each of them costs in memory, and nobody who had a place gave it up.

A connection costs 48 KiB with its tasks, its parser and the kernel's buffers; callers' connections have a quarter of the memory for that, and half of the descriptors as before: 813 at 160 MB, 1,017 at 200, 1,525 at 300. While less than a sixteenth is free, connections without a whole request are given up: first those that have sent under 16 KiB in the last second, then those whose last request ended longest ago. An idle one is closed, a request that is still being read is refused as entry_full (503, not run). Few refused connections linger meanwhile.

changed_settings counted idle connections as taken, which give way now; it counts requests that run at once, with the same numbers. small_pieces gives its entry 4 MB, since 4 KB are not enough for one connection.

--- a/features/changed_settings.feature
+++ b/features/changed_settings.feature
@@ -39,13 +39,14 @@
 
   Scenario: another number of descriptors holds for the next connections
     Given an entry before 1 app servers and 1 llm servers
+    And servers that hang
     When its settings allow 4 descriptors
-    Then 2 of 5 kept connections are served
+    Then 2 of 5 requests on connections of their own run at once
     When its settings allow 10 descriptors
-    Then 5 of 5 kept connections are served
+    Then 5 of 5 requests on connections of their own run at once
     When its settings allow 4 descriptors
-    And the kept connections close
-    Then 2 of 5 kept connections are served
+    And their connections close
+    Then 2 of 5 requests on connections of their own run at once
 
   Scenario: another limit for cold targets holds for those that are cold already
     Given an entry before 1 app servers and 1 llm servers
--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -18,6 +18,8 @@
 
     Examples: bodies
       | count | shape                                              |
+      | 900   | send short lines and all but the end of a body     |
+      | 900   | send longer lines and all but the end of a body    |
       | 400   | send all but the end of a long body                |
       | 400   | send all but the end of a body in chunks           |
       | 400   | send all but the end of a body in chunks of a byte |
@@ -29,6 +31,11 @@
       | 400   | send bare requests ahead           |
       | 400   | send requests of short lines ahead |
 
+    Examples: more clients than connections
+      | count | shape                               |
+      | 1300  | send one byte                       |
+      | 1300  | send all but the end of a long body |
+
   Scenario: chunks of a byte of many clients keep the processor from no other
     Given an entry process on a machine of 300 MB and 4200 files
     When 1800 clients send all but the end of a body in chunks of a byte and stay connected
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -23,6 +23,7 @@
 from features.specs.counts import only
 
 _KIBIBYTE = 1024
+_DESCRIPTOR_COUNT = 100
 _DECLARED_BYTES = 200 * _KIBIBYTE
 _SETTLE_SECONDS = 0.1
 _MAX_MESSAGES = 10
@@ -78,6 +79,7 @@
             clock=SystemClock(),
             metrics=Metrics(),
             memory_bytes=memory_bytes,
+            descriptor_count=_DESCRIPTOR_COUNT,
         )
         self.callers: list[BodyCaller] = []
 
--- a/features/steps/changed_settings_steps.py
+++ b/features/steps/changed_settings_steps.py
@@ -28,6 +28,7 @@
 )
 from buckthornpond_platform_standins.processes import EntryProcess
 from buckthornpond_platform_standins.relays import Relay, RelayFault
+from buckthornpond_platform_standins.server_responses import Behaviour
 from buckthornpond_platform_standins.store import StoreStandIn
 from buckthornpond_runtime.metrics import Metrics
 from features.specs.dispatchers import (
@@ -215,34 +216,42 @@
     _change_settings(context, descriptor_count=count)
 
 
-@then('{served:d} of {count:d} kept connections are served')
-def check_connections(context: Any, served: int, count: int) -> None:
-    """Ask on connections that stay open, and count the answers."""
-    clients = getattr(context, 'kept', [])
-    clients.extend(
-        context.cluster.connect() for _ in range(count - len(clients))
-    )
-    context.kept = clients
-    if not hasattr(context, 'reads'):
-        context.reads = []
-    waiting = len(context.reads)
-    context.reads.extend(
-        gevent.spawn(client.fetch, 'GET', '/read/1')
-        for client in clients[waiting:]
-    )
-    gevent.joinall(context.reads, timeout=1)
-    done = sum(read.successful() for read in context.reads)
-    assert done == served, done
+@given('servers that hang')
+def let_hang(context: Any) -> None:
+    """Let each server run its requests until their connections close."""
+    context.hanging = []
+    for server in context.cluster.servers:
+        server.default_behaviour = Behaviour.hang
 
 
-@when('the kept connections close')
+@then(
+    '{running:d} of {count:d} requests on connections of their own run at once'
+)
+def check_connections(context: Any, running: int, count: int) -> None:
+    """Send requests that do not end, and count those that servers run."""
+    for _ in range(count - len(context.hanging)):
+        client = context.cluster.connect()
+        client.send('GET', '/read/1')
+        context.hanging.append(client)
+    gevent.sleep(1)
+    found = _count_running(context)
+    assert found == running, found
+
+
+@when('their connections close')
 def close_connections(context: Any) -> None:
     """Close all connections, so that the next ones are new."""
-    for client in context.kept:
+    for client in context.hanging:
         client.connection.close()
-    context.kept = []
-    context.reads = []
-    gevent.sleep(_POLL_SECONDS)
+    context.hanging = []
+    wait_until(lambda: not _count_running(context))
+
+
+def _count_running(context: Any) -> int:
+    return sum(
+        sum(server.run_counts.values()) - server.abandoned_count
+        for server in context.cluster.servers
+    )
 
 
 @given('llm server 1 is cold')
--- a/features/steps/small_pieces_steps.py
+++ b/features/steps/small_pieces_steps.py
@@ -123,7 +123,8 @@
         codec=PlatformCodec(),
         clock=SystemClock(),
         metrics=Metrics(),
-        memory_bytes=4000,
+        memory_bytes=4_000_000,
+        descriptor_count=20,
     )
 
 
@@ -141,7 +142,7 @@
             metrics=Metrics(),
         )
         return gevent.spawn(listener.serve_forever)
-    direct = DirectListener(address, _make_frontend(), 10)
+    direct = DirectListener(address, _make_frontend())
     return gevent.spawn(direct.run)
 
 
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -52,6 +52,8 @@
         '_reader',
         '_reading',
         '_writer',
+        'finished_at',
+        'is_leaving',
         'served_since',
     )
 
@@ -70,6 +72,10 @@
         self._pending_messages: list[ReaderMessage] = []
         # When the request that is served was read, on the monotonic clock.
         self.served_since: timedelta | None = None
+        # When the last request ended, at first when the connection began.
+        self.finished_at = frontend.clock.monotonic()
+        # Whether it has been told to give up its connection.
+        self.is_leaving = False
         self._reading: AnyGreenlet | None = None
 
     @property
@@ -77,6 +83,20 @@
         """Whether any byte of a request without a complete response came."""
         return self._reader.has_open_request
 
+    @property
+    def may_leave(self) -> bool:
+        """Whether the connection can be given up for another one."""
+        return self._reader.share.may_give_up and not self.is_leaving
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the caller has sent next to nothing for a while."""
+        return self._reader.share.is_stalled
+
+    def leave(self) -> None:
+        """Tell the task to give up its connection for another one."""
+        self.is_leaving = self._mailbox.offer(GivenUp('entry_full'))
+
     def announce_end(self) -> None:
         """Tell the task that the process ends."""
         self._mailbox.offer(EntryEnding())
@@ -149,6 +169,8 @@
 
     def _finish(self, request: CallerRequest) -> None:
         self.served_since = None
+        self.finished_at = self._frontend.clock.monotonic()
+        self.is_leaving = False
         self._reader.is_serving = False
         self._reader.finish_request(request)
         self._frontend.held_count -= 1
@@ -226,4 +248,14 @@
         )
         self._writer.is_open = False
         self._writer.refuse(error.reason, 0, '')
-        self._writer.linger()
+        if self._frontend.may_linger:
+            self._linger()
+
+    def _linger(self) -> None:
+        """Give the place of the connection away, and close it a little later."""
+        self._frontend.connections.discard(self)
+        self._frontend.lingering_count += 1
+        try:
+            self._writer.linger()
+        finally:
+            self._frontend.lingering_count -= 1
--- a/packages/entry/src/buckthornpond_entry/direct/entry_process.py
+++ b/packages/entry/src/buckthornpond_entry/direct/entry_process.py
@@ -32,8 +32,6 @@
 from .pools import ResizablePool
 
 _LISTEN_BACKLOG = 1024
-# The other descriptors are for the connections to targets.
-_CALLER_DESCRIPTOR_SHARE = 0.5
 _DRAIN_POLL_SECONDS = 0.05
 # Between two polls, what has arrived at a socket is read.
 _MIN_QUIET_COUNT = 3
@@ -56,8 +54,6 @@
 
     :param address: IP number and port.
     :param frontend: state that all caller tasks share.
-    :param descriptor_count: descriptors of the process, of which connections
-        of callers take a share.
     """
 
     __slots__ = ('_connections', '_frontend', '_server')
@@ -66,11 +62,10 @@
         self,
         address: str,
         frontend: FrontendState,
-        descriptor_count: int,
     ) -> None:
         host, port = address.rsplit(':', 1)
         self._frontend = frontend
-        self._connections = ResizablePool(_count_connections(descriptor_count))
+        self._connections = ResizablePool(frontend.places.most_count)
         self._server = TaskServer(
             (host, int(port)),
             self._serve,
@@ -78,12 +73,9 @@
             spawn=self._connections,
         )
 
-    def limit_descriptors(self, descriptor_count: int) -> None:
-        """Change the number of connections; open ones stay.
-
-        :param descriptor_count: descriptors of the process.
-        """
-        self._connections.resize(_count_connections(descriptor_count))
+    def resize(self) -> None:
+        """Adopt a changed number of places; open connections stay."""
+        self._connections.resize(self._frontend.places.most_count)
 
     def run(self) -> None:
         """Accept connections until the process ends."""
@@ -92,6 +84,7 @@
     def _serve(self, accepted: Any, peer: tuple[str, int]) -> None:
         connection = pace_reads(accepted)
         connection.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        self._frontend.make_room()
         task = CallerTask(connection, f'{peer[0]}:{peer[1]}', self._frontend)
         try:
             task.run()
@@ -150,6 +143,7 @@
             clock=clock,
             metrics=self.metrics,
             memory_bytes=settings.memory_bytes,
+            descriptor_count=settings.descriptor_count,
         )
 
     def change_settings(self, settings: DirectSettings) -> None:
@@ -158,9 +152,11 @@
         :param settings: the validated settings.
         """
         self._settings = settings
-        self._frontend.limit_memory(settings.memory_bytes)
+        self._frontend.limit_resources(
+            settings.memory_bytes, settings.descriptor_count
+        )
         if self._listener is not None:
-            self._listener.limit_descriptors(settings.descriptor_count)
+            self._listener.resize()
         self._dispatch.mailbox.send(settings)
 
     def run(self, source: FleetSource) -> None:
@@ -226,7 +222,6 @@
         listener = CallerListener(
             self._settings.listen_address,
             self._frontend,
-            self._settings.descriptor_count,
         )
         self._listener = listener
         self._start('front', listener.run)
@@ -328,7 +323,3 @@
                 (each - schedule.signalled_at) // _MS for each in arrivals
             ],
         )
-
-
-def _count_connections(descriptor_count: int) -> int:
-    return int(descriptor_count * _CALLER_DESCRIPTOR_SHARE)
--- a/packages/entry/src/buckthornpond_entry/direct/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/direct/frontend.py
@@ -5,6 +5,11 @@
 
 from gevent.lock import BoundedSemaphore
 
+from buckthornpond_core.serving.caller_places import (
+    CallerPlace,
+    CallerPlaces,
+    choose_leaving,
+)
 from buckthornpond_core.serving.codec import RequestCodec
 from buckthornpond_core.serving.memory_budgets import (
     LargestFirst,
@@ -21,7 +26,7 @@
 _RESPONSE_MEMORY_SHARE = 0.125
 
 
-class CallerConnection(Protocol):
+class CallerConnection(CallerPlace, Protocol):
     """Connection of a caller, as a planned stop sees it."""
 
     @property
@@ -35,6 +40,9 @@
     def announce_end(self) -> None:
         """Tell the task of the caller that the process ends."""
 
+    def leave(self) -> None:
+        """Tell the task of the caller to give up its connection."""
+
 
 class FrontendState:
     """State that all caller tasks share.
@@ -44,6 +52,7 @@
     :param clock: source of time.
     :param metrics: counters of the process.
     :param memory_bytes: memory that the process may use.
+    :param descriptor_count: descriptors that the process may use.
     """
 
     __slots__ = (
@@ -53,8 +62,10 @@
         'dispatch',
         'held_body_bytes',
         'held_count',
+        'lingering_count',
         'metrics',
         'parsing',
+        'places',
         'request_budget',
         'response_budget',
         'stop',
@@ -68,6 +79,7 @@
         clock: Clock,
         metrics: Metrics,
         memory_bytes: int,
+        descriptor_count: int,
     ) -> None:
         self.dispatch = dispatch
         self.codec = codec
@@ -82,15 +94,19 @@
         self.connections: set[CallerConnection] = set()
         self.held_body_bytes = 0
         self.held_count = 0
+        # Refused connections that stay until their callers have read why.
+        self.lingering_count = 0
         # Schedule of the planned stop that has begun, if any.
         self.stop: PlannedStop | None = None
-        self.limit_memory(memory_bytes)
+        self.limit_resources(memory_bytes, descriptor_count)
 
-    def limit_memory(self, memory_bytes: int) -> None:
-        """Set the budgets of requests and responses.
+    def limit_resources(self, memory_bytes: int, descriptor_count: int) -> None:
+        """Set the budgets of requests and responses, and the places.
 
         :param memory_bytes: memory that the process may use.
+        :param descriptor_count: descriptors that the process may use.
         """
+        self.places = CallerPlaces(memory_bytes, descriptor_count)
         self.request_budget.limit_bytes = int(
             memory_bytes * _REQUEST_MEMORY_SHARE
         )
@@ -98,6 +114,22 @@
             memory_bytes * _RESPONSE_MEMORY_SHARE
         )
 
+    def make_room(self) -> None:
+        """Give up connections if hardly any more can be accepted."""
+        missing_count = self.places.count_missing(len(self.connections))
+        if missing_count:
+            for each in choose_leaving(self.connections, missing_count):
+                each.leave()
+
+    @property
+    def may_linger(self) -> bool:
+        """Whether a refused connection may stay until its caller has read."""
+        missing_count = self.places.count_missing(len(self.connections))
+        return (
+            not missing_count
+            or self.lingering_count < self.places.free_count // 2
+        )
+
     @property
     def is_stopping(self) -> bool:
         """Whether the entry is not ready, and closes connections."""
