Let the oldest connection make room at the listeners beside that of callers

A health check, a scrape or a peer's question got no answer in 10 s while others held all 64 places of a listener with requests that they did not finish; a balancer would have taken the entry out. Cause, the same as at the listener for callers: a place was given up only after its own time limit of 5 s. It closes the oldest connection now once fewer than 8 of the 64 places are free; a request takes milliseconds, so the oldest is one that stands still.

The patience of the ordinary client is 10 s over all now, where it was 10 s for each wait; no row that had failed passes by that.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -44,6 +44,20 @@
     Then an ordinary request of another client is answered
     And the process lives within its memory and its files
 
+  Scenario Outline: clients that <shape> at the <listener> listener
+    Given an entry process on a machine of 80 MB and 2000 files
+    When 400 clients <shape> at the <listener> listener
+    Then an ordinary request for <path> is answered there
+    And an ordinary request of another client is answered
+    And the process lives within its memory and its files
+
+    Examples:
+      | listener  | path     | shape               |
+      | readiness | /readyz  | send one byte       |
+      | metrics   | /metrics | send one byte       |
+      | exchange  | /fleet?0 | send one byte       |
+      | readiness | /readyz  | send requests ahead |
+
   Scenario Outline: one request of <count> <kind> is served in calm
     Given an entry process on a machine of 80 MB and 2000 files
     When a client sends a request of <count> <kind>
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -4,13 +4,18 @@
 from pathlib import Path
 from typing import Any
 
+import gevent
 import psutil
 from behave import given, then, when
 from gevent.socket import create_connection
 
 from buckthornpond_core.exceptions import BuckthornpondError
 from buckthornpond_platform_standins.clients import Client
-from buckthornpond_platform_standins.local_clusters import API_KEY, HOST
+from buckthornpond_platform_standins.local_clusters import (
+    API_KEY,
+    HOST,
+    READ_PATH,
+)
 from buckthornpond_platform_standins.processes import EntryProcess
 from features.specs.client_crowds import (
     MAX_BODY_BYTES,
@@ -63,6 +68,28 @@
     context.crowd.send()
 
 
+@when('{count:d} clients {shape} at the {listener} listener')
+def send_aside(context: Any, count: int, shape: str, listener: str) -> None:
+    """Let all clients send to a listener for others than callers."""
+    process = context.process
+    addresses = {
+        'readiness': process.ready_address,
+        'metrics': f'127.0.0.1:{process.metrics_port}',
+        'exchange': f'127.0.0.1:{process.settings["internalPorts"][0]}',
+    }
+    context.listener_address = addresses[listener]
+    context.crowd = ClientCrowd(context.listener_address, count, shape)
+    context.add_cleanup(context.crowd.close)
+    context.crowd.send()
+
+
+@then('an ordinary request for {path} is answered there')
+def check_aside(context: Any, path: str) -> None:
+    """Send one request on a new connection."""
+    response = _send_read(context.listener_address, path)
+    assert response == 200, response
+
+
 @then('the process lives within its memory and its files')
 def check_usage(context: Any) -> None:
     """Compare the most that the process has held with its settings."""
@@ -84,7 +111,7 @@
 @then('an ordinary request of another client is answered')
 def check_answered(context: Any) -> None:
     """Send one request on a new connection."""
-    response = _send_read(context)
+    response = _send_read(context.process.address, READ_PATH)
     assert response == 200, response
 
 
@@ -111,14 +138,14 @@
     assert context.start.startswith(b'HTTP/1.1 %d ' % status), context.start
 
 
-def _send_read(context: Any) -> int | str:
+def _send_read(address: str, path: str) -> int | str:
     """Return the status, or why there is none."""
-    client = Client(context.process.address, HOST, API_KEY)
+    client = Client(address, HOST, API_KEY)
+    expired = TimeoutError(f'no answer within {_PATIENCE}')
     try:
-        client.connection.connect(_PATIENCE)
-        client.connection.set_timeout(_PATIENCE)
-        response = client.fetch('GET', '/read/1')
-    except BuckthornpondError as error:
+        with gevent.Timeout(_PATIENCE.total_seconds(), expired):
+            response = client.fetch('GET', path)
+    except (BuckthornpondError, TimeoutError) as error:
         return str(error)
     finally:
         client.connection.close()
--- a/packages/runtime/src/buckthornpond_runtime/administration.py
+++ b/packages/runtime/src/buckthornpond_runtime/administration.py
@@ -8,13 +8,15 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from .metrics import Metrics
-from .paced_sockets import pace_reads
+from .paced_sockets import PacedSocket, pace_reads
 from .task_servers import TaskServer
 
 _REQUEST_TIMEOUT_SECONDS = 5
 _MAX_REQUEST_BYTES = 16_384
 _READ_BYTES = 4096
 _MAX_CONNECTIONS = 64
+# Of these, what stays free so that a health check is always accepted.
+_FREE_CONNECTIONS = 8
 _TEXT_TYPE = 'text/plain; charset=utf-8'
 
 
@@ -68,7 +70,7 @@
     :param metrics: counters of the process.
     """
 
-    __slots__ = ('_metrics', '_handlers', '_server')
+    __slots__ = ('_connections', '_handlers', '_metrics', '_server')
 
     def __init__(
         self,
@@ -78,6 +80,8 @@
     ) -> None:
         self._metrics = metrics
         self._handlers = handlers
+        # Open connections, the oldest first.
+        self._connections: dict[PacedSocket, None] = {}
         host, port = address.rsplit(':', 1)
         self._server = TaskServer(
             (host, int(port)),
@@ -96,13 +100,24 @@
     ) -> None:
         connection = pace_reads(accepted)
         connection.settimeout(_REQUEST_TIMEOUT_SECONDS)
+        self._connections[connection] = None
+        self._make_room()
         try:
             connection.sendall(_encode_response(self._respond(connection)))
         except OSError:
             self._metrics.count('administration_errors', 'connection')
         finally:
+            self._connections.pop(connection, None)
             connection.close()
 
+    def _make_room(self) -> None:
+        """Close the oldest connections if hardly any more can be accepted."""
+        while len(self._connections) > _MAX_CONNECTIONS - _FREE_CONNECTIONS:
+            oldest = next(iter(self._connections))
+            self._connections.pop(oldest)
+            # Its task, which waits for the peer, ends with an error.
+            oldest.close()
+
     def _respond(self, connection: socket.socket) -> EndpointResponse:
         try:
             with Timeout(_REQUEST_TIMEOUT_SECONDS, TimeoutError()):
