Let callers of an entry with agents take turns, and wait for none for ever

The same cause on the listener of entries with agents: callers who sent requests ahead to paths that no route has, and read no answer, kept everybody else from an answer for 10 s and more. A connection served all requests of one read of 8 KiB, over four hundred, in one turn; a refusal that nobody read was written without a time limit, so that its connection stayed for good; and the connections were bounded by nothing.

Each request takes its turn now; a response without a deadline is written within header_timeout_ms; max_connections (4096, and half of the descriptors) bounds the connections, and the one that stands still longest makes room, unless its request has been passed on.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -58,6 +58,22 @@
       | exchange  | /fleet?0 | send one byte       |
       | readiness | /readyz  | send requests ahead |
 
+  Scenario Outline: <count> clients that <shape>, at an entry with agents
+    Given an entry with agents that has 500 files, and 16 MiB for bodies
+    When <count> clients <shape>, at the entry with agents
+    Then an ordinary request to the entry with agents is answered
+    When the clients close their connections
+    Then an ordinary request to the entry with agents is answered
+    And the entry with agents lives within 120 MB
+
+    Examples:
+      | count | shape                                            |
+      | 600   | send one byte                                    |
+      | 200   | send heads of short lines to a service           |
+      | 600   | send all but the end of a long body to a service |
+      | 600   | send requests without an ID ahead                |
+      | 600   | send bare requests ahead                         |
+
   Scenario Outline: one request of <count> <kind> is served in calm
     Given an entry process on a machine of 80 MB and 2000 files
     When a client sends a request of <count> <kind>
--- a/features/specs/client_crowds.py
+++ b/features/specs/client_crowds.py
@@ -7,9 +7,11 @@
 from gevent.socket import AF_INET, SOCK_STREAM, socket
 
 from buckthornpond_platform_standins.local_clusters import API_KEY, HOST
+from buckthornpond_standins.fleets import CREDENTIAL
 
 MAX_HEAD_BYTES = 16_384
 MAX_BODY_BYTES = 4_194_304
+_AGENT_HEAD_BYTES = 65_000
 _SEND_SECONDS = 6.0
 _AHEAD_BYTES = 1_048_576
 # Long enough to fill the buffers on the way.
@@ -72,6 +74,14 @@
 _LONG_CHUNK = b'%x\r\n%b\r\n' % (_CHUNK_BYTES, bytes(_CHUNK_BYTES))
 _LONG_CHUNK_COUNT = MAX_BODY_BYTES // _CHUNK_BYTES - 1
 
+_AGENT_FIELDS = f'Host: a\r\nAuthorization: Bearer {CREDENTIAL}\r\n'.encode()
+_AGENT_POST = b'POST /v1/services/lots/accept HTTP/1.1\r\n%b' % _AGENT_FIELDS
+_AGENT_BODY = b'%bContent-Length: %d\r\n\r\n%b' % (
+    _AGENT_POST,
+    MAX_BODY_BYTES,
+    bytes(MAX_BODY_BYTES - 1),
+)
+
 # What each client of a crowd sends, all of it inside the limits.
 _SHAPES: Mapping[str, Callable[[], bytes]] = MappingProxyType(
     {
@@ -98,6 +108,10 @@
         'send all but the end of a body in chunks of a byte': lambda: (
             _CHUNKED + b'1\r\na\r\n' * _SMALL_CHUNK_COUNT
         ),
+        'send all but the end of a long body to a service': lambda: _AGENT_BODY,
+        'send heads of short lines to a service': lambda: (
+            _AGENT_POST + make_odd_lines(_number_line, _AGENT_HEAD_BYTES)
+        ),
         'send requests ahead': lambda: _repeat(
             b'GET /nowhere HTTP/1.1\r\n%b\r\n' % _FIELDS
         ),
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -1,5 +1,6 @@
 """Steps for crowds of clients that do not behave."""
 
+import resource
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -17,6 +18,7 @@
     READ_PATH,
 )
 from buckthornpond_platform_standins.processes import EntryProcess
+from buckthornpond_standins.fleets import CREDENTIAL, Fleet
 from features.specs.client_crowds import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -28,6 +30,7 @@
 
 _BYTES_PER_MB = 1_000_000
 _KIBIBYTE = 1024
+_AGENT_ENTRY_BODIES_BYTES = 16_777_216
 # How long an ordinary client waits for an answer before it gives up.
 _PATIENCE = timedelta(seconds=10)
 # The time that an entry gives a client to send a body.
@@ -60,12 +63,55 @@
     cluster.process.start()
 
 
+@given('an entry with agents that has {files:d} files, and 16 MiB for bodies')
+def start_with_agents(context: Any, files: int) -> None:
+    """Start a fleet whose processes inherit the limit."""
+    context.fleet = Fleet(
+        engine_count=1,
+        entry_count=1,
+        entry_settings={'body_budget_bytes': _AGENT_ENTRY_BODIES_BYTES},
+    )
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (files, most))
+    try:
+        context.fleet.__enter__()
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+
+@when('{count:d} clients {shape}, at the entry with agents')
+def send_to_agents(context: Any, count: int, shape: str) -> None:
+    """Let all clients send at the same time."""
+    _start_crowd(context, context.fleet.entry_addresses[0], count, shape)
+
+
+@then('an ordinary request to the entry with agents is answered')
+def check_agent_entry(context: Any) -> None:
+    """Ask for the list of models on a new connection."""
+    status = _send_read(
+        context.fleet.entry_addresses[0],
+        '/v1/models',
+        Authorization=f'Bearer {CREDENTIAL}',
+    )
+    assert status == 200, status
+
+
+@then('the entry with agents lives within {memory:d} MB')
+def check_agent_usage(context: Any, memory: int) -> None:
+    """Compare the most that the process has held with its machine."""
+    process = context.fleet.entries[0]
+    assert process.is_running, process.read_log_end()
+    used_bytes = _read_peak_bytes(process.identifier) + _count_unread_bytes(
+        context.fleet.entry_addresses[0]
+    )
+    report(f'{used_bytes / _BYTES_PER_MB:.1f} MB at the peak')
+    assert used_bytes <= memory * _BYTES_PER_MB, used_bytes
+
+
 @when('{count:d} clients {shape} and stay connected')
 def send_crowd(context: Any, count: int, shape: str) -> None:
     """Let all clients send at the same time."""
-    context.crowd = ClientCrowd(context.process.address, count, shape)
-    context.add_cleanup(context.crowd.close)
-    context.crowd.send()
+    _start_crowd(context, context.process.address, count, shape)
 
 
 @when('{count:d} clients {shape} at the {listener} listener')
@@ -78,9 +124,7 @@
         'exchange': f'127.0.0.1:{process.settings["internalPorts"][0]}',
     }
     context.listener_address = addresses[listener]
-    context.crowd = ClientCrowd(context.listener_address, count, shape)
-    context.add_cleanup(context.crowd.close)
-    context.crowd.send()
+    _start_crowd(context, context.listener_address, count, shape)
 
 
 @then('an ordinary request for {path} is answered there')
@@ -138,13 +182,19 @@
     assert context.start.startswith(b'HTTP/1.1 %d ' % status), context.start
 
 
-def _send_read(address: str, path: str) -> int | str:
+def _start_crowd(context: Any, address: str, count: int, shape: str) -> None:
+    context.crowd = ClientCrowd(address, count, shape)
+    context.add_cleanup(context.crowd.close)
+    context.crowd.send()
+
+
+def _send_read(address: str, path: str, **fields: str) -> int | str:
     """Return the status, or why there is none."""
-    client = Client(address, HOST, API_KEY)
+    client = Client(address, HOST, '' if fields else API_KEY)
     expired = TimeoutError(f'no answer within {_PATIENCE}')
     try:
         with gevent.Timeout(_PATIENCE.total_seconds(), expired):
-            response = client.fetch('GET', path)
+            response = client.fetch('GET', path, **fields)
     except (BuckthornpondError, TimeoutError) as error:
         return str(error)
     finally:
--- a/features/steps/small_pieces_steps.py
+++ b/features/steps/small_pieces_steps.py
@@ -140,6 +140,7 @@
             head_timeout_seconds=5,
             send_buffer_bytes=65536,
             metrics=Metrics(),
+            max_connections=100,
         )
         return gevent.spawn(listener.serve_forever)
     direct = DirectListener(address, _make_frontend())
--- a/packages/core/src/buckthornpond_core/_generated/settings.py
+++ b/packages/core/src/buckthornpond_core/_generated/settings.py
@@ -76,6 +76,14 @@
     peer_timeout_ms: Annotated[int, Meta(ge=50, le=60000)] = 2000
     max_body_bytes: Annotated[int, Meta(ge=1024, le=67108864)] = 16777216
     body_budget_bytes: Annotated[int, Meta(ge=1024)] = 268435456
+    max_connections: Annotated[
+        int,
+        Meta(
+            description="Most connections of callers, of which half of the process's descriptors is the limit too.",
+            ge=2,
+            le=1000000,
+        ),
+    ] = 4096
     max_held_requests: Annotated[int, Meta(ge=1, le=1000000)] = 10000
     stream_window_bytes: Annotated[int, Meta(ge=1024, le=16777216)] = 65536
     send_buffer_bytes: Annotated[int, Meta(ge=4096, le=4194304)] = 65536
--- a/packages/entry/src/buckthornpond_entry/cli.py
+++ b/packages/entry/src/buckthornpond_entry/cli.py
@@ -109,6 +109,7 @@
         head_timeout_seconds=settings.header_timeout_ms / 1000,
         send_buffer_bytes=settings.send_buffer_bytes,
         metrics=metrics,
+        max_connections=settings.max_connections,
     )
     administration = AdministrationTask(
         settings.administration_address,
--- a/packages/entry/src/buckthornpond_entry/frontend.py
+++ b/packages/entry/src/buckthornpond_entry/frontend.py
@@ -180,6 +180,7 @@
             self.settings.stream_window_bytes,
         )
         exchange.add_cleanup(caller.finish_request)
+        exchange.is_served = True
         is_accepted = self.router.mailbox.offer(
             CallerSubmission(submission, mailbox),
         )
--- a/packages/entry/src/buckthornpond_entry/listeners.py
+++ b/packages/entry/src/buckthornpond_entry/listeners.py
@@ -1,9 +1,12 @@
 """Listener for callers, with limits for slow and malformed requests."""
 
 import errno
+import itertools
+import resource
 import socket as standard_socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, cast
 
 import gevent
@@ -18,6 +21,9 @@
 _LINGER_TIMEOUT_SECONDS = 1
 _MAX_LINGER_BYTES = 33_554_432
 _LINGER_BLOCK_BYTES = 65_536
+_LISTEN_BACKLOG = 1024
+# One in so many places is kept free.
+_PLACES_PER_FREE_ONE = 16
 _REQUEST_TIMEOUT_RESPONSE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -35,11 +41,13 @@
     :param raw_path: path and query as the caller sent them.
     """
 
-    __slots__ = ('_cleanups', 'connection', 'raw_path')
+    __slots__ = ('_cleanups', 'connection', 'is_served', 'raw_path')
 
     def __init__(self, connection: Any, raw_path: str) -> None:
         self.connection = connection
         self.raw_path = raw_path
+        # Whether the request has been passed on.
+        self.is_served = False
         self._cleanups: list[Callable[[], None]] = []
 
     def add_cleanup(self, cleanup: Callable[[], None]) -> None:
@@ -109,6 +117,8 @@
         super().handle()
 
     def handle_one_request(self) -> Any:
+        # Requests that were sent ahead are served in turn with those of others.
+        gevent.sleep(0)
         # The result of the base class decides whether the connection is kept.
         self._head_timeout = gevent.Timeout(self.server.head_timeout_seconds)
         self.requestline = None
@@ -151,6 +161,7 @@
         environ['wsgi.input'] = self._input
         self._exchange = CallerExchange(self.socket, str(self.path))
         environ[EXCHANGE_ENVIRON_KEY] = self._exchange
+        self.server.places.begin(self._exchange)
         return environ
 
     def start_response(
@@ -167,10 +178,15 @@
         try:
             super().handle_one_response()
         finally:
-            self._exchange.run_cleanups()
+            self._end_exchange()
         if self._input.is_unread:
             self._linger()
 
+    def _end_exchange(self) -> None:
+        self._exchange.is_served = False
+        self._exchange.run_cleanups()
+        self.server.places.renew(self.socket)
+
     def _handle_head_timeout(self) -> None:
         if self.requestline is None:
             # The connection was idle: no request line was received.
@@ -212,6 +228,9 @@
 
     def _sendall(self, data: bytes) -> None:
         send = super()._sendall  # type: ignore[misc]
+        if self.socket.gettimeout() is None:
+            # A response of the entry itself, for which there is no deadline.
+            self.socket.settimeout(self.server.head_timeout_seconds)
         try:
             send(data)
         except TimeoutError as expired:
@@ -232,6 +251,75 @@
         self.server.metrics.count('closed_connections', reason)
 
 
+class ConnectionPlaces:
+    """Open connections of callers, the one that stands still longest first.
+
+    :param most_count: connections that may be open.
+    """
+
+    __slots__ = ('_exchanges', '_free_count', 'most_count')
+
+    def __init__(self, most_count: int) -> None:
+        self.most_count = most_count
+        # Of these, what stays free so that callers who connect are accepted.
+        self._free_count = max(most_count // _PLACES_PER_FREE_ONE, 1)
+        # Each connection with the exchange that began last on it.
+        self._exchanges: dict[Any, CallerExchange | None] = {}
+
+    def add(self, connection: Any) -> None:
+        """Add a connection, and close others if hardly any place is left.
+
+        One whose request has been passed on stays open.
+
+        :param connection: the caller's socket.
+        """
+        self._exchanges[connection] = None
+        missing_count = (
+            len(self._exchanges) + self._free_count - self.most_count
+        )
+        if missing_count <= 0:
+            return
+        standing = (
+            each
+            for each, exchange in self._exchanges.items()
+            if exchange is None or not exchange.is_served
+        )
+        for each in list(itertools.islice(standing, missing_count)):
+            self.remove(each)
+            # Its handler, which waits for the caller, ends with an error.
+            with suppress(OSError):
+                each.shutdown(standard_socket.SHUT_RDWR)
+
+    def begin(self, exchange: CallerExchange) -> None:
+        """Remember the exchange of a connection.
+
+        :param exchange: exchange that begins.
+        """
+        self._exchanges[exchange.connection] = exchange
+
+    def renew(self, connection: Any) -> None:
+        """Remember that a response has just ended on a connection.
+
+        :param connection: the caller's socket.
+        """
+        exchange = self._exchanges.pop(connection, None)
+        if exchange is not None:
+            self._exchanges[connection] = exchange
+
+    def remove(self, connection: Any) -> None:
+        """Forget a connection.
+
+        :param connection: the caller's socket.
+        """
+        self._exchanges.pop(connection, None)
+
+
+def _limit_connections(max_connections: int) -> int:
+    """Return how many connections the descriptors of the process allow."""
+    descriptor_count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return max(min(max_connections, descriptor_count // 2), 2)
+
+
 class CallerListener(WSGIServer):
     """Listener for callers.
 
@@ -242,6 +330,8 @@
     :param send_buffer_bytes: size of the kernel's send buffer of each
         connection.
     :param metrics: counters of the process.
+    :param max_connections: most connections, of which half of the descriptors
+        of the process is the limit too.
     """
 
     handler_class = _Handler
@@ -254,13 +344,17 @@
         head_timeout_seconds: float,
         send_buffer_bytes: int,
         metrics: Metrics,
+        max_connections: int,
     ) -> None:
         host, port = address.rsplit(':', 1)
+        self.places = ConnectionPlaces(_limit_connections(max_connections))
         super().__init__(
             (host, int(port)),
             application,
             log=None,
             error_log=None,
+            backlog=_LISTEN_BACKLOG,
+            spawn=self.places.most_count,
         )
         self.head_timeout_seconds = head_timeout_seconds
         self.metrics = metrics
@@ -282,4 +376,8 @@
             standard_socket.SO_SNDBUF,
             self._send_buffer_bytes,
         )
-        super().handle(connection, address)
+        self.places.add(connection)
+        try:
+            super().handle(connection, address)
+        finally:
+            self.places.remove(connection)
