Tell of the clients that don't behave, and run their tests alone

Each such test needs the machine for itself, so features tagged @alone run after the others, one at a time.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Clients that do not behave neither end nor hang an entry
 
   Scenario Outline: <count> clients that <shape>
--- a/packages/core/src/buckthornpond_core/serving/__init__.py
+++ b/packages/core/src/buckthornpond_core/serving/__init__.py
@@ -14,7 +14,8 @@
 ``dispatcher``       all decisions above for one entry
 ``events``           boundaries of the events of a stream
 ``exchange``         states of one request from its head to its answer
-``memory_budgets``   which response is given up when too many are held
+``memory_budgets``   who gives way when peers make an entry hold too much
+``caller_places``    how many callers may connect, and who makes room
 ``request_identity`` what a request is known by when it comes again
 ``target_crashes``   lost targets, and the unanswered requests at each
 ``sound_parts``      parts of prompts and requests that were answered
