--- a/features/bounded_readers.feature
+++ b/features/bounded_readers.feature
@@ -167,6 +167,11 @@
       | a request without a body |
       | a body of 1 KiB          |
 
+  Scenario: a caller that stands still with a long body does not keep others from sending one
+    Given callers who share 400 KiB of memory, a quarter of it for bodies
+    When one sends 80 KiB of a body and stands still, and another one sends 60 KiB
+    Then the first is given up with "body_budget_full", and the second goes on
+
   Scenario Outline: a store whose pages do not end is given up
     Given a store that answers each read with <page>, and more to come
     When an entry reads everything
--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -14,6 +14,7 @@
     CallerReader,
     ReaderMessage,
 )
+from buckthornpond_entry.direct.request_memory import GivenUp
 from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform.headers import PlatformCodec
 from buckthornpond_runtime.clocks import SystemClock
@@ -27,6 +28,8 @@
 _DECLARED_BYTES = 200 * _KIBIBYTE
 _SETTLE_SECONDS = 0.1
 _MAX_MESSAGES = 10
+_STALL_SECONDS = 1.5
+_REST_OF_BODY = bytes(_KIBIBYTE)
 _REQUESTS = {
     'a request without a body': b'GET / HTTP/1.1\r\nHost: a\r\n\r\n',
     'a body of 1 KiB': b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1024\r\n\r\n%b'
@@ -52,9 +55,11 @@
         self._own_end.sendall(content)
         gevent.sleep(_SETTLE_SECONDS)
 
-    def send_body(self, length_bytes: int) -> None:
+    def send_body(
+        self, length_bytes: int, declared_bytes: int = _DECLARED_BYTES
+    ) -> None:
         """Send a part of a longer body."""
-        head = f'POST / HTTP/1.1\r\nContent-Length: {_DECLARED_BYTES}\r\n\r\n'
+        head = f'POST / HTTP/1.1\r\nContent-Length: {declared_bytes}\r\n\r\n'
         self.send(head.encode() + bytes(length_bytes))
 
     @property
@@ -113,6 +118,30 @@
     context.fleet.add().send(_REQUESTS[other])
 
 
+@when(
+    'one sends {first:d} KiB of a body and stands still, and another one sends'
+    ' {second:d} KiB'
+)
+def send_after_pause(context: Any, first: int, second: int) -> None:
+    """Let the first caller stand still for longer than others may wait."""
+    context.fleet.add().send_body(first * _KIBIBYTE)
+    gevent.sleep(_STALL_SECONDS)
+    sent_bytes = second * _KIBIBYTE
+    context.fleet.add().send_body(sent_bytes, sent_bytes + len(_REST_OF_BODY))
+
+
+@then('the first is given up with "{reason}", and the second goes on')
+def check_given_up(context: Any, reason: str) -> None:
+    """Compare what the tasks of the callers were told."""
+    first, second = context.fleet.callers
+    given_up = only(first.messages)
+    assert isinstance(given_up, GivenUp), given_up
+    assert given_up.reason == reason, given_up.reason
+    second.send(_REST_OF_BODY)
+    served = only(second.messages)
+    assert isinstance(served, CallerRequest), served
+
+
 @then('the second is refused with "{reason}", and the third is served')
 def check_served(context: Any, reason: str) -> None:
     """Compare what the readers told."""
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -76,12 +76,12 @@
         entry_count=1,
         entry_settings={'body_budget_bytes': _AGENT_ENTRY_BODIES_BYTES},
     )
-    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    earlier, most = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (files, most))
     try:
         context.fleet.__enter__()
     finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+        resource.setrlimit(resource.RLIMIT_NOFILE, (earlier, most))
 
 
 @when('{count:d} clients {shape}, at the entry with agents')
