Stop reading before a refused connection lingers

Callers whose request had come whole and was refused for its head (without an ID, say) lost their connection at once, with a crash in the log (E204, ConcurrentObjectUseError) and, where they had sent more, the refusal with a reset. Cause: the task of the caller read from the socket to let the refusal arrive while the reader still waited on it. The reader is stopped first now.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -101,3 +101,14 @@
       | 4194304 | bytes in a body  |
       | 256     | chunks of 16 KiB |
       | 200000  | chunks of a byte |
+
+  Scenario Outline: the refusal of a request without an ID ends its connection in order
+    Given an entry process on a machine of 80 MB and 2000 files
+    When a client sends a request without an ID and <count> bytes behind it
+    Then it is answered with 400
+    And the entry logs no crash
+
+    Examples:
+      | count  |
+      | 0      |
+      | 300000 |
--- a/features/steps/misbehaving_client_steps.py
+++ b/features/steps/misbehaving_client_steps.py
@@ -41,6 +41,8 @@
 _ALLOWED_PATIENCE = timedelta(seconds=60)
 _START_BYTES = 1000
 _LONG_ROUTE_MS = 20_000
+# Longer than a refused connection stays.
+_LINGER_SECONDS = 0.6
 _CLIENT_LIMITS = {
     'maxHeaderBytes': MAX_HEAD_BYTES,
     'maxBodyBytes': MAX_BODY_BYTES,
@@ -200,6 +202,26 @@
         context.start = connection.recv(_START_BYTES)
 
 
+@when('a client sends a request without an ID and {count:d} bytes behind it')
+def send_without_id(context: Any, count: int) -> None:
+    """Send a request that is refused, go on, and read afterwards."""
+    host, port = context.process.address.rsplit(':', 1)
+    with create_connection(
+        (host, int(port)), _ALLOWED_PATIENCE.total_seconds()
+    ) as connection:
+        connection.sendall(b'GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n')
+        connection.sendall(bytes(count))
+        context.start = connection.recv(_START_BYTES)
+
+
+@then('the entry logs no crash')
+def check_no_crash(context: Any) -> None:
+    """Look for the event once the entry has closed the connection."""
+    wait_until(lambda: 'caller_rejected' in context.process.read_log())
+    gevent.sleep(_LINGER_SECONDS)
+    assert 'request_crashed' not in context.process.read_log()
+
+
 @then('it is answered with {status:d}')
 def check_status(context: Any, status: int) -> None:
     """Compare the status line."""
--- a/packages/entry/src/buckthornpond_entry/direct/callers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/callers.py
@@ -137,8 +137,7 @@
 
     def _give_up(self, reason: str) -> None:
         """Refuse the request that is being read, if there is one, and close."""
-        if self._reading is not None:
-            self._reading.kill()
+        self._stop_reading()
         has_open_request = self._reader.has_open_request
         self._reader.release()
         if has_open_request:
@@ -154,6 +153,11 @@
         self._frontend.metrics.count('closed_connections', reason)
         self._writer.is_open = False
 
+    def _stop_reading(self) -> None:
+        """End the reader, so that this task may read from the socket."""
+        if self._reading is not None:
+            self._reading.kill()
+
     def _receive(self) -> CallerMessage | None:
         if self._pending_messages:
             return self._pending_messages.pop(0)
@@ -253,6 +257,7 @@
 
     def _linger(self) -> None:
         """Give the place of the connection away, and close it a little later."""
+        self._stop_reading()
         self._frontend.connections.discard(self)
         self._frontend.lingering_count += 1
         try:
--- a/packages/entry/src/buckthornpond_entry/listeners.py
+++ b/packages/entry/src/buckthornpond_entry/listeners.py
@@ -252,7 +252,7 @@
 
 
 class ConnectionPlaces:
-    """Open connections of callers, the one that stands still longest first.
+    """Open connections of callers, in the order of their last response.
 
     :param most_count: connections that may be open.
     """
