Find a silent connection to the store within the time that excuses it

Open connections to the store go silent while new ones work.

Cause: each call had a bound, the time between two answers had none. The delay after a change, the wait, the time for the answer and the pause before the next call added up to 3.6 s; 3 s are excused.

Now the delay counts as a part of the wait, the answer has 0.4 s, and the call after a lost one follows at once on a new connection and waits for nothing: 2.4 s. While nothing is lost this adds no call, except that a watch that follows a change waits for 1.4 s in place of 1.9 s.

--- /dev/null
+++ b/features/steps/lost_connections_steps.py
@@ -0,0 +1,170 @@
+"""Steps for connections to the store that are lost while it is sound."""
+
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Any
+
+import gevent
+from behave import given, then, when
+
+from buckthornpond_core.serving.source_contacts import (
+    BATCH_DELAY,
+    SourceContact,
+    SourceFailure,
+)
+from buckthornpond_platform_standins.clients import Client
+from buckthornpond_platform_standins.listening import wait_until
+from buckthornpond_platform_standins.local_clusters import (
+    API_KEY,
+    HOST,
+    READ_PATH,
+    make_config,
+)
+from features.steps.direct_fleet_steps import app_server
+
+_UNRELATED_KEY = 'op/other'
+_NEW_KEY = 'secret-2'
+_READ_COUNT = 30
+_READ_INTERVAL_SECONDS = 0.01
+_PROBE_WAIT = timedelta(milliseconds=1)
+
+
+class LargestDraws:
+    """Random source that draws the largest number each time."""
+
+    def random(self) -> float:
+        """Return the upper end of the range."""
+        return 1.0
+
+
+def _silence(context: Any) -> None:
+    context.cluster.store.silence_connections()
+
+
+def _silence_after_change(context: Any) -> None:
+    store = context.cluster.store
+    store.put(_UNRELATED_KEY, {})
+    wait_until(lambda: not store.waiting_count)
+    # The answer is on its way to the entry.
+    gevent.sleep(_READ_INTERVAL_SECONDS)
+    store.silence_connections()
+
+
+_LOSSES: MappingProxyType[str, Callable[[Any], None]] = MappingProxyType(
+    {
+        'go silent during a watch': _silence,
+        'go silent right after a change': _silence_after_change,
+    }
+)
+
+
+def _drain(context: Any) -> None:
+    context.cluster.register(app_server(context, 1), state='draining')
+
+
+def _withdraw_key(context: Any) -> None:
+    tenants = [{'name': 'north', 'apiKeys': [_NEW_KEY], 'priority': 1}]
+    context.cluster.configure(tenants=tenants)
+
+
+def _drop_route(context: Any) -> None:
+    context.cluster.configure(routes=make_config(0)['routes'][1:])
+
+
+_CHANGES: MappingProxyType[str, Callable[[Any], None]] = MappingProxyType(
+    {
+        'app server 1 drains': _drain,
+        'the key is withdrawn': _withdraw_key,
+        'the read route is dropped': _drop_route,
+    }
+)
+
+
+@when('its open connections to the store {loss}')
+def lose_connections(context: Any, loss: str) -> None:
+    """Lose the connections while the entry watches the store."""
+    store = context.cluster.store
+    wait_until(lambda: store.waiting_count)
+    _LOSSES[loss](context)
+    context.times = {'loss': time.monotonic()}
+
+
+@when('{seconds:f} seconds after that, {change}')
+def change_later(context: Any, change: str, seconds: float) -> None:
+    """Write a change some time after the loss."""
+    gevent.sleep(seconds)
+    _CHANGES[change](context)
+    context.times['change'] = time.monotonic()
+
+
+@then(
+    'reads {seconds:f} seconds after the {event} are handled accordingly: {change}'
+)
+def check_in_time(
+    context: Any, seconds: float, event: str, change: str
+) -> None:
+    """Send reads and look at their servers and statuses."""
+    due = context.times[event] + seconds
+    gevent.sleep(max(due - time.monotonic(), 0))
+    for server in context.cluster.servers:
+        server.received.clear()
+    client = Client(context.process.address, HOST, API_KEY)
+    statuses = set()
+    for _ in range(_READ_COUNT):
+        statuses.add(client.fetch('GET', READ_PATH).status)
+        gevent.sleep(_READ_INTERVAL_SECONDS)
+    if change.startswith('app server 1'):
+        assert statuses == {200}, statuses
+        assert not app_server(context, 1).received
+    else:
+        assert 200 not in statuses, statuses
+
+
+@given('a contact with a source')
+def make_contact(context: Any) -> None:
+    """Start a contact whose delays are the longest ones."""
+    context.contact = SourceContact(LargestDraws())
+    # Time since the last answer.
+    context.elapsed = timedelta()
+
+
+@when('its calls end as {outcomes}')
+def end_calls(context: Any, outcomes: str) -> None:
+    """Record the outcomes of some calls."""
+    for outcome in outcomes.split(', '):
+        _end_call(context, outcome)
+
+
+def _end_call(context: Any, outcome: str) -> None:
+    contact = context.contact
+    if outcome == 'lost':
+        failure = SourceFailure.no_answer
+        contact.record_failure(failure)
+        context.delay = contact.take_retry_delay(failure)
+        return
+    has_changed = outcome == 'changed'
+    contact.record_watch(has_changed=has_changed)
+    context.elapsed = BATCH_DELAY if has_changed else timedelta()
+
+
+@when('its next call gets no answer')
+def lose_next_call(context: Any) -> None:
+    """Let the next call run into its time limit."""
+    timing = context.contact.find_watch_timing()
+    context.elapsed += timing.wait + timing.answer_time
+    _end_call(context, 'lost')
+
+
+@then('a new call is sent within {seconds:f} seconds of the last answer')
+def check_new_call(context: Any, seconds: float) -> None:
+    """Add the delay, and check that the source has not to wait for a change."""
+    assert (context.elapsed + context.delay).total_seconds() <= seconds
+    assert context.contact.find_watch_timing().wait <= _PROBE_WAIT
+
+
+@then('the next call is sent after {seconds:f} seconds or more')
+def check_delay(context: Any, seconds: float) -> None:
+    """Check the last delay."""
+    assert context.delay.total_seconds() >= seconds
