Tell an outage of the store from a lost connection to it

Cause: any failed call counted as an outage of the store, in which records expire though their servers run, and each removal told within three seconds of the next answer had a grace period of two.

Losses and outages are kept apart, and only outages give the grace period, which direct_fleet now also plays with a store that resets or is silent.

--- a/features/direct_fleet.feature
+++ b/features/direct_fleet.feature
@@ -77,6 +77,16 @@
     Then app server 1 receives reads for 1.5 more seconds
     And app server 1 receives none after 2.5 seconds
 
+  Scenario Outline: records that expired while the store gave no answer have two seconds of grace, too
+    When the store is <trouble> for 2.5 seconds and loses the record of app server 1
+    Then app server 1 receives reads for 1.5 more seconds
+    And app server 1 receives none after 2.5 seconds
+
+    Examples:
+      | trouble |
+      | reset   |
+      | silent  |
+
   Scenario: a server that registers again in time is kept
     When the store is busy for 2.5 seconds and loses the record of app server 1
     And app server 1 registers again after 1 seconds
--- a/features/lost_connections.feature
+++ b/features/lost_connections.feature
@@ -1,6 +1,6 @@
 Feature: Connections to the store that are lost while the store is sound
   An open connection may be cut or go silent while new ones work. An entry finds
-  that out in time.
+  that out in time, and does not take it for an outage of the store.
 
   Scenario Outline: what was changed around a lost connection is in force in time
     Given an entry process before 3 app servers and 0 llm servers
@@ -10,10 +10,36 @@
 
     Examples: the connection goes silent, which excuses the entry for 3 seconds
       | loss                         | change                             | delay | bound | event |
+      | go silent right after a change | app server 1 leaves              | 0.05  | 3.0   | loss  |
+      | go silent during a watch     | app server 1 leaves                | 0.1   | 3.0   | loss  |
+      | go silent during a watch     | app server 1 leaves unseen         | 0.1   | 3.0   | loss  |
       | go silent right after a change | app server 1 drains              | 0.4   | 3.0   | loss  |
       | go silent right after a change | the key is withdrawn             | 0.4   | 3.0   | loss  |
       | go silent right after a change | the read route is dropped        | 0.4   | 3.0   | loss  |
 
+    Examples: the watch is cut or refused, which excuses nothing
+      | loss                         | change                             | delay | bound | event  |
+      | are cut                      | app server 1 leaves                | 0.05  | 2.0   | change |
+      | are cut                      | app server 1 leaves unseen         | 0.05  | 2.0   | change |
+      | are refused as too many      | app server 1 leaves                | 0.1   | 2.0   | change |
+
+  Scenario Outline: an entry tells an outage of the source from a lost call
+    Given a contact with a source
+    When its calls end as <calls>
+    Then the source is taken to be <state>
+
+    Examples:
+      | calls                                    | state |
+      | answered, lost                           | sound |
+      | answered, lost, answered, lost           | sound |
+      | answered, limited, limited, limited      | sound |
+      | answered, lost, limited, lost            | sound |
+      | answered, lost, lost                     | away  |
+      | answered, lost, lost, answered, lost     | sound |
+      | answered, unavailable                    | away  |
+      | answered, lost, unavailable              | away  |
+      | lost, lost                               | away  |
+
   Scenario Outline: a silent connection is found, and the source asked anew, within the time that excuses it
     Given a contact with a source
     When its calls end as <calls>
@@ -30,3 +56,14 @@
     Given a contact with a source
     When its calls end as answered, lost, probed, lost
     Then the next call is sent after 0.2 seconds or more
+
+  Scenario Outline: a removal that is told after a lost call counts at once
+    Given a dispatcher before 2 plain targets
+    When a call to the store is lost
+    And the store <answer>
+    Then the first target receives nothing for 2.0 seconds
+
+    Examples:
+      | answer                                             |
+      | of the old era reports that the first target left  |
+      | lists everything but the first target              |
--- a/features/steps/direct_fleet_steps.py
+++ b/features/steps/direct_fleet_steps.py
@@ -211,10 +211,13 @@
     context.cluster.wait_until_synced()
 
 
-@when('the store is busy for 2.5 seconds and loses the record of app server 1')
-def expire_record(context: Any) -> None:
+@when(
+    'the store is {trouble:w} for 2.5 seconds and loses the record of app '
+    'server 1'
+)
+def expire_record(context: Any, trouble: str) -> None:
     """Let a lease expire during an outage of the store."""
-    trouble_store(context, 'busy', 2.5)
+    trouble_store(context, trouble, 2.5)
     name = app_server(context, 1).name
     context.cluster.store.delete(f'servers/{name}')
     context.cluster.store.trouble = StoreFault.none
--- a/features/steps/lost_connections_steps.py
+++ b/features/steps/lost_connections_steps.py
@@ -9,6 +9,10 @@
 import gevent
 from behave import given, then, when
 
+from buckthornpond_core._generated.serving import (
+    SourceLost,
+    SourceSnapshot,
+)
 from buckthornpond_core.serving.source_contacts import (
     BATCH_DELAY,
     SourceContact,
@@ -22,10 +26,12 @@
     READ_PATH,
     make_config,
 )
+from buckthornpond_platform_standins.store import StoreFault
 from features.steps.direct_fleet_steps import app_server
 
 _UNRELATED_KEY = 'op/other'
 _NEW_KEY = 'secret-2'
+_REFUSAL_SECONDS = 0.5
 _READ_COUNT = 30
 _READ_INTERVAL_SECONDS = 0.01
 _PROBE_WAIT = timedelta(milliseconds=1)
@@ -39,6 +45,21 @@
         return 1.0
 
 
+def _cut(context: Any) -> None:
+    context.cluster.store.drop_connections()
+
+
+def _refuse(context: Any) -> None:
+    store = context.cluster.store
+    store.trouble = StoreFault.many
+    store.put(_UNRELATED_KEY, {})
+    gevent.spawn_later(_REFUSAL_SECONDS, _end_refusals, context)
+
+
+def _end_refusals(context: Any) -> None:
+    context.cluster.store.trouble = StoreFault.none
+
+
 def _silence(context: Any) -> None:
     context.cluster.store.silence_connections()
 
@@ -54,12 +75,26 @@
 
 _LOSSES: MappingProxyType[str, Callable[[Any], None]] = MappingProxyType(
     {
+        'are cut': _cut,
+        'are refused as too many': _refuse,
         'go silent during a watch': _silence,
         'go silent right after a change': _silence_after_change,
     }
 )
 
 
+def _leave(context: Any) -> None:
+    context.cluster.store.delete(f'servers/{app_server(context, 1).name}')
+
+
+def _leave_unseen(context: Any) -> None:
+    """Remove the record so that no watch tells of it."""
+    store = context.cluster.store
+    store._items.pop(f'servers/{app_server(context, 1).name}')
+    store.revision += 1
+    store.compact_history()
+
+
 def _drain(context: Any) -> None:
     context.cluster.register(app_server(context, 1), state='draining')
 
@@ -76,6 +111,8 @@
 _CHANGES: MappingProxyType[str, Callable[[Any], None]] = MappingProxyType(
     {
         'app server 1 drains': _drain,
+        'app server 1 leaves': _leave,
+        'app server 1 leaves unseen': _leave_unseen,
         'the key is withdrawn': _withdraw_key,
         'the read route is dropped': _drop_route,
     }
@@ -126,6 +163,7 @@
 def make_contact(context: Any) -> None:
     """Start a contact whose delays are the longest ones."""
     context.contact = SourceContact(LargestDraws())
+    context.is_away = False
     # Time since the last answer.
     context.elapsed = timedelta()
 
@@ -139,14 +177,20 @@
 
 def _end_call(context: Any, outcome: str) -> None:
     contact = context.contact
-    if outcome == 'lost':
-        failure = SourceFailure.no_answer
-        contact.record_failure(failure)
+    failures = {
+        'lost': SourceFailure.no_answer,
+        'limited': SourceFailure.rate_limited,
+        'unavailable': SourceFailure.unavailable,
+    }
+    failure = failures.get(outcome)
+    if failure is not None:
+        context.is_away = contact.record_failure(failure)
         context.delay = contact.take_retry_delay(failure)
         return
     has_changed = outcome == 'changed'
     contact.record_watch(has_changed=has_changed)
     context.elapsed = BATCH_DELAY if has_changed else timedelta()
+    context.is_away = False
 
 
 @when('its next call gets no answer')
@@ -157,9 +201,16 @@
     _end_call(context, 'lost')
 
 
+@then('the source is taken to be {state:w}')
+def check_state(context: Any, state: str) -> None:
+    """Compare what the last outcome tells of the source."""
+    assert context.is_away is (state == 'away')
+
+
 @then('a new call is sent within {seconds:f} seconds of the last answer')
 def check_new_call(context: Any, seconds: float) -> None:
     """Add the delay, and check that the source has not to wait for a change."""
+    assert not context.is_away
     assert (context.elapsed + context.delay).total_seconds() <= seconds
     assert context.contact.find_watch_timing().wait <= _PROBE_WAIT
 
@@ -168,3 +219,24 @@
 def check_delay(context: Any, seconds: float) -> None:
     """Check the last delay."""
     assert context.delay.total_seconds() >= seconds
+
+
+@when('a call to the store is lost')
+def lose_call(context: Any) -> None:
+    """Report a lost call that is no outage."""
+    context.dispatchers[0].apply(
+        SourceLost('no answer', is_outage=False), context.now
+    )
+
+
+@when('the store lists everything but the first target')
+def list_others(context: Any) -> None:
+    """Apply a read of the store that lacks the first target."""
+    context.dispatchers[0].apply(_make_snapshot(context), context.now)
+
+
+def _make_snapshot(context: Any, revision: int = 8) -> SourceSnapshot:
+    route_table = context.dispatchers[0].route_table
+    return SourceSnapshot(
+        context.records[1:], [], route_table.configuration, revision
+    )
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -357,6 +357,12 @@
     """
 
     error: str
+    is_outage: Annotated[
+        bool,
+        Meta(
+            description='Whether the source itself is away; otherwise a connection to it was lost, or the call was refused.'
+        ),
+    ] = True
 
 
 class RequestMetadata(Struct):
--- a/packages/core/src/buckthornpond_core/serving/dispatcher.py
+++ b/packages/core/src/buckthornpond_core/serving/dispatcher.py
@@ -415,7 +415,7 @@
             candidate_count=candidate_count,
             configuration_version=self.configuration_version,
             fleet_revision=self.fleet.revision,
-            source_age_ms=self.fleet.source_age(now) // _MS,
+            source_age_ms=self.fleet.source.find_age(now) // _MS,
             has_statement=selection.target.terms.is_limited,
         )
 
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -10,17 +10,13 @@
 from .engine_load import InFlightAttempt
 from .health import TargetHealth
 from .reported_load import UnexplainedLoad
+from .source_availability import SourceAvailability
 from .source_positions import SourcePosition
 from .target_terms import FormerTerms, TargetTerms
 
-# Targets whose records expired during an outage of the source register again
-# within this time, if at all.
-REREGISTRATION_GRACE = timedelta(seconds=2)
 # Operators and targets write again within this time what a copy of the source
 # lacks. Records of targets that do not run lapse in it.
 _RESTORATION_TIME = timedelta(seconds=5)
-# Time after an outage in which the source still counts as unstable.
-_INSTABILITY_TIME = timedelta(seconds=3)
 _LATENCY_WEIGHT = 0.2
 _LATENCY_DECAY_TIME = timedelta(seconds=5)
 
@@ -128,23 +124,19 @@
 
     __slots__ = (
         '_departures',
-        '_first_lost_at',
         '_former_terms',
         '_services',
         '_targets',
-        'confirmed_at',
         'evacuated_zones',
         'held_zones',
-        'lost_at',
         'position',
-        'regained_at',
         'restored_until',
+        'source',
     )
 
     def __init__(self) -> None:
         self._targets: dict[str, TargetView] = {}
         self._services: dict[str, dict[str, TargetView]] = {}
-        self._first_lost_at: timedelta | None = None
         self._departures = Departures()
         self._former_terms = FormerTerms()
         self.evacuated_zones: set[str] = set()
@@ -153,9 +145,7 @@
         # Until when what an older copy contradicts stays in force.
         self.restored_until: timedelta | None = None
         self.position = SourcePosition()
-        self.confirmed_at: timedelta | None = None
-        self.lost_at: timedelta | None = None
-        self.regained_at: timedelta | None = None
+        self.source = SourceAvailability()
 
     @property
     def revision(self) -> int:
@@ -226,20 +216,21 @@
         view.is_held = False
         return view
 
-    def remove(self, name: str, now: timedelta) -> bool:
+    def remove(self, name: str, now: timedelta, *, may_return: bool) -> bool:
         """Remove a target and return whether that happens at once.
 
-        While the source is unstable, a target that is not draining stays for
-        a grace period.
+        A target that may return stays for a grace period, unless it drains.
 
         :param name: name of the target.
         :param now: time on the monotonic clock.
+        :param may_return: whether its record may have expired in an outage of
+            the source.
         """
         view = self._targets.get(name)
         if view is None:
             return False
-        if self.is_source_unstable(now) and not view.record.is_draining:
-            view.expires_at = self._grace_end(now)
+        if may_return and not view.record.is_draining:
+            view.expires_at = self.source.find_grace_end(now)
             return False
         self._record_departure(view, now)
         return True
@@ -260,13 +251,17 @@
         self.evacuated_zones.discard(zone)
         self.held_zones.discard(zone)
 
-    def replace_all(self, snapshot: SourceSnapshot, now: timedelta) -> None:
+    def replace_all(
+        self, snapshot: SourceSnapshot, now: timedelta, *, may_return: bool
+    ) -> None:
         """Replace all targets and evacuated availability zones.
 
         :param snapshot: everything that the source holds.
         :param now: time on the monotonic clock.
+        :param may_return: whether records that it lacks may have expired in an
+            outage of the source.
         """
-        self._remove_absent(snapshot, now)
+        self._remove_absent(snapshot, now, may_return=may_return)
         for record in snapshot.targets:
             self.put(record)
         self.evacuated_zones = set(snapshot.evacuated_zones)
@@ -286,9 +281,10 @@
         :param is_new: whether the source came back since the last snapshot.
         """
         if is_new:
-            self.regained_at = now
+            self.source.record_outage_end(now)
             self.restored_until = now + _RESTORATION_TIME
-        self._remove_absent(snapshot, now)
+        may_return = self.source.is_unstable(now)
+        self._remove_absent(snapshot, now, may_return=may_return)
         for record in snapshot.targets:
             self._restore(record)
         present = set(snapshot.evacuated_zones)
@@ -304,7 +300,7 @@
         :param now: time on the monotonic clock.
         """
         end = self.restored_until
-        if end is None or now < end or self.lost_at is not None:
+        if end is None or now < end or self.source.is_lost:
             return []
         self.restored_until = None
         for view in self:
@@ -329,17 +325,6 @@
         self._departures.drop_expired(now)
         return [each.record.name for each in gone]
 
-    def mark_source_lost(self, now: timedelta) -> bool:
-        """Record that the source does not answer; return whether that is new.
-
-        :param now: time on the monotonic clock.
-        """
-        self._first_lost_at = self._first_lost_at or now
-        is_new = self.lost_at is None
-        if is_new:
-            self.lost_at = now
-        return is_new
-
     def confirm(self, position: SourcePosition, now: timedelta) -> bool:
         """Record an answer of the source; return whether it was lost before.
 
@@ -350,13 +335,9 @@
         is_same_era = position.era == self.position.era
         if is_same_era and self.position.is_before(position):
             self.position = position
-        self.confirmed_at = now
-        was_lost = self.lost_at is not None
-        if was_lost:
-            self.lost_at = None
-            self.regained_at = now
-            if self.restored_until is not None:
-                self.restored_until = now + _RESTORATION_TIME
+        was_lost = self.source.record_answer(now)
+        if was_lost and self.restored_until is not None:
+            self.restored_until = now + _RESTORATION_TIME
         return was_lost
 
     def confirm_by_peer(
@@ -369,38 +350,19 @@
         """
         if self.position.is_before(position):
             self.position = position
-        self.confirmed_at = max(self.confirmed_at or confirmed_at, confirmed_at)
-
-    def is_source_unstable(self, now: timedelta) -> bool:
-        """Return whether the source is lost or was regained recently.
-
-        :param now: time on the monotonic clock.
-        """
-        if self.lost_at is not None:
-            return True
-        return (
-            self.regained_at is not None
-            and now - self.regained_at < _INSTABILITY_TIME
-        )
-
-    def source_age(self, now: timedelta) -> timedelta:
-        """Return the time since the source last answered.
-
-        If it never did, this is the time since it was first lost.
-
-        :param now: time on the monotonic clock.
-        """
-        return now - (self.confirmed_at or self._first_lost_at or now)
+        self.source.record_peer_answer(confirmed_at)
 
     def list_names(self) -> Iterable[str]:
         """Return the names of all targets."""
         return self._targets.keys()
 
-    def _remove_absent(self, snapshot: SourceSnapshot, now: timedelta) -> None:
+    def _remove_absent(
+        self, snapshot: SourceSnapshot, now: timedelta, *, may_return: bool
+    ) -> None:
         present = {record.name for record in snapshot.targets}
         for name in tuple(self._targets):
             if name not in present:
-                self.remove(name, now)
+                self.remove(name, now, may_return=may_return)
 
     def _restore(self, record: TargetRecord) -> None:
         """Put a record that may be older than what is known of its target."""
@@ -425,8 +387,3 @@
         view = self._targets.pop(name, None)
         if view is not None:
             self._services[view.record.service].pop(name, None)
-
-    def _grace_end(self, now: timedelta) -> timedelta:
-        if self.lost_at is not None:
-            return now + REREGISTRATION_GRACE
-        return (self.regained_at or now) + REREGISTRATION_GRACE
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -69,7 +69,7 @@
     @property
     def is_source_reachable(self) -> bool:
         """Whether the source answered the last call."""
-        return self.fleet.lost_at is None
+        return not self.fleet.source.is_lost
 
     @property
     def version(self) -> int:
@@ -110,7 +110,8 @@
         if isinstance(change, SourceSnapshot):
             # It is newer than what any peer told before.
             self._peer_revision = 0
-            self._apply_snapshot(change, now)
+            may_return = self.fleet.source.is_unstable(now)
+            self._apply_snapshot(change, now, may_return=may_return)
         else:
             self._apply_change(change, now)
         self._end_grace_periods(now)
@@ -144,7 +145,7 @@
         return FleetView(
             revision=fleet.revision,
             era=fleet.position.era,
-            source_age_ms=fleet.source_age(now) // _MS,
+            source_age_ms=fleet.source.find_age(now) // _MS,
             snapshot=snapshot,
         )
 
@@ -173,7 +174,8 @@
             if view.snapshot is None:
                 return
             self._peer_revision = view.revision
-            self._apply_snapshot(view.snapshot, now)
+            may_return = self.fleet.source.is_unstable(now)
+            self._apply_snapshot(view.snapshot, now, may_return=may_return)
             self._recorder.log(
                 EventCode.fleet_learned,
                 peer=peer,
@@ -228,11 +230,14 @@
             )
 
     def _record_source_loss(self, change: SourceLost, now: timedelta) -> None:
-        if self.fleet.mark_source_lost(now):
-            self._recorder.count('source_losses', 'unreachable')
+        is_outage = change.is_outage
+        if self.fleet.source.record_loss(now, is_outage=is_outage):
+            reason = 'unreachable' if is_outage else 'connection'
+            self._recorder.count('source_losses', reason)
             self._recorder.log(
                 EventCode.source_lost,
                 error=change.error,
+                is_outage=is_outage,
                 revision=self.fleet.revision,
             )
 
@@ -250,7 +255,7 @@
         """Return whether a peer already reported this change or a later one."""
         if not isinstance(change, _INCREMENTAL_CHANGES):
             return False
-        regained = self.fleet.regained_at or now
+        regained = self.fleet.source.regained_at or now
         return (
             change.revision <= self._peer_revision
             and now - regained < _REPLAY_WINDOW
@@ -264,7 +269,9 @@
         if isinstance(change, TargetFound):
             self._put_target(change, now)
             return
-        is_removed = self.fleet.remove(change.name, now)
+        is_removed = self.fleet.remove(
+            change.name, now, may_return=self.fleet.source.is_unstable(now)
+        )
         self._recorder.log(
             EventCode.target_removed,
             target=change.name,
@@ -280,7 +287,9 @@
             self.fleet.return_zone(change.availability_zone)
             self._log_zone(EventCode.zone_returned, change)
 
-    def _apply_snapshot(self, change: SourceSnapshot, now: timedelta) -> None:
+    def _apply_snapshot(
+        self, change: SourceSnapshot, now: timedelta, *, may_return: bool
+    ) -> None:
         if change.configuration is not None:
             self._accept_configuration(change.configuration)
         is_restored = self._is_restored(change)
@@ -289,7 +298,7 @@
         if is_restored or self.fleet.restored_until is not None:
             self.fleet.restore_all(change, now, is_new=is_restored)
         else:
-            self.fleet.replace_all(change, now)
+            self.fleet.replace_all(change, now, may_return=may_return)
         self.fleet.position = SourcePosition(change.era, change.revision)
         for record in change.targets:
             view = self.fleet.find(record.name)
--- a/packages/core/src/buckthornpond_core/serving/placement_failures.py
+++ b/packages/core/src/buckthornpond_core/serving/placement_failures.py
@@ -78,7 +78,7 @@
             it.
         :param now: time on the monotonic clock.
         """
-        if self._follower.fleet.source_age(now) > _STALE_SOURCE_AGE:
+        if self._follower.fleet.source.find_age(now) > _STALE_SOURCE_AGE:
             return self.build('configuration_stale', now)
         return self.build(reason, now)
 
@@ -95,5 +95,5 @@
             ),
             configuration_version=self._follower.version,
             fleet_revision=self._follower.fleet.revision,
-            source_age_ms=self._follower.fleet.source_age(now) // _MS,
+            source_age_ms=self._follower.fleet.source.find_age(now) // _MS,
         )
--- a/packages/core/src/buckthornpond_core/serving/source_contacts.py
+++ b/packages/core/src/buckthornpond_core/serving/source_contacts.py
@@ -24,6 +24,8 @@
 _RETRY_DELAY = timedelta(milliseconds=_RETRY_DELAY_MS)
 # A source whose answers do not end is asked less often.
 _OVERSIZED_RETRY_DELAY = timedelta(seconds=2)
+# Calls in a row without an answer, the second one on a new connection.
+_MIN_OUTAGE_CALL_COUNT = 2
 
 
 class SourceFailure(StrEnum):
@@ -54,11 +56,11 @@
 
 
 class SourceContact:
-    """Times the calls to the source.
+    """Times the calls to the source and tells its outages from lost calls.
 
     An open connection may break or go silent while the source is sound: a new
     one is then answered at once. So a call without an answer is repeated at
-    once, and waits for nothing.
+    once, and only if that fails, too, is the source taken to be away.
 
     :param random: adds jitter to the delays.
     """
@@ -66,12 +68,14 @@
     __slots__ = (
         '_has_changed',
         '_is_probe_due',
+        '_lost_call_count',
         '_may_retry_at_once',
         '_random',
     )
 
     def __init__(self, random: RandomSource) -> None:
         self._random = random
+        self._lost_call_count = 0
         self._is_probe_due = False
         self._may_retry_at_once = False
         # Whether the last answer told of a change, so that a delay followed.
@@ -105,13 +109,19 @@
         self._may_retry_at_once = self._may_retry_at_once or not is_probe
         self._record_answer(has_changed=has_changed)
 
-    def record_failure(self, failure: SourceFailure) -> None:
-        """Record that a call failed.
+    def record_failure(self, failure: SourceFailure) -> bool:
+        """Record that a call failed; return whether the source is away.
 
         :param failure: how it failed.
         """
-        if failure is not SourceFailure.rate_limited:
-            self._is_probe_due = True
+        if failure is SourceFailure.rate_limited:
+            self._lost_call_count = 0
+            return False
+        self._is_probe_due = True
+        if failure is not SourceFailure.no_answer:
+            return True
+        self._lost_call_count += 1
+        return self._lost_call_count >= _MIN_OUTAGE_CALL_COUNT
 
     def take_retry_delay(self, failure: SourceFailure) -> timedelta:
         """Return the delay before the next call.
@@ -127,5 +137,6 @@
         return delay * (1 + self._random.random())
 
     def _record_answer(self, *, has_changed: bool) -> None:
+        self._lost_call_count = 0
         self._is_probe_due = False
         self._has_changed = has_changed
