Let a peer that hears the store tell of removals without a grace period

An entry that is turned away from the store asks a peer; a server that had left stayed in use there for two seconds more, although the peer heard the store all the while, and for two seconds more with each newer view: for as long as views came.

Cause: the asking entry judged the view by its own lost store, and each view set the end of the grace period anew.

An entry says in its view whether it hears the store and knows that it was not away of late (not in its first 3 s, nor within 3 s of an outage). What such a view lacks is gone at once; otherwise the two seconds count from the first view without it.

lost_connections.feature: three scenarios on a dispatcher failed before.

--- a/features/lost_connections.feature
+++ b/features/lost_connections.feature
@@ -67,3 +67,42 @@
       | answer                                             |
       | of the old era reports that the first target left  |
       | lists everything but the first target              |
+
+  Scenario: a peer that hears the store tells of a removal, which counts at once
+    Given a dispatcher before 2 plain targets
+    When the store is lost
+    And a peer that hears the store tells that the first target left
+    Then the first target receives nothing for 2.0 seconds
+
+  Scenario Outline: a peer that tells again and again that a target is missing does not keep it in use
+    Given a dispatcher before 2 plain targets
+    When <loss>
+    And a peer that lost the store of late tells for 3 seconds that the first target is missing
+    Then the first target receives nothing for 1.0 seconds
+
+    Examples:
+      | loss                        |
+      | the store is lost           |
+      | a call to the store is lost |
+
+  Scenario: a target that a peer misses, which lost the store of late, stays for two seconds
+    Given a dispatcher before 2 plain targets
+    When the store is lost
+    And the store of the old era answers again
+    And 60 seconds pass
+    And a call to the store is lost
+    And a peer that lost the store of late tells for 1 seconds that the first target is missing
+    Then the first target receives requests again
+
+  Scenario Outline: an entry says that the source was not away of late only if it knows so
+    Given an entry that has heard the source for <seconds> seconds
+    When the source <event>
+    Then the entry <verdict> that it was not away
+
+    Examples:
+      | seconds | event                        | verdict      |
+      | 4       | goes on to answer            | says         |
+      | 1       | goes on to answer            | does not say |
+      | 4       | loses a call                 | does not say |
+      | 4       | loses a call and answers     | says         |
+      | 4       | is away and answers          | does not say |
--- a/features/steps/lost_connections_steps.py
+++ b/features/steps/lost_connections_steps.py
@@ -10,9 +10,11 @@
 from behave import given, then, when
 
 from buckthornpond_core._generated.serving import (
+    FleetView,
     SourceLost,
     SourceSnapshot,
 )
+from buckthornpond_core.serving.source_availability import SourceAvailability
 from buckthornpond_core.serving.source_contacts import (
     BATCH_DELAY,
     SourceContact,
@@ -34,6 +36,9 @@
 _REFUSAL_SECONDS = 0.5
 _READ_COUNT = 30
 _READ_INTERVAL_SECONDS = 0.01
+_PEER = 'entry-9:1'
+_PEER_AGE_MS = 100
+_PEER_INTERVAL = timedelta(milliseconds=500)
 _PROBE_WAIT = timedelta(milliseconds=1)
 
 
@@ -235,8 +240,65 @@
     context.dispatchers[0].apply(_make_snapshot(context), context.now)
 
 
+@when('a peer that hears the store tells that the first target left')
+def tell_removal(context: Any) -> None:
+    """Apply the view of a peer that hears the store."""
+    _apply_view(context, revision=8, is_source_stable=True)
+
+
+@when(
+    'a peer that lost the store of late tells for {seconds:d} seconds that the '
+    'first target is missing'
+)
+def tell_repeatedly(context: Any, seconds: int) -> None:
+    """Apply a newer view of the peer each half second."""
+    end = context.now + timedelta(seconds=seconds)
+    revision = 8
+    while context.now < end:
+        _apply_view(context, revision=revision, is_source_stable=False)
+        revision += 1
+        context.now += _PEER_INTERVAL
+
+
 def _make_snapshot(context: Any, revision: int = 8) -> SourceSnapshot:
     route_table = context.dispatchers[0].route_table
     return SourceSnapshot(
         context.records[1:], [], route_table.configuration, revision
     )
+
+
+def _apply_view(context: Any, *, revision: int, is_source_stable: bool) -> None:
+    view = FleetView(
+        revision,
+        _PEER_AGE_MS,
+        _make_snapshot(context, revision),
+        is_source_stable=is_source_stable,
+    )
+    context.dispatchers[0].follower.apply_view(
+        view, _PEER, context.now, context.now
+    )
+
+
+@given('an entry that has heard the source for {seconds:d} seconds')
+def hear_source(context: Any, seconds: int) -> None:
+    """Record a first answer some time ago."""
+    context.now = timedelta(seconds=100 + seconds)
+    context.source = SourceAvailability()
+    context.source.record_answer(timedelta(seconds=100))
+
+
+@when('the source {event}')
+def record_source_event(context: Any, event: str) -> None:
+    """Record the loss, if any, and the answer to it."""
+    source = context.source
+    if event != 'goes on to answer':
+        is_outage = event.startswith('is away')
+        source.record_loss(context.now, is_outage=is_outage)
+    if event.endswith(('answer', 'answers')):
+        source.record_answer(context.now)
+
+
+@then('the entry {verdict} that it was not away')
+def check_statement(context: Any, verdict: str) -> None:
+    """Compare what the entry would tell another one."""
+    assert context.source.is_stable(context.now) is (verdict == 'says')
--- a/packages/core/src/buckthornpond_core/_generated/serving.py
+++ b/packages/core/src/buckthornpond_core/_generated/serving.py
@@ -338,6 +338,12 @@
             ge=0,
         ),
     ] = 0
+    is_source_stable: Annotated[
+        bool,
+        Meta(
+            description='Whether the entry hears the source and knows that it was not away of late.'
+        ),
+    ] = False
 
 
 class SourceConfirmed(Struct):
--- a/packages/core/src/buckthornpond_core/serving/fleet.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet.py
@@ -230,7 +230,7 @@
         if view is None:
             return False
         if may_return and not view.record.is_draining:
-            view.expires_at = self.source.find_grace_end(now)
+            self._begin_grace(view, now)
             return False
         self._record_departure(view, now)
         return True
@@ -387,3 +387,8 @@
         view = self._targets.pop(name, None)
         if view is not None:
             self._services[view.record.service].pop(name, None)
+
+    def _begin_grace(self, view: TargetView, now: timedelta) -> None:
+        # While the source is away, another entry may tell of it repeatedly.
+        if view.expires_at is None or not self.source.is_lost:
+            view.expires_at = self.source.find_grace_end(now)
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -147,6 +147,7 @@
             era=fleet.position.era,
             source_age_ms=fleet.source.find_age(now) // _MS,
             snapshot=snapshot,
+            is_source_stable=fleet.source.is_stable(now),
         )
 
     def apply_view(
@@ -174,8 +175,10 @@
             if view.snapshot is None:
                 return
             self._peer_revision = view.revision
-            may_return = self.fleet.source.is_unstable(now)
-            self._apply_snapshot(view.snapshot, now, may_return=may_return)
+            # A peer that hears the source knows whether it was away.
+            self._apply_snapshot(
+                view.snapshot, now, may_return=not view.is_source_stable
+            )
             self._recorder.log(
                 EventCode.fleet_learned,
                 peer=peer,
--- a/packages/core/src/buckthornpond_core/serving/source_availability.py
+++ b/packages/core/src/buckthornpond_core/serving/source_availability.py
@@ -17,6 +17,7 @@
     """
 
     __slots__ = (
+        '_first_confirmed_at',
         '_first_lost_at',
         '_is_outage',
         '_outage_ended_at',
@@ -26,6 +27,7 @@
     )
 
     def __init__(self) -> None:
+        self._first_confirmed_at: timedelta | None = None
         self._first_lost_at: timedelta | None = None
         self._is_outage = False
         self._outage_ended_at: timedelta | None = None
@@ -56,6 +58,7 @@
 
         :param now: time on the monotonic clock.
         """
+        self._first_confirmed_at = self._first_confirmed_at or now
         self.confirmed_at = now
         was_lost = self.is_lost
         if was_lost:
@@ -91,6 +94,18 @@
         ended_at = self._outage_ended_at
         return ended_at is not None and now - ended_at < _INSTABILITY_TIME
 
+    def is_stable(self, now: timedelta) -> bool:
+        """Return whether the source answers and is known not to have been away.
+
+        Of the time before its first answer, nothing is known.
+
+        :param now: time on the monotonic clock.
+        """
+        first_at = self._first_confirmed_at
+        if first_at is None or self.is_lost or self.is_unstable(now):
+            return False
+        return now - first_at >= _INSTABILITY_TIME
+
     def find_grace_end(self, now: timedelta) -> timedelta:
         """Return until when a target may register again.
 
