Look up a route by the lengths of the prefixes, not by the path

Cause: RouteTable.find copied and hashed the path once for each of its slashes, 20 ms for such a path, in the one task that dispatches all requests. It tries the different lengths of the prefixes of the host now, the longest first.

--- a/features/direct_fuzz.feature
+++ b/features/direct_fuzz.feature
@@ -39,3 +39,7 @@
     Given a dispatcher before 2 plain targets
     When 600 views reach it while the store is lost
     Then revision and version never fell
+
+  Scenario: the route of any path is the one with the longest prefix
+    When 600 paths are looked up among routes with any prefixes
+    Then each has the route whose prefix is its longest one
--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -31,6 +31,7 @@
       | 400   | send requests without an ID ahead  |
       | 400   | send bare requests ahead           |
       | 400   | send requests of short lines ahead |
+      | 400   | send requests of long paths ahead  |
 
     Examples: more clients than connections
       | count | shape                               |
--- a/features/specs/client_crowds.py
+++ b/features/specs/client_crowds.py
@@ -61,6 +61,7 @@
     return request * (_AHEAD_BYTES // len(request))
 
 
+_LONG_PATH = b'/a' * 7500
 _LENGTH = b'Content-Length: 16000\r\n'
 _SHORT_LINES = _make_head(b'POST /write/1', _number_line, _LENGTH)
 _SOME_LINES = b''.join(_number_line(number) for number in range(200))
@@ -122,6 +123,9 @@
             b'GET /nowhere HTTP/1.1\r\n\r\n'
         ),
         'send bare requests ahead': lambda: _repeat(b'GET / HTTP/1.1\r\n\r\n'),
+        'send requests of long paths ahead': lambda: _repeat(
+            b'GET %b HTTP/1.1\r\n%b\r\n' % (_LONG_PATH, _FIELDS)
+        ),
         'send requests of short lines ahead': lambda: _repeat(
             b'GET /nowhere HTTP/1.1\r\n%b%b\r\n' % (_FIELDS, _SOME_LINES)
         ),
--- a/packages/core/src/buckthornpond_core/serving/routes.py
+++ b/packages/core/src/buckthornpond_core/serving/routes.py
@@ -11,6 +11,38 @@
 _SLASH = '/'
 
 
+class _HostRoutes:
+    """Routes of one host by their prefixes.
+
+    A lookup costs the number of different lengths of these, not the length
+    of the path.
+
+    :param routes: the routes; of two with one prefix the last one holds.
+    """
+
+    __slots__ = ('_by_prefix', '_lengths')
+
+    def __init__(self, routes: list[Route]) -> None:
+        self._by_prefix = {
+            route.path_prefix: route
+            for route in routes
+            if route.path_prefix.endswith(_SLASH)
+        }
+        lengths = {len(prefix) for prefix in self._by_prefix}
+        self._lengths = sorted(lengths, reverse=True)
+
+    def find(self, path: str) -> Route | None:
+        """Return the route whose prefix is the longest match for a path.
+
+        :param path: path of the request, without a query.
+        """
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class RouteTable:
     """Index of the routes, credentials and services of a configuration.
 
@@ -18,8 +50,8 @@
     """
 
     __slots__ = (
+        '_hosts',
         '_organisations',
-        '_routes',
         'configuration',
         'services',
     )
@@ -34,10 +66,13 @@
             for organisation in configuration.organisations
             for credential in organisation.credentials
         }
-        self._routes: dict[str, dict[str, Route]] = {}
+        routes_by_host: dict[str, list[Route]] = {}
         for route in configuration.routes:
-            host_routes = self._routes.setdefault(route.host_name.lower(), {})
-            host_routes[route.path_prefix] = route
+            host_routes = routes_by_host.setdefault(route.host_name.lower(), [])
+            host_routes.append(route)
+        self._hosts = {
+            name: _HostRoutes(routes) for name, routes in routes_by_host.items()
+        }
 
     @property
     def needs_credentials(self) -> bool:
@@ -52,17 +87,10 @@
         :param path: path of the request, with or without a query.
         """
         name = host_name.partition(':')[0].removesuffix('.')
-        host_routes = self._routes.get(name.lower())
-        if not host_routes:
+        host_routes = self._hosts.get(name.lower())
+        if host_routes is None:
             return None
-        prefix = path.partition('?')[0]
-        end = prefix.rfind(_SLASH)
-        while end >= 0:
-            route = host_routes.get(prefix[: end + 1])
-            if route is not None:
-                return route
-            end = prefix.rfind(_SLASH, 0, end)
-        return None
+        return host_routes.find(path.partition('?')[0])
 
     def authenticate(self, credential: str) -> Organisation | None:
         """Return the organisation that holds a credential.
