Count the entries of lists in a head in the memory of a request

Cause: a request counted with the bytes of its head, but each prompt part becomes a string in a list before the request is admitted: 200 KB for such a head, for all clients at once. Each comma in the header fields counts 80 bytes now, so that the budget of all requests bounds what is decoded at a time; who exceeds it is refused as before.

--- a/features/misbehaving_clients.feature
+++ b/features/misbehaving_clients.feature
@@ -26,12 +26,13 @@
       | 400   | send all but the end of a body in chunks of a byte |
 
     Examples: requests ahead
-      | count | shape                              |
-      | 400   | send requests ahead                |
-      | 400   | send requests without an ID ahead  |
-      | 400   | send bare requests ahead           |
-      | 400   | send requests of short lines ahead |
-      | 400   | send requests of long paths ahead  |
+      | count | shape                                    |
+      | 400   | send requests ahead                      |
+      | 400   | send requests without an ID ahead        |
+      | 400   | send bare requests ahead                 |
+      | 400   | send requests of short lines ahead       |
+      | 400   | send requests of long paths ahead        |
+      | 400   | send requests of many prompt parts ahead |
 
     Examples: more clients than connections
       | count | shape                               |
@@ -102,6 +103,7 @@
       | 4194304 | bytes in a body  |
       | 256     | chunks of 16 KiB |
       | 200000  | chunks of a byte |
+      | 2000    | prompt parts     |
 
   Scenario Outline: the refusal of a request without an ID ends its connection in order
     Given an entry process on a machine of 80 MB and 2000 files
--- a/features/specs/client_crowds.py
+++ b/features/specs/client_crowds.py
@@ -53,6 +53,11 @@
     return b'%x:\r\n' % number
 
 
+def _make_parts(count: int) -> bytes:
+    entries = b','.join(b'%x:1' % number for number in range(count))
+    return b'X-Prefix-Hash: %b\r\n' % entries
+
+
 def _fold_line(number: int) -> bytes:
     return b' a\r\n' if number else b'X-A: a\r\n'
 
@@ -62,6 +67,7 @@
 
 
 _LONG_PATH = b'/a' * 7500
+_PART_COUNT = 2000
 _LENGTH = b'Content-Length: 16000\r\n'
 _SHORT_LINES = _make_head(b'POST /write/1', _number_line, _LENGTH)
 _SOME_LINES = b''.join(_number_line(number) for number in range(200))
@@ -126,6 +132,10 @@
         'send requests of long paths ahead': lambda: _repeat(
             b'GET %b HTTP/1.1\r\n%b\r\n' % (_LONG_PATH, _FIELDS)
         ),
+        'send requests of many prompt parts ahead': lambda: _repeat(
+            b'GET /nowhere HTTP/1.1\r\n%b%b\r\n'
+            % (_FIELDS, _make_parts(_PART_COUNT))
+        ),
         'send requests of short lines ahead': lambda: _repeat(
             b'GET /nowhere HTTP/1.1\r\n%b%b\r\n' % (_FIELDS, _SOME_LINES)
         ),
@@ -154,6 +164,8 @@
         return _make_read(b'a:\r\n' * count)
     if kind == 'bytes in a line':
         return _make_read(b'X-A: %b\r\n' % (b'a' * count))
+    if kind == 'prompt parts':
+        return _make_read(_make_parts(count))
     if kind == 'chunks of a byte':
         return _make_chunks(1, count)
     if kind == 'chunks of 16 KiB':
--- a/packages/entry/src/buckthornpond_entry/direct/header_blocks.py
+++ b/packages/entry/src/buckthornpond_entry/direct/header_blocks.py
@@ -5,6 +5,7 @@
 _LINE_END = '\r\n'
 _FRAMING = b'%b:%b\r\n'
 _FRAMING_BYTES = len(_SEPARATOR + _LINE_END)
+_LIST_SEPARATOR = b','
 
 
 class HeaderBlock:
@@ -14,11 +15,13 @@
     decoded whenever they are used.
     """
 
-    __slots__ = ('_count', '_lines')
+    __slots__ = ('_count', '_lines', 'list_entry_count')
 
     def __init__(self) -> None:
         self._lines = bytearray()
         self._count = 0
+        # Entries of values that are lists, but for the first one of each.
+        self.list_entry_count = 0
 
     @property
     def size_bytes(self) -> int:
@@ -38,6 +41,7 @@
         """
         self._lines += _FRAMING % (name, text)
         self._count += 1
+        self.list_entry_count += text.count(_LIST_SEPARATOR)
 
     def decode(self) -> list[tuple[str, str]]:
         """Return name and value of each field."""
--- a/packages/entry/src/buckthornpond_entry/direct/requests.py
+++ b/packages/entry/src/buckthornpond_entry/direct/requests.py
@@ -35,6 +35,8 @@
 _PIECES_PER_TURN = 512
 # Objects of one request, without its bytes.
 _REQUEST_COST_BYTES = 1024
+# A string and its place in a list, while the request is served.
+_LIST_ENTRY_COST_BYTES = 80
 
 
 class CallerRequest:
@@ -87,6 +89,7 @@
             _REQUEST_COST_BYTES
             + len(self.path)
             + self.head.size_bytes
+            + self.head.list_entry_count * _LIST_ENTRY_COST_BYTES
             + self.content.size_bytes
         )
 
