Log whether the peer whose view was taken knows that the store was not away

Cause: since that decides whether what a view lacks is gone at once or after two seconds, but E625 did not tell it, so the two could not be told apart from a log afterwards.

--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -188,6 +188,7 @@
                 era=view.era,
                 revision=view.revision,
                 source_age_ms=view.source_age_ms,
+                is_source_stable=view.is_source_stable,
             )
         confirmed_at = requested_at - view.source_age_ms * _MS
         self.fleet.confirm_by_peer(position, confirmed_at)
