Play a connection that goes silent while an entry reads pages

Cause: the rows of lost_connections had a silence in a watch and in the pause after a change, none in a read of pages.

Change: the history is dropped, the connection goes silent before the first page is sent, and a server leaves; reads 3.0 s after the silence reach it no more.

--- a/features/lost_connections.feature
+++ b/features/lost_connections.feature
@@ -13,6 +13,7 @@
       | go silent right after a change | app server 1 leaves              | 0.05  | 3.0   | loss  |
       | go silent during a watch     | app server 1 leaves                | 0.1   | 3.0   | loss  |
       | go silent during a watch     | app server 1 leaves unseen         | 0.1   | 3.0   | loss  |
+      | go silent while pages are read | app server 1 leaves              | 0.4   | 3.0   | loss  |
       | go silent right after a change | app server 1 drains              | 0.4   | 3.0   | loss  |
       | go silent right after a change | the key is withdrawn             | 0.4   | 3.0   | loss  |
       | go silent right after a change | the read route is dropped        | 0.4   | 3.0   | loss  |
--- a/features/steps/lost_connections_steps.py
+++ b/features/steps/lost_connections_steps.py
@@ -78,12 +78,23 @@
     store.silence_connections()
 
 
+def _silence_while_pages_are_read(context: Any) -> None:
+    """Drop the history, and fall silent before the first page is sent."""
+    store = context.cluster.store
+    store.page_size = 1
+    store.after_next_page = store.silence_connections
+    store.revision += 1
+    store.compact_history()
+    wait_until(lambda: store.after_next_page is None)
+
+
 _LOSSES: MappingProxyType[str, Callable[[Any], None]] = MappingProxyType(
     {
         'are cut': _cut,
         'are refused as too many': _refuse,
         'go silent during a watch': _silence,
         'go silent right after a change': _silence_after_change,
+        'go silent while pages are read': _silence_while_pages_are_read,
     }
 )
 
