--- a/features/specs/endless_readers.py
+++ b/features/specs/endless_readers.py
@@ -2,7 +2,7 @@
 
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.serving.events import EventAssembler, StreamPosition
-from buckthornpond_entry.direct.requests import RequestParser
+from buckthornpond_entry.direct.request_parsers import RequestParser
 from buckthornpond_runtime.responses import (
     HttpResponse,
     MalformedResponseError,
--- a/features/steps/direct_fuzz_steps.py
+++ b/features/steps/direct_fuzz_steps.py
@@ -21,7 +21,7 @@
 from buckthornpond_core.serving.events import EventAssembler, StreamPosition
 from buckthornpond_core.serving.fleet import Fleet
 from buckthornpond_core.serving.load_exchange import LoadExchange
-from buckthornpond_entry.direct.requests import RequestParser
+from buckthornpond_entry.direct.request_parsers import RequestParser
 from buckthornpond_platform._generated.wire import Item
 from buckthornpond_platform.headers import PlatformCodec
 from buckthornpond_platform.records import read_configuration, read_target
--- a/features/steps/message_framing_steps.py
+++ b/features/steps/message_framing_steps.py
@@ -15,7 +15,8 @@
 from buckthornpond_core._generated.serving import CallerLimits
 from buckthornpond_core.exceptions import InvalidRequestError
 from buckthornpond_core.serving.events import EventAssembler, StreamPosition
-from buckthornpond_entry.direct.requests import CallerRequest, RequestParser
+from buckthornpond_entry.direct.request_parsers import RequestParser
+from buckthornpond_entry.direct.requests import CallerRequest
 from buckthornpond_platform_standins.local_clusters import API_KEY, HOST
 from buckthornpond_platform_standins.server_responses import render_event
 
--- a/packages/entry/src/buckthornpond_entry/direct/readers.py
+++ b/packages/entry/src/buckthornpond_entry/direct/readers.py
@@ -16,7 +16,8 @@
 from .frontend import FrontendState
 from .receive_windows import ReceiveWindow
 from .request_memory import RequestShare
-from .requests import CallerRequest, RequestParser
+from .request_parsers import RequestParser
+from .requests import CallerRequest
 
 _READ_BYTES = 16_384
 # Of a body whose length is known.
