Log each target that a whole read of the fleet no longer lists

Cause: E613 told of removals that came as changes. One that was missing in a whole read, or in the view of a peer, left only the count in E617, so that a log did not say since when a server was out of use, or whether it was expected back.

Change: E613 for each target that was listed until then, once.

--- a/features/direct_fleet.feature
+++ b/features/direct_fleet.feature
@@ -46,7 +46,7 @@
     And 30 reads are requested
     Then all are answered
     And app server 1 received none of them
-    And event E623 is logged
+    And events E613 and E623 are logged
 
   Scenario: a fleet of several pages is read completely
     Given the store returns 2 items per page
--- a/packages/core/src/buckthornpond_core/serving/fleet_follower.py
+++ b/packages/core/src/buckthornpond_core/serving/fleet_follower.py
@@ -276,12 +276,7 @@
         is_removed = self.fleet.remove(
             change.name, now, may_return=self.fleet.source.is_unstable(now)
         )
-        self._recorder.log(
-            EventCode.target_removed,
-            target=change.name,
-            is_back_expected=not is_removed,
-            revision=change.revision,
-        )
+        self._log_removal(change.name, change.revision, is_removed=is_removed)
 
     def _apply_zone_change(self, change: ZoneEvacuated | ZoneReturned) -> None:
         if isinstance(change, ZoneEvacuated):
@@ -299,11 +294,16 @@
         is_restored = self._is_restored(change)
         if is_restored:
             self._record_restoration(change)
+        absent = self._list_absent(change)
         if is_restored or self.fleet.restored_until is not None:
             self.fleet.restore_all(change, now, is_new=is_restored)
         else:
             self.fleet.replace_all(change, now, may_return=may_return)
         self.fleet.position = SourcePosition(change.era, change.revision)
+        for name in absent:
+            self._log_removal(
+                name, change.revision, is_removed=self.fleet.find(name) is None
+            )
         for record in change.targets:
             view = self.fleet.find(record.name)
             if view is not None:
@@ -316,6 +316,25 @@
             revision=change.revision,
         )
 
+    def _list_absent(self, snapshot: SourceSnapshot) -> list[str]:
+        """Return the targets that are not yet known to be missing there."""
+        present = {record.name for record in snapshot.targets}
+        return [
+            view.record.name
+            for view in self.fleet
+            if view.record.name not in present and view.expires_at is None
+        ]
+
+    def _log_removal(
+        self, name: str, revision: int, *, is_removed: bool
+    ) -> None:
+        self._recorder.log(
+            EventCode.target_removed,
+            target=name,
+            is_back_expected=not is_removed,
+            revision=revision,
+        )
+
     def _is_restored(self, change: SourceSnapshot) -> bool:
         """Return whether the source came back from an older copy."""
         known = self.fleet.position
