--- a/features/lost_connections.feature
+++ b/features/lost_connections.feature
@@ -8,7 +8,7 @@
     And <delay> seconds after that, <change>
     Then reads <bound> seconds after the <event> are handled accordingly: <change>
 
-    Examples: the connection goes silent, which excuses the entry for 3 seconds
+    Examples: the connection goes silent, and the entry has 3 seconds to recover
       | loss                         | change                             | delay | bound | event |
       | go silent right after a change | app server 1 leaves              | 0.05  | 3.0   | loss  |
       | go silent during a watch     | app server 1 leaves                | 0.1   | 3.0   | loss  |
@@ -18,7 +18,7 @@
       | go silent right after a change | the key is withdrawn             | 0.4   | 3.0   | loss  |
       | go silent right after a change | the read route is dropped        | 0.4   | 3.0   | loss  |
 
-    Examples: the watch is cut or refused, which excuses nothing
+    Examples: the watch is cut or refused, and the usual bound holds
       | loss                         | change                             | delay | bound | event  |
       | are cut                      | app server 1 leaves                | 0.05  | 2.0   | change |
       | are cut                      | app server 1 leaves unseen         | 0.05  | 2.0   | change |
@@ -41,7 +41,7 @@
       | answered, lost, unavailable              | away  |
       | lost, lost                               | away  |
 
-  Scenario Outline: a silent connection is found, and the source asked anew, within the time that excuses it
+  Scenario Outline: a silent connection is found, and the source asked anew, within 3 seconds
     Given a contact with a source
     When its calls end as <calls>
     And its next call gets no answer
